--- /dev/null
+++ b/crates/adapter/src/codec.rs
@@ -0,0 +1,191 @@
+//! The wire's frames: big-endian records in, records out. Knows bytes, not meanings.
+
+use std::io::{self, Read};
+
+pub const EVENT: usize = 56;
+pub const ACTION: usize = 24;
+pub const ENTRY: usize = 25;
+const HEADER: usize = 16;
+/// A batch can run to megabytes; a length beyond this is taken for a broken stream.
+const LONGEST: usize = 1 << 30;
+
+/// Big-endian fields of one record or of the tail, by byte position.
+#[derive(Clone, Copy)]
+pub struct Fields<'a>(pub &'a [u8]);
+
+impl<'a> Fields<'a> {
+    fn take<const N: usize>(self, at: usize) -> [u8; N] {
+        let mut out = [0; N];
+        out.copy_from_slice(&self.0[at..at + N]);
+        out
+    }
+    pub fn u8(self, at: usize) -> u8 {
+        self.0[at]
+    }
+    pub fn u16(self, at: usize) -> u16 {
+        u16::from_be_bytes(self.take(at))
+    }
+    pub fn u32(self, at: usize) -> u32 {
+        u32::from_be_bytes(self.take(at))
+    }
+    pub fn u64(self, at: usize) -> u64 {
+        u64::from_be_bytes(self.take(at))
+    }
+    pub fn f32(self, at: usize) -> f64 {
+        f64::from(f32::from_be_bytes(self.take(at)))
+    }
+    pub fn f64(self, at: usize) -> f64 {
+        f64::from_be_bytes(self.take(at))
+    }
+    /// Four bytes of address and a port, as one number.
+    pub fn server(self, at: usize) -> u64 {
+        u64::from(self.u32(at)) << 16 | u64::from(self.u16(at + 4))
+    }
+}
+
+/// One batch: its clock, its records and its tail.
+#[derive(Default)]
+pub struct Batch {
+    pub clock: f64,
+    pub records: usize,
+    body: Vec<u8>,
+}
+
+impl Batch {
+    /// Reads the next batch into the same buffer; false at the end of input.
+    pub fn read(&mut self, input: &mut impl Read) -> Result<bool, String> {
+        let mut header = [0; HEADER];
+        let mut have = 0;
+        while have < HEADER {
+            match input.read(&mut header[have..]) {
+                Ok(0) if have == 0 => return Ok(false),
+                Ok(0) => return Err(format!("batch header: input ends after {have} of {HEADER} bytes")),
+                Ok(n) => have += n,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) => return Err(format!("batch header: {e}")),
+            }
+        }
+        let header = Fields(&header);
+        self.clock = header.f64(0);
+        let length = header.u32(8) as usize;
+        self.records = header.u32(12) as usize;
+        if !self.clock.is_finite() {
+            return Err("batch header: the clock is not a number".into());
+        }
+        if !(4..=LONGEST).contains(&length) {
+            return Err(format!(
+                "batch header: a length of {length} bytes is out of range"
+            ));
+        }
+        if self.records > (length - 4) / EVENT {
+            return Err(format!(
+                "batch header: {} records do not fit in {length} bytes",
+                self.records
+            ));
+        }
+        self.body.resize(length - 4, 0);
+        let read = input.read_exact(&mut self.body);
+        read.map_err(|e| format!("batch body of {} bytes: {e}", length - 4))?;
+        Ok(true)
+    }
+
+    pub fn record(&self, number: usize) -> Fields<'_> {
+        Fields(&self.body[number * EVENT..(number + 1) * EVENT])
+    }
+
+    /// The stretch of the tail that the field at `at` of a record names, in units of `unit` bytes.
+    pub fn tail(&self, record: Fields, at: usize, unit: usize) -> Result<&[u8], String> {
+        let tail = &self.body[self.records * EVENT..];
+        let (from, count) = (record.u32(at) as usize, record.u32(at + 4) as usize);
+        let to = count.checked_mul(unit).and_then(|size| from.checked_add(size));
+        to.and_then(|to| tail.get(from..to)).ok_or_else(|| {
+            format!(
+                "tail: {count} x {unit} bytes at {from} leave the {} there",
+                tail.len()
+            )
+        })
+    }
+}
+
+/// One reply under construction.
+#[derive(Default)]
+pub struct Reply {
+    frame: Vec<u8>,
+    tail: Vec<u8>,
+    records: u32,
+}
+
+impl Reply {
+    pub fn clear(&mut self) {
+        self.frame.clear();
+        self.frame.resize(8, 0);
+        self.tail.clear();
+        self.records = 0;
+    }
+    /// Adds a record: its code and the bytes of its fields in order.
+    pub fn push(&mut self, code: u8, fields: &[&[u8]]) {
+        let start = self.frame.len();
+        self.frame.push(code);
+        for field in fields {
+            self.frame.extend_from_slice(field);
+        }
+        self.frame.resize(start + ACTION, 0);
+        self.records += 1;
+    }
+    /// Adds a record whose only field is a text in the tail.
+    pub fn push_text(&mut self, code: u8, text: &str) {
+        let (at, length) = (self.tail.len() as u32, text.len() as u32);
+        self.tail.extend_from_slice(text.as_bytes());
+        self.push(code, &[&at.to_be_bytes(), &length.to_be_bytes()]);
+    }
+    /// The finished frame.
+    pub fn finish(&mut self) -> &[u8] {
+        self.frame.extend_from_slice(&self.tail);
+        let length = (self.frame.len() - 4) as u32;
+        self.frame[0..4].copy_from_slice(&length.to_be_bytes());
+        self.frame[4..8].copy_from_slice(&self.records.to_be_bytes());
+        &self.frame
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn batch(length: u32, records: u32, body: &[u8]) -> Result<bool, String> {
+        let mut bytes = 1.0f64.to_be_bytes().to_vec();
+        bytes.extend(length.to_be_bytes());
+        bytes.extend(records.to_be_bytes());
+        bytes.extend(body);
+        Batch::default().read(&mut &bytes[..])
+    }
+
+    #[test]
+    fn broken_frames_are_named() {
+        assert_eq!(batch(4, 0, &[]), Ok(true));
+        assert_eq!(Batch::default().read(&mut &[][..]), Ok(false));
+        assert!(Batch::default()
+            .read(&mut &[0; 9][..])
+            .unwrap_err()
+            .contains("after 9 of 16"));
+        assert!(batch(60, 2, &[0; 56]).unwrap_err().contains("2 records"));
+        assert!(batch(60, 1, &[0; 20]).unwrap_err().contains("batch body"));
+        assert!(batch(2, 0, &[]).unwrap_err().contains("length of 2"));
+    }
+
+    #[test]
+    fn tail_offsets_stay_inside() {
+        let mut batch = Batch {
+            clock: 0.0,
+            records: 1,
+            body: vec![0; EVENT + 3],
+        };
+        batch.body[4] = 3;
+        assert_eq!(batch.tail(batch.record(0), 1, 1).map(<[u8]>::len), Ok(0));
+        batch.body[8] = 1;
+        assert!(batch
+            .tail(batch.record(0), 1, 1)
+            .unwrap_err()
+            .contains("leave the 3"));
+    }
+}
--- /dev/null
+++ b/src/control.rs
@@ -0,0 +1,435 @@
+//! The decisions of one front. The host makes a [`Control`] at start, reports what happens through its
+//! methods (they only update what is known) and then pulls [`Control::next_decision`] until it returns
+//! `None`, carrying out each decision in order. The types are in `interface`. Every method takes the
+//! host's clock; the same calls in the same order give the same decisions.
+
+use crate::interface::*;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use slab::Slab;
+use std::collections::{HashMap, VecDeque};
+
+/// Predicted wait below which a first set-up goes out (design: 0.5 s).
+const BOUND: f64 = 0.5;
+/// Utilisation added by each own unanswered set-up and by the newcomer (design).
+const STEP: f64 = 0.01;
+/// Time between two probes of a pool (design).
+const PROBE_PERIOD: f64 = 1.0;
+/// Share of the smoothed delay that a new measurement replaces.
+const SMOOTHING: f64 = 0.3;
+/// Hosts may round times to microseconds: a wait is lengthened by so much that it never ends early.
+const CLOCK_GRAIN: f64 = 2e-6;
+/// Set-ups that a cold pool may be sent at once from a budget saved up.
+const COLD_BURST: f64 = 1.0;
+
+/// What this front knows of one pool.
+struct Pool {
+    name: PoolName,
+    number: u16,
+    started: f64,
+    /// Last told to be in service.
+    ready: bool,
+    free_agents: Option<f64>,
+    /// It reports its processor's wait, so its own figure replaces delays measured from here.
+    reports: bool,
+    /// Least delay of an answered set-up, the network included.
+    least: Option<f64>,
+    smoothed: f64,
+    /// Set-ups sent and not ended, oldest first: attach, when sent.
+    unanswered: VecDeque<(UeName, f64)>,
+    /// When the first set-up was sent that has met silence since the pool last answered one.
+    silent_from: Option<f64>,
+    /// When a set-up was last sent.
+    last_sent: f64,
+    /// When a probe was last answered.
+    probe_answered: f64,
+    probe_due: f64,
+    cold_budget: f64,
+    cold_budget_at: f64,
+}
+
+struct Attach {
+    ue: UeName,
+    procedure: usize,
+    first_choice: u16,
+    gives_up_at: f64,
+    tries: u32,
+    /// The pool of the last try, avoided by the next.
+    last_pool: Option<usize>,
+    /// A setup try is out.
+    out: bool,
+    /// No setup try may go before: the release guard of the last one.
+    not_before: f64,
+}
+
+pub struct Control {
+    deployment: Deployment,
+    rng: ChaCha8Rng,
+    pools: Vec<Pool>,
+    attaches: Slab<Attach>,
+    by_ue: HashMap<UeName, usize>,
+    undecided: VecDeque<UeName>,
+    /// Attaches that wait out the release guard, in order of when it ends.
+    waiting: VecDeque<(f64, UeName)>,
+    /// Earliest wake-up asked of the host and still to come.
+    wake_at: f64,
+    started: f64,
+    /// Smoothed count of arrivals within `warm_after`, and when it was last brought up to date.
+    arrivals: f64,
+    arrivals_at: f64,
+}
+
+impl Control {
+    pub fn new(seed: u64, deployment: Deployment, now: f64) -> Control {
+        Control {
+            deployment,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            pools: Vec::new(),
+            attaches: Slab::new(),
+            by_ue: HashMap::new(),
+            undecided: VecDeque::new(),
+            waiting: VecDeque::new(),
+            wake_at: f64::INFINITY,
+            started: now,
+            arrivals: 0.0,
+            arrivals_at: now,
+        }
+    }
+
+    // ---- bookkeeping: what the host reports ----
+
+    /// News of the list: all of it (`whole`), or the entries that changed.
+    pub fn pools_listed(&mut self, now: f64, entries: &[PoolEntry], whole: bool) {
+        if whole {
+            for pool in &mut self.pools {
+                pool.ready &= entries.iter().any(|e| e.name == pool.name);
+            }
+        }
+        for entry in entries {
+            let place = self.pools.iter().position(|p| p.name == entry.name);
+            let place = place.unwrap_or_else(|| {
+                self.pools.push(Pool::unheard(
+                    entry,
+                    now + self.rng.random::<f64>() * PROBE_PERIOD,
+                ));
+                self.pools.len() - 1
+            });
+            let pool = &mut self.pools[place];
+            if entry.started > pool.started {
+                // A new processor: what was measured of the old one says nothing of it.
+                let (unanswered, probe_due) = (std::mem::take(&mut pool.unanswered), pool.probe_due);
+                *pool = Pool {
+                    unanswered,
+                    ..Pool::unheard(entry, probe_due)
+                };
+            }
+            if entry.ready && !pool.ready {
+                pool.cold_budget_at = now;
+            }
+            pool.ready = entry.ready;
+        }
+    }
+
+    pub fn attach_arrived(&mut self, now: f64, new: NewAttach) {
+        let span = self.deployment.cold.warm_after;
+        self.arrivals = 1.0 + self.arrivals * (-(now - self.arrivals_at) / span).exp();
+        self.arrivals_at = now;
+        let key = self.attaches.insert(Attach {
+            ue: new.ue,
+            procedure: new.procedure,
+            first_choice: new.first_choice,
+            gives_up_at: new.gives_up_at,
+            tries: 0,
+            last_pool: None,
+            out: false,
+            not_before: now,
+        });
+        self.by_ue.insert(new.ue, key);
+        self.undecided.push_back(new.ue);
+    }
+
+    pub fn attach_stands(&mut self, _now: f64, ue: UeName, pool: PoolName, delay: f64) {
+        self.forget(ue);
+        if let Some(pool) = self.pools.iter_mut().find(|p| p.name == pool) {
+            let sent = pool.ended(ue);
+            if !pool.reports {
+                pool.measured(delay);
+            }
+            pool.least = Some(pool.least.map_or(delay, |l| l.min(delay)));
+            pool.answered(sent);
+        }
+    }
+
+    /// A setup try, or an attach that stood, has ended; `finished` says that no answer is owed any more.
+    pub fn try_ended(
+        &mut self,
+        now: f64,
+        ue: UeName,
+        pool: PoolName,
+        ended: Ended,
+        finished: bool,
+        report: Report,
+    ) {
+        if let Some(pool) = self.pools.iter_mut().find(|p| p.name == pool) {
+            let sent = pool.ended(ue);
+            pool.reported(report);
+            match ended {
+                Ended::Released | Ended::Rejected | Ended::Cancelled => {}
+                Ended::Throttled { wait } => {
+                    pool.measured(wait.unwrap_or(2.0 * BOUND));
+                    pool.answered(sent);
+                }
+                Ended::Unreached | Ended::TimedOut | Ended::Cut => {
+                    if let (None, Some(sent)) = (pool.silent_from, sent) {
+                        pool.silent_from = Some(sent);
+                    }
+                }
+            }
+        }
+        if finished {
+            self.forget(ue);
+        }
+        let Some(&key) = self.by_ue.get(&ue) else { return };
+        let attach = &mut self.attaches[key];
+        if !std::mem::take(&mut attach.out) {
+            return;
+        }
+        if matches!(ended, Ended::TimedOut | Ended::Cut | Ended::Cancelled) {
+            attach.not_before = now + self.deployment.release_guard + CLOCK_GRAIN;
+            if attach.not_before < attach.gives_up_at {
+                self.waiting.push_back((attach.not_before, ue));
+                return;
+            }
+        }
+        self.undecided.push_back(ue);
+    }
+
+    pub fn client_left(&mut self, _now: f64, ue: UeName) {
+        self.forget(ue);
+    }
+
+    /// A pool was heard of outside a set-up. `probe` tells, for an answer to a probe, whether it was good
+    /// and how long it took.
+    pub fn pool_heard(&mut self, now: f64, pool: PoolName, probe: Option<(bool, f64)>, report: Report) {
+        let Some(pool) = self.pools.iter_mut().find(|p| p.name == pool) else {
+            return;
+        };
+        pool.reported(report);
+        if let Some((true, _)) = probe {
+            pool.probe_answered = now;
+        }
+    }
+
+    pub fn wake(&mut self, now: f64) {
+        if now >= self.wake_at {
+            self.wake_at = f64::INFINITY;
+        }
+    }
+
+    fn forget(&mut self, ue: UeName) {
+        if let Some(key) = self.by_ue.remove(&ue) {
+            self.attaches.remove(key);
+        }
+    }
+
+    // ---- decisions: what the host pulls ----
+
+    pub fn next_decision(&mut self, now: f64) -> Option<Decision> {
+        while self.waiting.front().is_some_and(|w| w.0 <= now) {
+            self.undecided.extend(self.waiting.pop_front().map(|w| w.1));
+        }
+        while let Some(ue) = self.undecided.pop_front() {
+            if let Some(&key) = self.by_ue.get(&ue) {
+                return Some(self.decide(now, key));
+            }
+        }
+        if self.deployment.may_probe {
+            if let Some(pool) = self.pools.iter_mut().find(|p| p.ready && p.probe_due <= now) {
+                pool.probe_due = now + PROBE_PERIOD;
+                return Some(Decision::Probe { pool: pool.name });
+            }
+        }
+        let probes = self
+            .pools
+            .iter()
+            .filter(|p| p.ready && self.deployment.may_probe)
+            .map(|p| p.probe_due);
+        let next = probes
+            .chain(self.waiting.front().map(|w| w.0))
+            .fold(f64::INFINITY, f64::min);
+        if next < self.wake_at {
+            self.wake_at = next;
+            return Some(Decision::Wake {
+                after: next - now + CLOCK_GRAIN,
+            });
+        }
+        None
+    }
+
+    fn decide(&mut self, now: f64, key: usize) -> Decision {
+        let attach = &self.attaches[key];
+        let ue = attach.ue;
+        let left = attach.gives_up_at - now;
+        if left <= 0.0 || now < attach.not_before || attach.tries >= self.deployment.max_tries {
+            self.forget(ue);
+            return Decision::Abort { ue };
+        }
+        let Some(place) = self.route(now, key) else {
+            self.forget(ue);
+            return Decision::Refuse {
+                ue,
+                pause: BOUND.min(self.deployment.longest_pause),
+            };
+        };
+        let attach = &mut self.attaches[key];
+        let target = self.deployment.procedures[attach.procedure].latency_target;
+        attach.tries += 1;
+        attach.last_pool = Some(place);
+        attach.out = true;
+        let pool = &mut self.pools[place];
+        pool.unanswered.push_back((ue, now));
+        pool.last_sent = now;
+        if pool.warmth(now, &self.deployment.cold) < 1.0 {
+            pool.cold_budget -= 1.0;
+        }
+        Decision::SetUp {
+            ue,
+            pool: pool.name,
+            time_out: target.min(left),
+        }
+    }
+
+    /// The design's route: the first choice while under the bound, else the lower wait of two others.
+    fn route(&mut self, now: f64, key: usize) -> Option<usize> {
+        let attach = &self.attaches[key];
+        let allowed = &self.deployment.procedures[attach.procedure].pools;
+        let (first, last) = (attach.first_choice, attach.last_pool);
+        let share = self.own_share(now);
+        let mut others = [0; 16];
+        let mut count = 0;
+        for place in 0..self.pools.len() {
+            let pool = &mut self.pools[place];
+            let usable = pool.ready && allowed.contains(&pool.number) && pool.free_agents != Some(0.0);
+            if !usable || last == Some(place) {
+                continue;
+            }
+            pool.refill(now, share, &self.deployment.cold);
+            if pool.number == first && pool.wait(now, &self.deployment.cold) < BOUND {
+                return Some(place);
+            }
+            if pool.number != first && count < others.len() {
+                others[count] = place;
+                count += 1;
+            }
+        }
+        let mut best = None;
+        let mut least = BOUND;
+        for drawn in 0..count.min(2) {
+            others.swap(drawn, self.rng.random_range(drawn..count));
+            let wait = self.pools[others[drawn]].wait(now, &self.deployment.cold);
+            if wait < least {
+                (best, least) = (Some(others[drawn]), wait);
+            }
+        }
+        best
+    }
+
+    /// Set-ups a second that this front would bring to each pool in service, were they spread evenly.
+    fn own_share(&self, now: f64) -> f64 {
+        let span = self.deployment.cold.warm_after;
+        let seen = (1.0 - (-(now - self.started) / span).exp()).max(1.0 / span) * span;
+        let pools = self.pools.iter().filter(|p| p.ready).count().max(1);
+        self.arrivals * (-(now - self.arrivals_at) / span).exp() / seen / pools as f64
+    }
+}
+
+impl Pool {
+    fn unheard(entry: &PoolEntry, probe_due: f64) -> Pool {
+        Pool {
+            name: entry.name,
+            number: entry.number,
+            started: entry.started,
+            ready: false,
+            free_agents: None,
+            reports: false,
+            least: None,
+            smoothed: 0.0,
+            unanswered: VecDeque::new(),
+            silent_from: None,
+            last_sent: f64::NEG_INFINITY,
+            probe_answered: f64::NEG_INFINITY,
+            probe_due,
+            cold_budget: 0.0,
+            cold_budget_at: 0.0,
+        }
+    }
+
+    fn measured(&mut self, delay: f64) {
+        self.smoothed = if self.smoothed == 0.0 {
+            delay
+        } else {
+            self.smoothed + SMOOTHING * (delay - self.smoothed)
+        };
+    }
+
+    fn reported(&mut self, report: Report) {
+        if report.free_agents.is_some() {
+            self.free_agents = report.free_agents;
+        }
+        if let Some(wait) = report.wait {
+            self.reports = true;
+            self.measured(self.least.unwrap_or(0.0) + wait);
+        }
+    }
+
+    /// Takes a set-up off the unanswered ones; returns when it was sent.
+    fn ended(&mut self, ue: UeName) -> Option<f64> {
+        let place = self.unanswered.iter().position(|u| u.0 == ue)?;
+        self.unanswered.remove(place).map(|u| u.1)
+    }
+
+    /// The processor has answered the set-up sent then: silence counts only from later ones.
+    fn answered(&mut self, sent: Option<f64>) {
+        let sent = sent.unwrap_or(f64::NEG_INFINITY);
+        self.silent_from = self.unanswered.iter().map(|u| u.1).find(|&s| s > sent);
+    }
+
+    /// Share of its full capacity that the processor is sure to have.
+    fn warmth(&self, now: f64, cold: &ColdStart) -> f64 {
+        let age = ((now - self.started) / cold.warm_after).min(1.0);
+        if self.started <= 0.0 {
+            return 1.0;
+        }
+        cold.start_capacity + (1.0 - cold.start_capacity) * age
+    }
+
+    /// Guards rule 4: a cold processor gets no more than this front's even share of what it can do.
+    fn refill(&mut self, now: f64, share: f64, cold: &ColdStart) {
+        let grown = share * self.warmth(now, cold) * (now - self.cold_budget_at).max(0.0);
+        self.cold_budget = (self.cold_budget + grown).min(COLD_BURST);
+        self.cold_budget_at = now;
+    }
+
+    /// The design's predicted wait with the newcomer added; infinite where it must not go.
+    fn wait(&self, now: f64, cold: &ColdStart) -> f64 {
+        if self.warmth(now, cold) < 1.0 && self.cold_budget < 1.0 {
+            return f64::INFINITY;
+        }
+        // Guards against servers that fall silent: a set-up still unanswered is a delay of its age.
+        let oldest = self.silent_from.or(self.unanswered.front().map(|u| u.1));
+        let silence = oldest.map_or(0.0, |from| now - from);
+        let trial = self.unanswered.is_empty()
+            && self.probe_answered > self.last_sent
+            && now - self.last_sent > PROBE_PERIOD;
+        if silence > BOUND && !trial {
+            return f64::INFINITY;
+        }
+        let Some(least) = self.least else { return 0.0 };
+        let delay = self.smoothed.max(least).max(if trial { 0.0 } else { silence });
+        let utilisation = 1.0 - least / delay + STEP * (self.unanswered.len() + 1) as f64;
+        if utilisation >= 1.0 {
+            return f64::INFINITY;
+        }
+        least / (1.0 - utilisation)
+    }
+}
--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,105 @@
+//! Plain types that cross the border of the decision module. Times are seconds on the host's clock.
+
+/// Name of a core server's processor as the host spells it; opaque to the module.
+pub type PoolName = u64;
+/// Name of an attach as the host spells it; opaque to the module and not used twice.
+pub type UeName = u32;
+
+/// What the module needs to know of a deployment at start.
+#[derive(Clone, Debug, Default)]
+pub struct Deployment {
+    pub procedures: Vec<Procedure>,
+    pub fronts: u32,
+    pub may_probe: bool,
+    pub max_tries: u32,
+    pub release_guard: f64,
+    pub longest_pause: f64,
+    pub cold: ColdStart,
+}
+
+/// What a processor that has just started can bear.
+#[derive(Clone, Debug, Default)]
+pub struct ColdStart {
+    pub start_capacity: f64,
+    pub warm_after: f64,
+}
+
+/// One kind of attach.
+#[derive(Clone, Debug, Default)]
+pub struct Procedure {
+    pub latency_target: f64,
+    pub utility: f64,
+    /// Numbers of the pools that can take it.
+    pub pools: Vec<u16>,
+}
+
+/// How the list of pools names one of them.
+#[derive(Clone, Copy, Debug)]
+pub struct PoolEntry {
+    pub name: PoolName,
+    pub number: u16,
+    /// Last start on the host's clock; 0 when long ago.
+    pub started: f64,
+    pub ready: bool,
+}
+
+/// An attach handed to this front.
+#[derive(Clone, Copy, Debug)]
+pub struct NewAttach {
+    pub ue: UeName,
+    pub procedure: usize,
+    pub first_choice: u16,
+    pub gives_up_at: f64,
+}
+
+/// What a pool says of itself; absent where it says nothing.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Report {
+    pub free_agents: Option<f64>,
+    /// Wait at the processor, seconds.
+    pub wait: Option<f64>,
+}
+
+/// How a setup try (or a standing attach) ended.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Ended {
+    /// A standing attach came to its ordinary end.
+    Released,
+    /// The called line is busy or signalling failed.
+    Rejected,
+    /// The processor was too busy; it may name a wait in seconds.
+    Throttled {
+        wait: Option<f64>,
+    },
+    /// Proved never to have reached a processor.
+    Unreached,
+    TimedOut,
+    Cut,
+    Cancelled,
+}
+
+/// What the host is asked to do next.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Decision {
+    SetUp {
+        ue: UeName,
+        pool: PoolName,
+        time_out: f64,
+    },
+    /// Final answer: refused; the caller is advised to stay away so long (0: no advice).
+    Refuse {
+        ue: UeName,
+        pause: f64,
+    },
+    /// Final answer: fails.
+    Abort {
+        ue: UeName,
+    },
+    Probe {
+        pool: PoolName,
+    },
+    /// Call `wake` after this many seconds.
+    Wake {
+        after: f64,
+    },
+}
