A stale measurement no longer shuts a front out: one trial set-up measures again

A measurement older than the delay it told of is now replaced, and a pool with nothing out and a stale measurement takes one set-up. Also covers: any pool whose answers dry up. May hurt: one attach per front and silence goes to a dead pool.

--- a/src/control.rs
+++ b/src/control.rs
@@ -35,6 +35,8 @@
     /// Least delay of an answered set-up, the network included.
     least: Option<f64>,
     smoothed: f64,
+    /// When it was last measured.
+    measured_at: f64,
     /// Set-ups sent and not ended, oldest first: attach, when sent.
     unanswered: VecDeque<(UeName, f64)>,
     /// When the first set-up was sent that has met silence since the pool last answered one.
@@ -148,12 +150,12 @@
         self.undecided.push_back(new.ue);
     }
 
-    pub fn attach_stands(&mut self, _now: f64, ue: UeName, pool: PoolName, delay: f64) {
+    pub fn attach_stands(&mut self, now: f64, ue: UeName, pool: PoolName, delay: f64) {
         self.forget(ue);
         if let Some(pool) = self.pools.iter_mut().find(|p| p.name == pool) {
             let sent = pool.ended(ue);
             if !pool.reports {
-                pool.measured(delay);
+                pool.measured(now, delay);
             }
             pool.least = Some(pool.least.map_or(delay, |l| l.min(delay)));
             pool.answered(sent);
@@ -172,11 +174,11 @@
     ) {
         if let Some(pool) = self.pools.iter_mut().find(|p| p.name == pool) {
             let sent = pool.ended(ue);
-            pool.reported(report);
+            pool.reported(now, report);
             match ended {
                 Ended::Released | Ended::Rejected | Ended::Cancelled => {}
                 Ended::Throttled { wait } => {
-                    pool.measured(wait.unwrap_or(2.0 * BOUND));
+                    pool.measured(now, wait.unwrap_or(2.0 * BOUND));
                     pool.answered(sent);
                 }
                 Ended::Unreached | Ended::TimedOut | Ended::Cut => {
@@ -214,7 +216,7 @@
         let Some(pool) = self.pools.iter_mut().find(|p| p.name == pool) else {
             return;
         };
-        pool.reported(report);
+        pool.reported(now, report);
         if let Some((true, _)) = probe {
             pool.probe_answered = now;
         }
@@ -314,7 +316,7 @@
                 continue;
             }
             pool.refill(now, share, &self.deployment.cold);
-            if pool.number == first && pool.wait(now, &self.deployment.cold) < BOUND {
+            if pool.number == first && pool.wait(now, &self.deployment) < BOUND {
                 return Some(place);
             }
             if pool.number != first && count < others.len() {
@@ -326,7 +328,7 @@
         let mut least = BOUND;
         for drawn in 0..count.min(2) {
             others.swap(drawn, self.rng.random_range(drawn..count));
-            let wait = self.pools[others[drawn]].wait(now, &self.deployment.cold);
+            let wait = self.pools[others[drawn]].wait(now, &self.deployment);
             if wait < least {
                 (best, least) = (Some(others[drawn]), wait);
             }
@@ -354,6 +356,7 @@
             reports: false,
             least: None,
             smoothed: 0.0,
+            measured_at: f64::NEG_INFINITY,
             unanswered: VecDeque::new(),
             silent_from: None,
             last_sent: f64::NEG_INFINITY,
@@ -364,21 +367,25 @@
         }
     }
 
-    fn measured(&mut self, delay: f64) {
-        self.smoothed = if self.smoothed == 0.0 {
-            delay
-        } else {
-            self.smoothed + SMOOTHING * (delay - self.smoothed)
-        };
+    /// A measurement that is older than the delay it told of is replaced, not smoothed: a queue of that
+    /// length has passed since.
+    fn measured(&mut self, now: f64, delay: f64) {
+        let weight = if self.stale(now) { 1.0 } else { SMOOTHING };
+        self.smoothed += weight * (delay - self.smoothed);
+        self.measured_at = now;
+    }
+
+    fn stale(&self, now: f64) -> bool {
+        now - self.measured_at > self.smoothed
     }
 
-    fn reported(&mut self, report: Report) {
+    fn reported(&mut self, now: f64, report: Report) {
         if report.free_agents.is_some() {
             self.free_agents = report.free_agents;
         }
         if let Some(wait) = report.wait {
             self.reports = true;
-            self.measured(self.least.unwrap_or(0.0) + wait);
+            self.measured(now, self.least.unwrap_or(0.0) + wait);
         }
     }
 
@@ -411,21 +418,30 @@
     }
 
     /// The design's predicted wait with the newcomer added; infinite where it must not go.
-    fn wait(&self, now: f64, cold: &ColdStart) -> f64 {
+    fn wait(&self, now: f64, deployment: &Deployment) -> f64 {
+        let (cold, may_probe) = (&deployment.cold, deployment.may_probe);
         if self.warmth(now, cold) < 1.0 && self.cold_budget < 1.0 {
             return f64::INFINITY;
         }
         // Guards against servers that fall silent: a set-up still unanswered is a delay of its age.
         let oldest = self.silent_from.or(self.unanswered.front().map(|u| u.1));
         let silence = oldest.map_or(0.0, |from| now - from);
+        // Guards against being shut out by an old measurement: with nothing out and nothing heard for as
+        // long as the wait last seen, one set-up goes to measure again; a silent pool, only once a probe
+        // came back, where there are probes.
         let trial = self.unanswered.is_empty()
-            && self.probe_answered > self.last_sent
-            && now - self.last_sent > PROBE_PERIOD;
-        if silence > BOUND && !trial {
+            && self.stale(now)
+            && (self.silent_from.is_none()
+                || (now - self.last_sent > PROBE_PERIOD
+                    && (!may_probe || self.probe_answered > self.last_sent)));
+        if trial {
+            return self.least.unwrap_or(0.0);
+        }
+        if silence > BOUND {
             return f64::INFINITY;
         }
         let Some(least) = self.least else { return 0.0 };
-        let delay = self.smoothed.max(least).max(if trial { 0.0 } else { silence });
+        let delay = self.smoothed.max(least).max(silence);
         let utilisation = 1.0 - least / delay + STEP * (self.unanswered.len() + 1) as f64;
         if utilisation >= 1.0 {
             return f64::INFINITY;
