Step counts the load that the other fronts add: 0.03 times the number of fronts

Covers any lag of measurement: slowed servers, bursts, late reports. May hurt where one front carries nearly all traffic.

--- a/src/control.rs
+++ b/src/control.rs
@@ -12,7 +12,7 @@
 /// Predicted wait below which a first set-up goes out (design: 0.5 s).
 const BOUND: f64 = 0.5;
 /// Utilisation added by each own unanswered set-up and by the newcomer (design).
-const STEP: f64 = 0.01;
+const STEP: f64 = 0.03;
 /// Time between two probes of a pool (design).
 const PROBE_PERIOD: f64 = 1.0;
 /// Share of the smoothed delay that a new measurement replaces.
@@ -442,7 +442,7 @@
         }
         let Some(least) = self.least else { return 0.0 };
         let delay = self.smoothed.max(least).max(silence);
-        let utilisation = 1.0 - least / delay + STEP * (self.unanswered.len() + 1) as f64;
+        let utilisation = 1.0 - least / delay + STEP * deployment.fronts as f64 * (self.unanswered.len() + 1) as f64;
         if utilisation >= 1.0 {
             return f64::INFINITY;
         }
