Bound and pause as ratios: 0.3 of the shortest latency target, half a bound

Cause: a redial that comes after the latency target earns little and displaces a fresh attach; a long pause makes all redials late. 0.5 s of bound was too high where waits are only seen by own set-ups.

--- a/src/control.rs
+++ b/src/control.rs
@@ -9,8 +9,10 @@
 use slab::Slab;
 use std::collections::{HashMap, VecDeque};
 
-/// Predicted wait below which a first set-up goes out (design: 0.5 s).
-const BOUND: f64 = 0.5;
+/// Predicted wait below which a first set-up goes out, in shortest latency targets.
+const BOUND: f64 = 0.3;
+/// Pause named to a refused caller, in bounds.
+const PAUSE: f64 = 0.5;
 /// Utilisation added by each own unanswered set-up and by the newcomer (design).
 const STEP: f64 = 0.03;
 /// Time between two probes of a pool (design).
@@ -66,6 +68,8 @@
 
 pub struct Control {
     deployment: Deployment,
+    /// Predicted wait below which a set-up goes out; far below any T-timer.
+    bound: f64,
     rng: ChaCha8Rng,
     pools: Vec<Pool>,
     attaches: Slab<Attach>,
@@ -83,7 +87,9 @@
 
 impl Control {
     pub fn new(seed: u64, deployment: Deployment, now: f64) -> Control {
+        let targets = deployment.procedures.iter().map(|p| p.latency_target);
         Control {
+            bound: BOUND * targets.fold(f64::INFINITY, f64::min),
             deployment,
             rng: ChaCha8Rng::seed_from_u64(seed),
             pools: Vec::new(),
@@ -178,7 +184,7 @@
             match ended {
                 Ended::Released | Ended::Rejected | Ended::Cancelled => {}
                 Ended::Throttled { wait } => {
-                    pool.measured(now, wait.unwrap_or(2.0 * BOUND));
+                    pool.measured(now, wait.unwrap_or(2.0 * self.bound));
                     pool.answered(sent);
                 }
                 Ended::Unreached | Ended::TimedOut | Ended::Cut => {
@@ -280,7 +286,7 @@
             self.forget(ue);
             return Decision::Refuse {
                 ue,
-                pause: BOUND.min(self.deployment.longest_pause),
+                pause: (PAUSE * self.bound).min(self.deployment.longest_pause),
             };
         };
         let attach = &mut self.attaches[key];
@@ -316,7 +322,7 @@
                 continue;
             }
             pool.refill(now, share, &self.deployment.cold);
-            if pool.number == first && pool.wait(now, &self.deployment) < BOUND {
+            if pool.number == first && pool.wait(now, self.bound, &self.deployment) < self.bound {
                 return Some(place);
             }
             if pool.number != first && count < others.len() {
@@ -325,10 +331,10 @@
             }
         }
         let mut best = None;
-        let mut least = BOUND;
+        let mut least = self.bound;
         for drawn in 0..count.min(2) {
             others.swap(drawn, self.rng.random_range(drawn..count));
-            let wait = self.pools[others[drawn]].wait(now, &self.deployment);
+            let wait = self.pools[others[drawn]].wait(now, self.bound, &self.deployment);
             if wait < least {
                 (best, least) = (Some(others[drawn]), wait);
             }
@@ -418,7 +424,7 @@
     }
 
     /// The design's predicted wait with the newcomer added; infinite where it must not go.
-    fn wait(&self, now: f64, deployment: &Deployment) -> f64 {
+    fn wait(&self, now: f64, bound: f64, deployment: &Deployment) -> f64 {
         let (cold, may_probe) = (&deployment.cold, deployment.may_probe);
         if self.warmth(now, cold) < 1.0 && self.cold_budget < 1.0 {
             return f64::INFINITY;
@@ -437,7 +443,7 @@
         if trial {
             return self.least.unwrap_or(0.0);
         }
-        if silence > BOUND {
+        if silence > bound {
             return f64::INFINITY;
         }
         let Some(least) = self.least else { return 0.0 };
