--- a/src/control.rs
+++ b/src/control.rs
@@ -11,6 +11,8 @@
 
 /// Predicted wait below which a first set-up goes out, in shortest latency targets.
 const BOUND: f64 = 0.3;
+/// Delays are told apart only up to here, in bounds.
+const FAR_TOO_LONG: f64 = 3.0;
 /// Pause named to a refused caller, in bounds.
 const PAUSE: f64 = 0.5;
 /// Utilisation added by each own unanswered set-up and by the newcomer (design).
@@ -158,10 +160,11 @@
 
     pub fn attach_stands(&mut self, now: f64, ue: UeName, pool: PoolName, delay: f64) {
         self.forget(ue);
+        let limit = FAR_TOO_LONG * self.bound;
         if let Some(pool) = self.pools.iter_mut().find(|p| p.name == pool) {
             let sent = pool.ended(ue);
             if !pool.reports {
-                pool.measured(now, delay);
+                pool.measured(now, delay, limit);
             }
             pool.least = Some(pool.least.map_or(delay, |l| l.min(delay)));
             pool.answered(sent);
@@ -178,13 +181,14 @@
         finished: bool,
         report: Report,
     ) {
+        let limit = FAR_TOO_LONG * self.bound;
         if let Some(pool) = self.pools.iter_mut().find(|p| p.name == pool) {
             let sent = pool.ended(ue);
-            pool.reported(now, report);
+            pool.reported(now, report, limit);
             match ended {
                 Ended::Released | Ended::Rejected | Ended::Cancelled => {}
                 Ended::Throttled { wait } => {
-                    pool.measured(now, wait.unwrap_or(2.0 * self.bound));
+                    pool.measured(now, wait.unwrap_or(limit), limit);
                     pool.answered(sent);
                 }
                 Ended::Unreached | Ended::TimedOut | Ended::Cut => {
@@ -219,10 +223,11 @@
     /// A pool was heard of outside a set-up. `probe` tells, for an answer to a probe, whether it was good
     /// and how long it took.
     pub fn pool_heard(&mut self, now: f64, pool: PoolName, probe: Option<(bool, f64)>, report: Report) {
+        let limit = FAR_TOO_LONG * self.bound;
         let Some(pool) = self.pools.iter_mut().find(|p| p.name == pool) else {
             return;
         };
-        pool.reported(now, report);
+        pool.reported(now, report, limit);
         if let Some((true, _)) = probe {
             pool.probe_answered = now;
         }
@@ -375,7 +380,9 @@
 
     /// A measurement that is older than the delay it told of is replaced, not smoothed: a queue of that
     /// length has passed since.
-    fn measured(&mut self, now: f64, delay: f64) {
+    /// Guards against absurd figures and slow forgetting: past `limit` a delay only says 'far too long'.
+    fn measured(&mut self, now: f64, delay: f64, limit: f64) {
+        let delay = delay.min(limit);
         let weight = if self.stale(now) { 1.0 } else { SMOOTHING };
         self.smoothed += weight * (delay - self.smoothed);
         self.measured_at = now;
@@ -385,13 +392,13 @@
         now - self.measured_at > self.smoothed
     }
 
-    fn reported(&mut self, now: f64, report: Report) {
+    fn reported(&mut self, now: f64, report: Report, limit: f64) {
         if report.free_agents.is_some() {
             self.free_agents = report.free_agents;
         }
         if let Some(wait) = report.wait {
             self.reports = true;
-            self.measured(now, self.least.unwrap_or(0.0) + wait);
+            self.measured(now, self.least.unwrap_or(0.0) + wait, limit);
         }
     }
 
@@ -441,14 +448,15 @@
                 || (now - self.last_sent > PROBE_PERIOD
                     && (!may_probe || self.probe_answered > self.last_sent)));
         if trial {
-            return self.least.unwrap_or(0.0);
+            return self.least.unwrap_or(0.0).min(bound / 2.0);
         }
         if silence > bound {
             return f64::INFINITY;
         }
         let Some(least) = self.least else { return 0.0 };
         let delay = self.smoothed.max(least).max(silence);
-        let utilisation = 1.0 - least / delay + STEP * deployment.fronts as f64 * (self.unanswered.len() + 1) as f64;
+        let utilisation =
+            1.0 - least / delay + STEP * deployment.fronts as f64 * (self.unanswered.len() + 1) as f64;
         if utilisation >= 1.0 {
             return f64::INFINITY;
         }
