--- /dev/null
+++ b/tests/cases.rs
@@ -0,0 +1,162 @@
+//! Plain cases: the design's ordinary path, and one case for each failure found.
+
+mod common;
+
+use common::*;
+use shalespindle::interface::*;
+
+fn sent_to(world: &World) -> Option<PoolName> {
+    world.decisions.iter().rev().find_map(|d| match d {
+        Decision::SetUp { pool, .. } => Some(Some(*pool)),
+        Decision::Refuse { .. } | Decision::Abort { .. } => Some(None),
+        _ => None,
+    })?
+}
+
+/// Lets an attach stand at the pool after the given delay.
+fn served(world: &mut World, pool: u16, delay: f64) {
+    let ue = world.arrive(0, pool, PATIENCE);
+    assert_eq!(sent_to(world), Some(u64::from(pool)));
+    world.pass(delay);
+    world.stands(ue);
+}
+
+fn tell_wait(world: &mut World, pool: PoolName, wait: f64) {
+    let report = Report {
+        free_agents: None,
+        wait: Some(wait),
+    };
+    for _ in 0..20 {
+        world
+            .control
+            .pool_heard(world.now, pool, Some((true, 0.02)), report);
+    }
+    world.pull();
+}
+
+#[test]
+fn first_choice_while_under_the_bound_then_the_lower_of_two_others_then_refused() {
+    let mut world = World::new(1, deployment());
+    for pool in 0..3 {
+        served(&mut world, pool, 0.05);
+    }
+    world.arrive(0, 2, PATIENCE);
+    assert_eq!(sent_to(&world), Some(2));
+    tell_wait(&mut world, 2, 1.5);
+    tell_wait(&mut world, 1, 0.2);
+    world.arrive(0, 2, PATIENCE);
+    assert_eq!(sent_to(&world), Some(0));
+    tell_wait(&mut world, 0, 1.5);
+    tell_wait(&mut world, 1, 1.5);
+    world.arrive(0, 2, PATIENCE);
+    assert!(matches!(world.decisions.last(), Some(Decision::Refuse { pause, .. }) if *pause > 0.0));
+}
+
+#[test]
+fn unanswered_set_ups_of_all_fronts_raise_the_predicted_wait() {
+    let mut world = World::new(1, deployment());
+    served(&mut world, 0, 0.05);
+    let mut taken = 0;
+    while {
+        world.arrive(0, 0, PATIENCE);
+        sent_to(&world) == Some(0)
+    } {
+        taken += 1;
+        assert!(
+            taken < 100 / FRONTS,
+            "a front must count its part of what the others add"
+        );
+    }
+    assert!(taken > 1);
+}
+
+#[test]
+fn a_pool_without_free_agents_is_skipped() {
+    let mut world = World::new(1, deployment());
+    let none = Report {
+        free_agents: Some(0.0),
+        wait: None,
+    };
+    world.control.pool_heard(world.now, 0, None, none);
+    world.arrive(0, 0, PATIENCE);
+    assert!(matches!(sent_to(&world), Some(1 | 2)));
+}
+
+#[test]
+fn probes_go_to_each_ready_pool_each_second() {
+    let mut world = World::new(1, deployment());
+    world.list(&[entry(2, 0.0, false)], false);
+    world.pass(10.0);
+    let probes = |pool| {
+        world
+            .decisions
+            .iter()
+            .filter(|d| **d == Decision::Probe { pool })
+            .count()
+    };
+    assert!((9..=11).contains(&probes(0)) && (9..=11).contains(&probes(1)));
+    assert_eq!(probes(2), 0);
+}
+
+/// Found on kyushu-buoy-net: without probes an old long delay shut the front out for good.
+#[test]
+fn an_old_measurement_does_not_shut_a_pool_out() {
+    let mut world = World::new(
+        1,
+        Deployment {
+            may_probe: false,
+            ..deployment()
+        },
+    );
+    served(&mut world, 0, 1.9);
+    world.arrive(0, 0, PATIENCE);
+    assert_ne!(sent_to(&world), Some(0));
+    world.pass(2.5);
+    world.arrive(0, 0, PATIENCE);
+    assert_eq!(sent_to(&world), Some(0));
+}
+
+/// Incident i46697c: a report of four million seconds was believed for the rest of the day.
+#[test]
+fn an_absurd_report_is_soon_forgotten() {
+    let mut world = World::new(1, deployment());
+    served(&mut world, 0, 0.05);
+    for wait in [4e6, 0.0, 0.0, 0.0, 0.0, 0.0, 0.0] {
+        world.control.pool_heard(
+            world.now,
+            0,
+            None,
+            Report {
+                free_agents: None,
+                wait: Some(wait),
+            },
+        );
+    }
+    world.arrive(0, 0, PATIENCE);
+    assert_eq!(sent_to(&world), Some(0));
+}
+
+/// A server that takes set-ups and answers none is left alone long before the first time-out.
+#[test]
+fn silence_closes_a_pool() {
+    let mut world = World::new(1, deployment());
+    served(&mut world, 0, 0.05);
+    world.arrive(0, 0, PATIENCE);
+    world.pass(0.9);
+    world.arrive(0, 0, PATIENCE);
+    assert!(matches!(sent_to(&world), Some(1 | 2)));
+}
+
+#[test]
+fn nothing_is_sent_for_a_caller_who_left() {
+    let mut world = World::new(1, deployment());
+    let ue = world.arrive(0, 0, PATIENCE);
+    world.ends(ue, Ended::TimedOut, Report::default());
+    let before = world.decisions.len();
+    world.leave(ue);
+    world.pass(PATIENCE);
+    let later = &world.decisions[before..];
+    assert!(!later
+        .iter()
+        .any(|d| matches!(d, Decision::SetUp { .. } | Decision::Abort { .. })));
+}
