The bound falls with what an attach is worth now: utility, and late share for late redials

Cause: the procedure with the higher utility was the worst served, and callers back after their latency target took the place of fresh ones. A redial is known by its called number, which this front saw leave unserved within the T-timer. The bound is scaled by the root of utility over the highest utility, times the late share once the target cannot be met. May hurt where many callers share one called number.

--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -104,6 +104,7 @@
                     ue: event.u32(1),
                     procedure: usize::from(event.u16(5)),
                     first_choice: event.f32(35) as u16,
+                    number: event.u64(11),
                     gives_up_at: event.f64(19),
                 },
             ),
--- a/crates/adapter/src/settings.rs
+++ b/crates/adapter/src/settings.rs
@@ -16,6 +16,8 @@
 #[derive(Deserialize)]
 struct Class {
     aim_s: f64,
+    deadline_s: f64,
+    late_share: f64,
     worth: f64,
 }
 
@@ -65,6 +67,8 @@
     let procedures = text.classes.iter().map(|c| Procedure {
         latency_target: c.aim_s,
         utility: c.worth,
+        late_share: c.late_share,
+        t_timer: c.deadline_s,
         pools: cells.next().unwrap_or_default(),
     });
     let deployment = Deployment {
--- a/src/control.rs
+++ b/src/control.rs
@@ -58,6 +58,9 @@
     ue: UeName,
     procedure: usize,
     first_choice: u16,
+    number: u64,
+    /// When its caller first asked, as far as this front knows.
+    asked_at: f64,
     gives_up_at: f64,
     tries: u32,
     /// The pool of the last try, avoided by the next.
@@ -82,6 +85,10 @@
     /// Earliest wake-up asked of the host and still to come.
     wake_at: f64,
     started: f64,
+    /// Callers who went away unserved and may dial again: number called, when they first asked.
+    unserved: HashMap<u64, f64>,
+    /// The same in order of when they went, to be forgotten after the T-timer.
+    unserved_order: VecDeque<(f64, u64)>,
     /// Smoothed count of arrivals within `warm_after`, and when it was last brought up to date.
     arrivals: f64,
     arrivals_at: f64,
@@ -101,6 +108,8 @@
             waiting: VecDeque::new(),
             wake_at: f64::INFINITY,
             started: now,
+            unserved: HashMap::new(),
+            unserved_order: VecDeque::new(),
             arrivals: 0.0,
             arrivals_at: now,
         }
@@ -144,10 +153,18 @@
         let span = self.deployment.cold.warm_after;
         self.arrivals = 1.0 + self.arrivals * (-(now - self.arrivals_at) / span).exp();
         self.arrivals_at = now;
+        let timer = self.deployment.procedures[new.procedure].t_timer;
+        while self.unserved_order.front().is_some_and(|u| now - u.0 > timer) {
+            let number = self.unserved_order.pop_front().map(|u| u.1);
+            number.map(|n| self.unserved.remove(&n));
+        }
+        let asked_at = self.unserved.get(&new.number).copied().unwrap_or(now);
         let key = self.attaches.insert(Attach {
             ue: new.ue,
             procedure: new.procedure,
             first_choice: new.first_choice,
+            number: new.number,
+            asked_at,
             gives_up_at: new.gives_up_at,
             tries: 0,
             last_pool: None,
@@ -216,8 +233,8 @@
         self.undecided.push_back(ue);
     }
 
-    pub fn client_left(&mut self, _now: f64, ue: UeName) {
-        self.forget(ue);
+    pub fn client_left(&mut self, now: f64, ue: UeName) {
+        self.unserved(now, ue);
     }
 
     /// A pool was heard of outside a set-up. `probe` tells, for an answer to a probe, whether it was good
@@ -239,6 +256,16 @@
         }
     }
 
+    /// The attach ends without standing; its caller may dial again.
+    fn unserved(&mut self, now: f64, ue: UeName) {
+        let Some(&key) = self.by_ue.get(&ue) else { return };
+        let Attach { number, asked_at, .. } = self.attaches[key];
+        if number != 0 && self.unserved.insert(number, asked_at).is_none() {
+            self.unserved_order.push_back((now, number));
+        }
+        self.forget(ue);
+    }
+
     fn forget(&mut self, ue: UeName) {
         if let Some(key) = self.by_ue.remove(&ue) {
             self.attaches.remove(key);
@@ -284,11 +311,11 @@
         let ue = attach.ue;
         let left = attach.gives_up_at - now;
         if left <= 0.0 || now < attach.not_before || attach.tries >= self.deployment.max_tries {
-            self.forget(ue);
+            self.unserved(now, ue);
             return Decision::Abort { ue };
         }
         let Some(place) = self.route(now, key) else {
-            self.forget(ue);
+            self.unserved(now, ue);
             return Decision::Refuse {
                 ue,
                 pause: (PAUSE * self.bound).min(self.deployment.longest_pause),
@@ -318,6 +345,7 @@
         let allowed = &self.deployment.procedures[attach.procedure].pools;
         let (first, last) = (attach.first_choice, attach.last_pool);
         let share = self.own_share(now);
+        let bound = self.bound * self.worth(attach, now).sqrt();
         let mut others = [0; 16];
         let mut count = 0;
         for place in 0..self.pools.len() {
@@ -327,7 +355,7 @@
                 continue;
             }
             pool.refill(now, share, &self.deployment.cold);
-            if pool.number == first && pool.wait(now, self.bound, &self.deployment) < self.bound {
+            if pool.number == first && pool.wait(now, bound, &self.deployment) < bound {
                 return Some(place);
             }
             if pool.number != first && count < others.len() {
@@ -336,10 +364,10 @@
             }
         }
         let mut best = None;
-        let mut least = self.bound;
+        let mut least = bound;
         for drawn in 0..count.min(2) {
             others.swap(drawn, self.rng.random_range(drawn..count));
-            let wait = self.pools[others[drawn]].wait(now, self.bound, &self.deployment);
+            let wait = self.pools[others[drawn]].wait(now, bound, &self.deployment);
             if wait < least {
                 (best, least) = (Some(others[drawn]), wait);
             }
@@ -347,6 +375,18 @@
         best
     }
 
+    /// What the attach would earn now, were it set up at the bound, as a share of the highest utility.
+    fn worth(&self, attach: &Attach, now: f64) -> f64 {
+        let procedure = &self.deployment.procedures[attach.procedure];
+        let top = self
+            .deployment
+            .procedures
+            .iter()
+            .fold(0.0, |top: f64, p| top.max(p.utility));
+        let late = now + self.bound - attach.asked_at > procedure.latency_target;
+        procedure.utility / top * if late { procedure.late_share } else { 1.0 }
+    }
+
     /// Set-ups a second that this front would bring to each pool in service, were they spread evenly.
     fn own_share(&self, now: f64) -> f64 {
         let span = self.deployment.cold.warm_after;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -29,6 +29,9 @@
 pub struct Procedure {
     pub latency_target: f64,
     pub utility: f64,
+    /// Share of the utility that is left past the latency target.
+    pub late_share: f64,
+    pub t_timer: f64,
     /// Numbers of the pools that can take it.
     pub pools: Vec<u16>,
 }
@@ -49,6 +52,8 @@
     pub ue: UeName,
     pub procedure: usize,
     pub first_choice: u16,
+    /// The number called; 0 where none is told.
+    pub number: u64,
     pub gives_up_at: f64,
 }
 
--- a/tests/cases.rs
+++ b/tests/cases.rs
@@ -160,3 +160,17 @@
         .iter()
         .any(|d| matches!(d, Decision::SetUp { .. } | Decision::Abort { .. })));
 }
+
+/// Found on kyushu-buoy-net: late redials and fresh attaches had the same claim on a busy pool.
+#[test]
+fn near_the_bound_an_attach_that_earns_more_goes_first() {
+    let mut world = World::new(1, deployment());
+    served(&mut world, 0, 0.05);
+    for pool in 0..3 {
+        tell_wait(&mut world, pool, 0.2);
+    }
+    world.arrive(0, 0, PATIENCE);
+    assert_eq!(sent_to(&world), None);
+    world.arrive(1, 0, PATIENCE);
+    assert_eq!(sent_to(&world), Some(0));
+}
