--- a/crates/adapter/src/settings.rs
+++ b/crates/adapter/src/settings.rs
@@ -40,6 +40,7 @@
 struct Safety {
     start_capacity: f64,
     warm_after_s: f64,
+    tip_multiple: f64,
 }
 
 #[derive(Deserialize)]
@@ -85,6 +86,7 @@
         cold: ColdStart {
             start_capacity: text.safety.start_capacity,
             warm_after: text.safety.warm_after_s,
+            tip_multiple: text.safety.tip_multiple,
         },
     };
     Ok((deployment, reading))
--- a/src/control.rs
+++ b/src/control.rs
@@ -23,6 +23,8 @@
 const SMOOTHING: f64 = 0.3;
 /// Hosts may round times to microseconds: a wait is lengthened by so much that it never ends early.
 const CLOCK_GRAIN: f64 = 2e-6;
+/// Part of what would push a cold pool over that this front allows itself.
+const COLD_SHARE: f64 = 0.6;
 /// Set-ups that a cold pool may be sent at once from a budget saved up.
 const COLD_BURST: f64 = 1.0;
 
@@ -50,6 +52,11 @@
     /// When a probe was last answered.
     probe_answered: f64,
     probe_due: f64,
+    /// Attaches that stood there, smoothed over `warm_after`, as of `stood_at`.
+    stood: f64,
+    stood_at: f64,
+    /// Set-ups a second that this front brought to its predecessor.
+    part: f64,
     cold_budget: f64,
     cold_budget_at: f64,
 }
@@ -125,12 +132,14 @@
             }
         }
         for entry in entries {
+            let part = self.part_of_predecessor(now, entry.number);
             let place = self.pools.iter().position(|p| p.name == entry.name);
             let place = place.unwrap_or_else(|| {
-                self.pools.push(Pool::unheard(
-                    entry,
-                    now + self.rng.random::<f64>() * PROBE_PERIOD,
-                ));
+                let probe_due = now + self.rng.random::<f64>() * PROBE_PERIOD;
+                self.pools.push(Pool {
+                    part,
+                    ..Pool::unheard(entry, probe_due)
+                });
                 self.pools.len() - 1
             });
             let pool = &mut self.pools[place];
@@ -139,6 +148,7 @@
                 let (unanswered, probe_due) = (std::mem::take(&mut pool.unanswered), pool.probe_due);
                 *pool = Pool {
                     unanswered,
+                    part,
                     ..Pool::unheard(entry, probe_due)
                 };
             }
@@ -180,6 +190,9 @@
         let limit = FAR_TOO_LONG * self.bound;
         if let Some(pool) = self.pools.iter_mut().find(|p| p.name == pool) {
             let sent = pool.ended(ue);
+            let span = self.deployment.cold.warm_after;
+            pool.stood = 1.0 + pool.stood * ((pool.stood_at - now) / span).exp();
+            pool.stood_at = now;
             if !pool.reports {
                 pool.measured(now, delay, limit);
             }
@@ -344,7 +357,7 @@
         let attach = &self.attaches[key];
         let allowed = &self.deployment.procedures[attach.procedure].pools;
         let (first, last) = (attach.first_choice, attach.last_pool);
-        let share = self.own_share(now);
+        let even_part = self.even_part(now);
         let bound = self.bound * self.worth(attach, now).sqrt();
         let mut others = [0; 16];
         let mut count = 0;
@@ -354,7 +367,7 @@
             if !usable || last == Some(place) {
                 continue;
             }
-            pool.refill(now, share, &self.deployment.cold);
+            pool.refill(now, even_part, &self.deployment.cold);
             if pool.number == first && pool.wait(now, bound, &self.deployment) < bound {
                 return Some(place);
             }
@@ -387,12 +400,40 @@
         procedure.utility / top * if late { procedure.late_share } else { 1.0 }
     }
 
-    /// Set-ups a second that this front would bring to each pool in service, were they spread evenly.
-    fn own_share(&self, now: f64) -> f64 {
+    /// Counts smoothed over `warm_after` become rates when divided by this.
+    fn span_seen(&self, now: f64) -> f64 {
+        let span = self.deployment.cold.warm_after;
+        span * (1.0 - ((self.started - now) / span).exp()).max(1.0 / span)
+    }
+
+    /// What this front brought to the processor that a new one replaces, else to the warm pools on average.
+    fn part_of_predecessor(&self, now: f64, number: u16) -> f64 {
+        let cold = &self.deployment.cold;
+        let (mut borne, mut warm) = (0.0, 0.0);
+        for pool in self
+            .pools
+            .iter()
+            .filter(|p| p.ready && p.warmth(now, cold) >= 1.0)
+        {
+            let stood = pool.stood * ((pool.stood_at - now) / cold.warm_after).exp();
+            if pool.number == number {
+                return stood / self.span_seen(now);
+            }
+            warm += 1.0;
+            borne += stood;
+        }
+        if warm == 0.0 {
+            0.0
+        } else {
+            borne / warm / self.span_seen(now)
+        }
+    }
+
+    /// This front's even part of what callers ask, a second, for each pool in service.
+    fn even_part(&self, now: f64) -> f64 {
+        let ready = self.pools.iter().filter(|p| p.ready).count().max(1) as f64;
         let span = self.deployment.cold.warm_after;
-        let seen = (1.0 - (-(now - self.started) / span).exp()).max(1.0 / span) * span;
-        let pools = self.pools.iter().filter(|p| p.ready).count().max(1);
-        self.arrivals * (-(now - self.arrivals_at) / span).exp() / seen / pools as f64
+        self.arrivals * ((self.arrivals_at - now) / span).exp() / self.span_seen(now) / ready
     }
 }
 
@@ -413,6 +454,9 @@
             last_sent: f64::NEG_INFINITY,
             probe_answered: f64::NEG_INFINITY,
             probe_due,
+            stood: 0.0,
+            stood_at: 0.0,
+            part: 0.0,
             cold_budget: 0.0,
             cold_budget_at: 0.0,
         }
@@ -464,8 +508,14 @@
     }
 
     /// Guards rule 4: a cold processor gets no more than this front's even share of what it can do.
-    fn refill(&mut self, now: f64, share: f64, cold: &ColdStart) {
-        let grown = share * self.warmth(now, cold) * (now - self.cold_budget_at).max(0.0);
+    fn refill(&mut self, now: f64, even_part: f64, cold: &ColdStart) {
+        let allowed = (cold.tip_multiple * COLD_SHARE).max(1.0);
+        let rate = if self.part > 0.0 {
+            self.part * allowed
+        } else {
+            even_part
+        };
+        let grown = rate * self.warmth(now, cold) * (now - self.cold_budget_at).max(0.0);
         self.cold_budget = (self.cold_budget + grown).min(COLD_BURST);
         self.cold_budget_at = now;
     }
@@ -473,7 +523,7 @@
     /// The design's predicted wait with the newcomer added; infinite where it must not go.
     fn wait(&self, now: f64, bound: f64, deployment: &Deployment) -> f64 {
         let (cold, may_probe) = (&deployment.cold, deployment.may_probe);
-        if self.warmth(now, cold) < 1.0 && self.cold_budget < 1.0 {
+        if self.warmth(now, cold) < 1.0 && (self.cold_budget < 1.0 || !self.unanswered.is_empty()) {
             return f64::INFINITY;
         }
         // Guards against servers that fall silent: a set-up still unanswered is a delay of its age.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -22,6 +22,8 @@
 pub struct ColdStart {
     pub start_capacity: f64,
     pub warm_after: f64,
+    /// It falls over at this multiple of what it can do.
+    pub tip_multiple: f64,
 }
 
 /// One kind of attach.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -15,6 +15,8 @@
     let procedure = |utility| Procedure {
         latency_target: 2.0,
         utility,
+        late_share: 0.25,
+        t_timer: 9.0,
         pools: vec![0, 1, 2],
     };
     Deployment {
@@ -27,6 +29,7 @@
         cold: ColdStart {
             start_capacity: 0.3,
             warm_after: 15.0,
+            tip_multiple: MULTIPLE,
         },
     }
 }
@@ -125,6 +128,7 @@
                 ue,
                 procedure,
                 first_choice,
+                number: 0,
                 gives_up_at,
             },
         );
