--- a/src/control.rs
+++ b/src/control.rs
@@ -45,7 +45,7 @@
     measured_at: f64,
     /// Set-ups sent and not ended, oldest first: attach, when sent.
     unanswered: VecDeque<(UeName, f64)>,
-    /// When the first set-up was sent that has met silence since the pool last answered one.
+    /// When the first set-up was sent of those after the last that the pool answered.
     silent_from: Option<f64>,
     /// When a set-up was last sent.
     last_sent: f64,
@@ -216,16 +216,13 @@
             let sent = pool.ended(ue);
             pool.reported(now, report, limit);
             match ended {
-                Ended::Released | Ended::Rejected | Ended::Cancelled => {}
+                Ended::Rejected => pool.answered(sent),
                 Ended::Throttled { wait } => {
                     pool.measured(now, wait.unwrap_or(limit), limit);
                     pool.answered(sent);
                 }
-                Ended::Unreached | Ended::TimedOut | Ended::Cut => {
-                    if let (None, Some(sent)) = (pool.silent_from, sent) {
-                        pool.silent_from = Some(sent);
-                    }
-                }
+                // Silence has counted since it was sent.
+                Ended::Released | Ended::Cancelled | Ended::Unreached | Ended::TimedOut | Ended::Cut => {}
             }
         }
         if finished {
@@ -341,6 +338,7 @@
         attach.out = true;
         let pool = &mut self.pools[place];
         pool.unanswered.push_back((ue, now));
+        pool.silent_from.get_or_insert(now);
         pool.last_sent = now;
         if pool.warmth(now, &self.deployment.cold) < 1.0 {
             pool.cold_budget -= 1.0;
@@ -527,8 +525,8 @@
             return f64::INFINITY;
         }
         // Guards against servers that fall silent: a set-up still unanswered is a delay of its age.
-        let oldest = self.silent_from.or(self.unanswered.front().map(|u| u.1));
-        let silence = oldest.map_or(0.0, |from| now - from);
+        // Set-ups overtaken by an answer don't count: single losses are no silence.
+        let silence = self.silent_from.map_or(0.0, |from| now - from);
         // Guards against being shut out by an old measurement: with nothing out and nothing heard for as
         // long as the wait last seen, one set-up goes to measure again; a silent pool, only once a probe
         // came back, where there are probes.
