--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -184,6 +184,9 @@
         Decision::SetUp { ue, pool, time_out } => {
             reply.push(20, &[&ue.to_be_bytes(), &server(pool), &time_out.to_be_bytes()])
         }
+        Decision::Cancel { ue, setup_try } => {
+            reply.push(80, &[&ue.to_be_bytes(), &(setup_try as u16).to_be_bytes()])
+        }
         Decision::Refuse { ue, pause } => reply.push(40, &[&ue.to_be_bytes(), &pause.to_be_bytes()]),
         Decision::Abort { ue } => reply.push(10, &[&ue.to_be_bytes()]),
         Decision::Probe { pool } => reply.push(100, &[&server(pool)]),
--- a/crates/adapter/src/settings.rs
+++ b/crates/adapter/src/settings.rs
@@ -30,6 +30,7 @@
 
 #[derive(Deserialize)]
 struct Limits {
+    cancelling: bool,
     max_attempts: u32,
     max_retry_after_s: f64,
     probes: bool,
@@ -75,6 +76,7 @@
     let deployment = Deployment {
         procedures: procedures.collect(),
         fronts: text.balancers,
+        may_cancel: text.limits.cancelling,
         may_probe: text.limits.probes,
         max_tries: text.limits.max_attempts,
         release_guard: text.domain.guard_s,
--- a/src/control.rs
+++ b/src/control.rs
@@ -13,6 +13,8 @@
 const BOUND: f64 = 0.3;
 /// Delays are told apart only up to here, in bounds.
 const FAR_TOO_LONG: f64 = 3.0;
+/// A set-up is taken for lost when one sent so much later, in bounds, was answered by the same pool.
+const OVERTAKEN: f64 = 0.25;
 /// Pause named to a refused caller, in bounds.
 const PAUSE: f64 = 0.5;
 /// Utilisation added by each own unanswered set-up and by the newcomer (design).
@@ -47,6 +49,12 @@
     unanswered: VecDeque<(UeName, f64)>,
     /// When the first set-up was sent of those after the last that the pool answered.
     silent_from: Option<f64>,
+    /// When the set-up was sent that was answered last.
+    answered_to: f64,
+    /// Set-ups sent after that one.
+    misses: u32,
+    /// It lately answered promptly after it had left an earlier set-up unanswered.
+    lossy: bool,
     /// When a set-up was last sent.
     last_sent: f64,
     /// When a probe was last answered.
@@ -74,6 +82,8 @@
     last_pool: Option<usize>,
     /// A setup try is out.
     out: bool,
+    /// That one has been cancelled.
+    cancelled: bool,
     /// No setup try may go before: the release guard of the last one.
     not_before: f64,
 }
@@ -89,6 +99,8 @@
     undecided: VecDeque<UeName>,
     /// Attaches that wait out the release guard, in order of when it ends.
     waiting: VecDeque<(f64, UeName)>,
+    /// Attaches whose setup try was overtaken by an answer, to be cancelled.
+    overtaken: VecDeque<UeName>,
     /// Earliest wake-up asked of the host and still to come.
     wake_at: f64,
     started: f64,
@@ -113,6 +125,7 @@
             by_ue: HashMap::new(),
             undecided: VecDeque::new(),
             waiting: VecDeque::new(),
+            overtaken: VecDeque::new(),
             wake_at: f64::INFINITY,
             started: now,
             unserved: HashMap::new(),
@@ -179,6 +192,7 @@
             tries: 0,
             last_pool: None,
             out: false,
+            cancelled: false,
             not_before: now,
         });
         self.by_ue.insert(new.ue, key);
@@ -197,7 +211,17 @@
                 pool.measured(now, delay, limit);
             }
             pool.least = Some(pool.least.map_or(delay, |l| l.min(delay)));
-            pool.answered(sent);
+            let missed = pool.answered(sent);
+            if missed > 0 || delay > self.bound {
+                pool.lossy = delay <= self.bound;
+            }
+            if let (Some(sent), true) = (sent, self.deployment.may_cancel) {
+                let lost = pool
+                    .unanswered
+                    .iter()
+                    .filter(|u| u.1 + OVERTAKEN * self.bound < sent);
+                self.overtaken.extend(lost.map(|u| u.0));
+            }
         }
     }
 
@@ -216,7 +240,9 @@
             let sent = pool.ended(ue);
             pool.reported(now, report, limit);
             match ended {
-                Ended::Rejected => pool.answered(sent),
+                Ended::Rejected => {
+                    pool.answered(sent);
+                }
                 Ended::Throttled { wait } => {
                     pool.measured(now, wait.unwrap_or(limit), limit);
                     pool.answered(sent);
@@ -288,6 +314,17 @@
         while self.waiting.front().is_some_and(|w| w.0 <= now) {
             self.undecided.extend(self.waiting.pop_front().map(|w| w.1));
         }
+        while let Some(ue) = self.overtaken.pop_front() {
+            // Guards against set-ups that are lost on the way: waiting on for them is in vain.
+            let Some(&key) = self.by_ue.get(&ue) else { continue };
+            let attach = &mut self.attaches[key];
+            if attach.out && !std::mem::replace(&mut attach.cancelled, true) {
+                return Some(Decision::Cancel {
+                    ue,
+                    setup_try: attach.tries - 1,
+                });
+            }
+        }
         while let Some(ue) = self.undecided.pop_front() {
             if let Some(&key) = self.by_ue.get(&ue) {
                 return Some(self.decide(now, key));
@@ -336,9 +373,11 @@
         attach.tries += 1;
         attach.last_pool = Some(place);
         attach.out = true;
+        attach.cancelled = false;
         let pool = &mut self.pools[place];
         pool.unanswered.push_back((ue, now));
         pool.silent_from.get_or_insert(now);
+        pool.misses += 1;
         pool.last_sent = now;
         if pool.warmth(now, &self.deployment.cold) < 1.0 {
             pool.cold_budget -= 1.0;
@@ -449,6 +488,9 @@
             measured_at: f64::NEG_INFINITY,
             unanswered: VecDeque::new(),
             silent_from: None,
+            answered_to: f64::NEG_INFINITY,
+            misses: 0,
+            lossy: false,
             last_sent: f64::NEG_INFINITY,
             probe_answered: f64::NEG_INFINITY,
             probe_due,
@@ -491,9 +533,26 @@
     }
 
     /// The processor has answered the set-up sent then: silence counts only from later ones.
-    fn answered(&mut self, sent: Option<f64>) {
-        let sent = sent.unwrap_or(f64::NEG_INFINITY);
-        self.silent_from = self.unanswered.iter().map(|u| u.1).find(|&s| s > sent);
+    /// Returns how many before it were not.
+    fn answered(&mut self, sent: Option<f64>) -> usize {
+        let Some(sent) = sent.filter(|&s| s > self.answered_to) else {
+            return 0;
+        };
+        self.answered_to = sent;
+        let (first, after) = (self.in_line().next().copied(), self.in_line().count());
+        let missed = (self.misses as usize).saturating_sub(after + 1);
+        self.silent_from = first;
+        self.misses = after as u32;
+        missed
+    }
+
+    /// Unanswered set-ups that no answer has overtaken: guards against set-ups or answers that are lost on
+    /// the way while the pool works on.
+    fn in_line(&self) -> impl Iterator<Item = &f64> {
+        self.unanswered
+            .iter()
+            .map(|u| &u.1)
+            .filter(|&&sent| sent > self.answered_to)
     }
 
     /// Share of its full capacity that the processor is sure to have.
@@ -521,20 +580,22 @@
     /// The design's predicted wait with the newcomer added; infinite where it must not go.
     fn wait(&self, now: f64, bound: f64, deployment: &Deployment) -> f64 {
         let (cold, may_probe) = (&deployment.cold, deployment.may_probe);
-        if self.warmth(now, cold) < 1.0 && (self.cold_budget < 1.0 || !self.unanswered.is_empty()) {
+        if self.warmth(now, cold) < 1.0 && (self.cold_budget < 1.0 || self.in_line().next().is_some()) {
             return f64::INFINITY;
         }
         // Guards against servers that fall silent: a set-up still unanswered is a delay of its age.
-        // Set-ups overtaken by an answer don't count: single losses are no silence.
         let silence = self.silent_from.map_or(0.0, |from| now - from);
         // Guards against being shut out by an old measurement: with nothing out and nothing heard for as
         // long as the wait last seen, one set-up goes to measure again; a silent pool, only once a probe
         // came back, where there are probes.
-        let trial = self.unanswered.is_empty()
-            && self.stale(now)
-            && (self.silent_from.is_none()
-                || (now - self.last_sent > PROBE_PERIOD
-                    && (!may_probe || self.probe_answered > self.last_sent)));
+        let (misses, probed) = (self.misses, !may_probe || self.probe_answered > self.last_sent);
+        let gap = if self.lossy {
+            bound * f64::from(1 << misses.min(4)) / 2.0
+        } else {
+            PROBE_PERIOD
+        };
+        let clear = self.lossy || self.in_line().next().is_none();
+        let trial = self.stale(now) && (misses == 0 || (clear && probed && now - self.last_sent > gap));
         if trial {
             return self.least.unwrap_or(0.0).min(bound / 2.0);
         }
@@ -544,7 +605,7 @@
         let Some(least) = self.least else { return 0.0 };
         let delay = self.smoothed.max(least).max(silence);
         let utilisation =
-            1.0 - least / delay + STEP * deployment.fronts as f64 * (self.unanswered.len() + 1) as f64;
+            1.0 - least / delay + STEP * deployment.fronts as f64 * (self.in_line().count() + 1) as f64;
         if utilisation >= 1.0 {
             return f64::INFINITY;
         }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -11,6 +11,7 @@
     pub procedures: Vec<Procedure>,
     pub fronts: u32,
     pub may_probe: bool,
+    pub may_cancel: bool,
     pub max_tries: u32,
     pub release_guard: f64,
     pub longest_pause: f64,
@@ -93,6 +94,11 @@
         pool: PoolName,
         time_out: f64,
     },
+    /// Give up this setup try; the host reports how it ended.
+    Cancel {
+        ue: UeName,
+        setup_try: u32,
+    },
     /// Final answer: refused; the caller is advised to stay away so long (0: no advice).
     Refuse {
         ue: UeName,
--- a/tests/cases.rs
+++ b/tests/cases.rs
@@ -203,3 +203,44 @@
     // 20 a second borne, 0.3 to 0.5 of it for 4 s: 32 on the least allowance, 64 on the multiple.
     assert!((25..=64).contains(&sent), "{sent} set-ups");
 }
+
+/// Incident if76cd7: pools that lose single set-ups were closed by each loss until its time-out.
+#[test]
+fn a_pool_that_loses_single_set_ups_stays_in_use() {
+    let mut world = World::new(
+        1,
+        Deployment {
+            may_probe: false,
+            ..deployment()
+        },
+    );
+    let mut lost = 0;
+    for n in 0..60 {
+        world.pass(0.4);
+        let ue = world.arrive(0, 0, PATIENCE);
+        match world.out().iter().find(|o| o.0 == ue).map(|o| o.1.pool) {
+            Some(0) if n % 4 == 3 => lost += 1,
+            Some(_) => world.stands(ue),
+            None => {}
+        }
+    }
+    assert!(lost > 8, "only {lost} got as far as being lost");
+    assert_eq!(world.broken, None);
+}
+
+/// A set-up sent later was answered first: the lost one is cancelled, and sent again after the guard.
+#[test]
+fn an_overtaken_setup_try_is_cancelled() {
+    let mut world = World::new(1, deployment());
+    served(&mut world, 0, 0.05);
+    let lost = world.arrive(0, 0, PATIENCE);
+    world.pass(0.2);
+    served(&mut world, 0, 0.05);
+    assert!(world.decisions.contains(&Decision::Cancel {
+        ue: lost,
+        setup_try: 0
+    }));
+    world.pass(GUARD + 0.01);
+    assert!(world.out().iter().any(|o| o.0 == lost));
+    assert_eq!(world.broken, None);
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -23,6 +23,7 @@
         procedures: vec![procedure(1.0), procedure(2.0)],
         fronts: FRONTS,
         may_probe: true,
+        may_cancel: true,
         max_tries: 4,
         release_guard: GUARD,
         longest_pause: 2.0,
@@ -211,6 +212,7 @@
             match decision {
                 Decision::SetUp { ue, pool, time_out } => self.check_set_up(ue, pool, time_out),
                 Decision::Refuse { ue, .. } | Decision::Abort { ue } => self.check_final(ue),
+                Decision::Cancel { ue, .. } => self.ends(ue, Ended::Cancelled, Report::default()),
                 Decision::Probe { .. } => {}
                 Decision::Wake { after } => self.wakes.push(self.now + after),
             }
