--- a/src/control.rs
+++ b/src/control.rs
@@ -63,7 +63,7 @@
     /// Attaches that stood there, smoothed over `warm_after`, as of `stood_at`.
     stood: f64,
     stood_at: f64,
-    /// Set-ups a second that this front brought to its predecessor.
+    /// Set-ups a second that this front brought to it when last in service, or to its predecessor.
     part: f64,
     cold_budget: f64,
     cold_budget_at: f64,
@@ -140,21 +140,22 @@
     /// News of the list: all of it (`whole`), or the entries that changed.
     pub fn pools_listed(&mut self, now: f64, entries: &[PoolEntry], whole: bool) {
         if whole {
-            for pool in &mut self.pools {
-                pool.ready &= entries.iter().any(|e| e.name == pool.name);
+            for place in 0..self.pools.len() {
+                if !entries.iter().any(|e| e.name == self.pools[place].name) {
+                    self.out_of_service(now, place);
+                }
             }
         }
         for entry in entries {
             let part = self.part_of_predecessor(now, entry.number);
-            let place = self.pools.iter().position(|p| p.name == entry.name);
-            let place = place.unwrap_or_else(|| {
-                let probe_due = now + self.rng.random::<f64>() * PROBE_PERIOD;
-                self.pools.push(Pool {
-                    part,
-                    ..Pool::unheard(entry, probe_due)
-                });
-                self.pools.len() - 1
-            });
+            let known = self.pools.iter().position(|p| p.name == entry.name);
+            if known.is_none() && !entry.ready {
+                continue;
+            }
+            let place = known.unwrap_or_else(|| self.place_for(now, entry, part));
+            if !entry.ready {
+                self.out_of_service(now, place);
+            }
             let pool = &mut self.pools[place];
             if entry.started > pool.started {
                 // A new processor: what was measured of the old one says nothing of it.
@@ -172,6 +173,26 @@
         }
     }
 
+    /// A place for a pool not heard of before: that of a predecessor out of service, else a new one.
+    fn place_for(&mut self, now: f64, entry: &PoolEntry, part: f64) -> usize {
+        let pool = Pool {
+            part,
+            ..Pool::unheard(entry, now + self.rng.random::<f64>() * PROBE_PERIOD)
+        };
+        let free = |p: &Pool| !p.ready && p.number == entry.number && p.unanswered.is_empty();
+        if let Some(place) = self.pools.iter().position(free) {
+            self.pools[place] = pool;
+            return place;
+        }
+        self.pools.push(pool);
+        self.pools.len() - 1
+    }
+
+    fn out_of_service(&mut self, now: f64, place: usize) {
+        self.pools[place].part = self.part(now, &self.pools[place]);
+        self.pools[place].ready = false;
+    }
+
     pub fn attach_arrived(&mut self, now: f64, new: NewAttach) {
         let span = self.deployment.cold.warm_after;
         self.arrivals = 1.0 + self.arrivals * (-(now - self.arrivals_at) / span).exp();
@@ -445,25 +466,32 @@
 
     /// What this front brought to the processor that a new one replaces, else to the warm pools on average.
     fn part_of_predecessor(&self, now: f64, number: u16) -> f64 {
-        let cold = &self.deployment.cold;
         let (mut borne, mut warm) = (0.0, 0.0);
-        for pool in self
-            .pools
-            .iter()
-            .filter(|p| p.ready && p.warmth(now, cold) >= 1.0)
-        {
-            let stood = pool.stood * ((pool.stood_at - now) / cold.warm_after).exp();
+        let mut of_predecessor = 0.0f64;
+        for pool in &self.pools {
+            let part = self.part(now, pool);
             if pool.number == number {
-                return stood / self.span_seen(now);
+                of_predecessor = of_predecessor.max(part);
+            }
+            if pool.ready && part > 0.0 {
+                warm += 1.0;
+                borne += part;
             }
-            warm += 1.0;
-            borne += stood;
         }
-        if warm == 0.0 {
-            0.0
+        if of_predecessor > 0.0 || warm == 0.0 {
+            of_predecessor
         } else {
-            borne / warm / self.span_seen(now)
+            borne / warm
+        }
+    }
+
+    /// Set-ups a second that stand at a pool through this front; for one out of service or cold, as it was.
+    fn part(&self, now: f64, pool: &Pool) -> f64 {
+        let cold = &self.deployment.cold;
+        if !pool.ready || pool.warmth(now, cold) < 1.0 {
+            return pool.part;
         }
+        pool.stood * ((pool.stood_at - now) / cold.warm_after).exp() / self.span_seen(now)
     }
 
     /// This front's even part of what callers ask, a second, for each pool in service.
--- a/tests/cases.rs
+++ b/tests/cases.rs
@@ -250,3 +250,35 @@
     assert!(world.out().iter().any(|o| o.0 == lost));
     assert_eq!(world.broken, None);
 }
+
+/// Incident iddd997: the main pool had drained before its successor came, and its part was forgotten.
+#[test]
+fn a_successor_that_comes_late_still_gets_its_predecessors_part() {
+    let mut world = World::new(1, deployment());
+    for _ in 0..400 {
+        served(&mut world, 1, 0.05);
+    }
+    world.list(&[entry(1, 0.0, false)], false);
+    for _ in 0..100 {
+        served(&mut world, 0, 0.1);
+    }
+    let now = world.now;
+    world.list(
+        &[PoolEntry {
+            number: 1,
+            ..entry(9, now, true)
+        }],
+        false,
+    );
+    let before = world.decisions.len();
+    for _ in 0..80 {
+        world.pass(0.05);
+        let ue = world.arrive(0, 1, PATIENCE);
+        world.stands(ue);
+    }
+    let sent = world.decisions[before..]
+        .iter()
+        .filter(|d| matches!(d, Decision::SetUp { pool: 9, .. }))
+        .count();
+    assert!((25..=64).contains(&sent), "{sent} set-ups");
+}
