--- a/src/control.rs
+++ b/src/control.rs
@@ -346,7 +346,9 @@
                 });
             }
         }
-        while let Some(ue) = self.undecided.pop_front() {
+        // Newest first: guards against a pile of late attaches (after this front was held up) that would
+        // keep those who can still be served in time waiting behind them.
+        while let Some(ue) = self.undecided.pop_back() {
             if let Some(&key) = self.by_ue.get(&ue) {
                 return Some(self.decide(now, key));
             }
