--- a/src/control.rs
+++ b/src/control.rs
@@ -55,6 +55,8 @@
     misses: u32,
     /// It lately answered promptly after it had left an earlier set-up unanswered.
     lossy: bool,
+    /// Set-ups in line there, smoothed over a bound: what each other front is taken to have there.
+    usual: f64,
     /// When a set-up was last sent.
     last_sent: f64,
     /// When a probe was last answered.
@@ -398,6 +400,8 @@
         attach.out = true;
         attach.cancelled = false;
         let pool = &mut self.pools[place];
+        let weight = 1.0 - ((pool.last_sent - now) / self.bound).exp();
+        pool.usual += weight * (pool.in_line().count() as f64 - pool.usual);
         pool.unanswered.push_back((ue, now));
         pool.silent_from.get_or_insert(now);
         pool.misses += 1;
@@ -521,6 +525,7 @@
             answered_to: f64::NEG_INFINITY,
             misses: 0,
             lossy: false,
+            usual: 0.0,
             last_sent: f64::NEG_INFINITY,
             probe_answered: f64::NEG_INFINITY,
             probe_due,
@@ -634,8 +639,8 @@
         }
         let Some(least) = self.least else { return 0.0 };
         let delay = self.smoothed.max(least).max(silence);
-        let utilisation =
-            1.0 - least / delay + STEP * deployment.fronts as f64 * (self.in_line().count() + 1) as f64;
+        let others = f64::from(deployment.fronts.max(1) - 1) * self.usual;
+        let utilisation = 1.0 - least / delay + STEP * ((self.in_line().count() + 1) as f64 + others);
         if utilisation >= 1.0 {
             return f64::INFINITY;
         }
