--- a/src/control.rs
+++ b/src/control.rs
@@ -22,7 +22,7 @@
 /// Time between two probes of a pool (design).
 const PROBE_PERIOD: f64 = 1.0;
 /// Share of the smoothed delay that a new measurement replaces.
-const SMOOTHING: f64 = 0.3;
+const SMOOTHING: f64 = 0.5;
 /// Hosts may round times to microseconds: a wait is lengthened by so much that it never ends early.
 const CLOCK_GRAIN: f64 = 2e-6;
 /// Part of what would push a cold pool over that this front allows itself.
