--- a/src/control.rs
+++ b/src/control.rs
@@ -435,7 +435,7 @@
             if pool.number == first && pool.wait(now, bound, &self.deployment) < bound {
                 return Some(place);
             }
-            if pool.number != first && count < others.len() {
+            if pool.number != first && count < others.len() && !pool.closed(now, bound, &self.deployment) {
                 others[count] = place;
                 count += 1;
             }
@@ -612,32 +612,42 @@
         self.cold_budget_at = now;
     }
 
-    /// The design's predicted wait with the newcomer added; infinite where it must not go.
-    fn wait(&self, now: f64, bound: f64, deployment: &Deployment) -> f64 {
-        let (cold, may_probe) = (&deployment.cold, deployment.may_probe);
+    /// Whether silence or an empty cold budget keeps all set-ups away. Such a pool is skipped like one
+    /// without free agents, so that it does not use up one of the two draws.
+    fn closed(&self, now: f64, bound: f64, deployment: &Deployment) -> bool {
+        let cold = &deployment.cold;
         if self.warmth(now, cold) < 1.0 && (self.cold_budget < 1.0 || self.in_line().next().is_some()) {
-            return f64::INFINITY;
+            return true;
         }
-        // Guards against servers that fall silent: a set-up still unanswered is a delay of its age.
-        let silence = self.silent_from.map_or(0.0, |from| now - from);
-        // Guards against being shut out by an old measurement: with nothing out and nothing heard for as
-        // long as the wait last seen, one set-up goes to measure again; a silent pool, only once a probe
-        // came back, where there are probes.
-        let (misses, probed) = (self.misses, !may_probe || self.probe_answered > self.last_sent);
+        self.silent_from.is_some_and(|from| now - from > bound)
+            && !self.trial(now, bound, deployment.may_probe)
+    }
+
+    /// Guards against being shut out by an old measurement: with nothing heard for as long as the wait
+    /// last seen, one set-up goes to measure again; to a silent pool, only after news of it, where there
+    /// are probes to bring them.
+    fn trial(&self, now: f64, bound: f64, may_probe: bool) -> bool {
+        let (misses, alive) = (self.misses, !may_probe || self.probe_answered > self.last_sent);
         let gap = if self.lossy {
             bound * f64::from(1 << misses.min(4)) / 2.0
         } else {
             PROBE_PERIOD
         };
         let clear = self.lossy || self.in_line().next().is_none();
-        let trial = self.stale(now) && (misses == 0 || (clear && probed && now - self.last_sent > gap));
-        if trial {
-            return self.least.unwrap_or(0.0).min(bound / 2.0);
-        }
-        if silence > bound {
+        self.stale(now) && (misses == 0 || (clear && alive && now - self.last_sent > gap))
+    }
+
+    /// The design's predicted wait with the newcomer added; infinite where it must not go.
+    fn wait(&self, now: f64, bound: f64, deployment: &Deployment) -> f64 {
+        if self.closed(now, bound, deployment) {
             return f64::INFINITY;
         }
+        if self.trial(now, bound, deployment.may_probe) {
+            return self.least.unwrap_or(0.0).min(bound / 2.0);
+        }
         let Some(least) = self.least else { return 0.0 };
+        // Guards against servers that fall silent: a set-up still unanswered is a delay of its age.
+        let silence = self.silent_from.map_or(0.0, |from| now - from);
         let delay = self.smoothed.max(least).max(silence);
         let others = f64::from(deployment.fronts.max(1) - 1) * self.usual;
         let utilisation = 1.0 - least / delay + STEP * ((self.in_line().count() + 1) as f64 + others);
--- a/tests/cases.rs
+++ b/tests/cases.rs
@@ -288,3 +288,24 @@
         .count();
     assert!((25..=64).contains(&sent), "{sent} set-ups");
 }
+
+/// Incident i5813fd: a pool closed by silence used up one of the two draws, though a third had room.
+#[test]
+fn a_silent_pool_takes_no_draw() {
+    for seed in 0..20 {
+        let mut deployment = deployment();
+        deployment.procedures[0].pools.push(3);
+        let mut world = World::new(seed, deployment);
+        world.list(&[entry(3, 0.0, true)], false);
+        for pool in 0..4 {
+            served(&mut world, pool, 0.05);
+        }
+        // Pools 1 and 2 fall silent, then the first choice is busy: pool 3 must be found each time.
+        world.arrive(0, 1, PATIENCE);
+        world.arrive(0, 2, PATIENCE);
+        world.pass(0.9);
+        tell_wait(&mut world, 0, 1.5);
+        world.arrive(0, 0, PATIENCE);
+        assert_eq!(sent_to(&world), Some(3));
+    }
+}
