--- a/src/control.rs
+++ b/src/control.rs
@@ -55,8 +55,6 @@
     misses: u32,
     /// It lately answered promptly after it had left an earlier set-up unanswered.
     lossy: bool,
-    /// Set-ups in line there, smoothed over a bound: what each other front is taken to have there.
-    usual: f64,
     /// When a set-up was last sent.
     last_sent: f64,
     /// When a probe was last answered.
@@ -400,8 +398,6 @@
         attach.out = true;
         attach.cancelled = false;
         let pool = &mut self.pools[place];
-        let weight = 1.0 - ((pool.last_sent - now) / self.bound).exp();
-        pool.usual += weight * (pool.in_line().count() as f64 - pool.usual);
         pool.unanswered.push_back((ue, now));
         pool.silent_from.get_or_insert(now);
         pool.misses += 1;
@@ -525,7 +521,6 @@
             answered_to: f64::NEG_INFINITY,
             misses: 0,
             lossy: false,
-            usual: 0.0,
             last_sent: f64::NEG_INFINITY,
             probe_answered: f64::NEG_INFINITY,
             probe_due,
@@ -616,7 +611,7 @@
     /// without free agents, so that it does not use up one of the two draws.
     fn closed(&self, now: f64, bound: f64, deployment: &Deployment) -> bool {
         let cold = &deployment.cold;
-        if self.warmth(now, cold) < 1.0 && (self.cold_budget < 1.0 || self.in_line().next().is_some()) {
+        if self.warmth(now, cold) < 1.0 && self.cold_budget < 1.0 {
             return true;
         }
         self.silent_from.is_some_and(|from| now - from > bound)
@@ -649,8 +644,7 @@
         // Guards against servers that fall silent: a set-up still unanswered is a delay of its age.
         let silence = self.silent_from.map_or(0.0, |from| now - from);
         let delay = self.smoothed.max(least).max(silence);
-        let others = f64::from(deployment.fronts.max(1) - 1) * self.usual;
-        let utilisation = 1.0 - least / delay + STEP * ((self.in_line().count() + 1) as f64 + others);
+        let utilisation = 1.0 - least / delay + STEP * (self.in_line().count() + 1) as f64;
         if utilisation >= 1.0 {
             return f64::INFINITY;
         }
