--- a/crates/adapter/src/settings.rs
+++ b/crates/adapter/src/settings.rs
@@ -5,7 +5,6 @@
 
 #[derive(Deserialize)]
 struct Text {
-    balancers: u32,
     classes: Vec<Class>,
     domain: Domain,
     limits: Limits,
@@ -75,7 +74,6 @@
     });
     let deployment = Deployment {
         procedures: procedures.collect(),
-        fronts: text.balancers,
         may_cancel: text.limits.cancelling,
         may_probe: text.limits.probes,
         max_tries: text.limits.max_attempts,
--- a/src/control.rs
+++ b/src/control.rs
@@ -64,7 +64,7 @@
     stood: f64,
     stood_at: f64,
     /// Set-ups a second that this front brought to it when last in service, or to its predecessor.
-    part: f64,
+    part: Option<f64>,
     cold_budget: f64,
     cold_budget_at: f64,
 }
@@ -174,7 +174,7 @@
     }
 
     /// A place for a pool not heard of before: that of a predecessor out of service, else a new one.
-    fn place_for(&mut self, now: f64, entry: &PoolEntry, part: f64) -> usize {
+    fn place_for(&mut self, now: f64, entry: &PoolEntry, part: Option<f64>) -> usize {
         let pool = Pool {
             part,
             ..Pool::unheard(entry, now + self.rng.random::<f64>() * PROBE_PERIOD)
@@ -466,34 +466,19 @@
         span * (1.0 - ((self.started - now) / span).exp()).max(1.0 / span)
     }
 
-    /// What this front brought to the processor that a new one replaces, else to the warm pools on average.
-    fn part_of_predecessor(&self, now: f64, number: u16) -> f64 {
-        let (mut borne, mut warm) = (0.0, 0.0);
-        let mut of_predecessor = 0.0f64;
-        for pool in &self.pools {
-            let part = self.part(now, pool);
-            if pool.number == number {
-                of_predecessor = of_predecessor.max(part);
-            }
-            if pool.ready && part > 0.0 {
-                warm += 1.0;
-                borne += part;
-            }
-        }
-        if of_predecessor > 0.0 || warm == 0.0 {
-            of_predecessor
-        } else {
-            borne / warm
-        }
+    /// What this front brought to the processor that a new one replaces; none where none was known.
+    fn part_of_predecessor(&self, now: f64, number: u16) -> Option<f64> {
+        let same = self.pools.iter().filter(|p| p.number == number);
+        same.filter_map(|p| self.part(now, p)).max_by(f64::total_cmp)
     }
 
     /// Set-ups a second that stand at a pool through this front; for one out of service or cold, as it was.
-    fn part(&self, now: f64, pool: &Pool) -> f64 {
+    fn part(&self, now: f64, pool: &Pool) -> Option<f64> {
         let cold = &self.deployment.cold;
         if !pool.ready || pool.warmth(now, cold) < 1.0 {
             return pool.part;
         }
-        pool.stood * ((pool.stood_at - now) / cold.warm_after).exp() / self.span_seen(now)
+        Some(pool.stood * ((pool.stood_at - now) / cold.warm_after).exp() / self.span_seen(now))
     }
 
     /// This front's even part of what callers ask, a second, for each pool in service.
@@ -526,7 +511,7 @@
             probe_due,
             stood: 0.0,
             stood_at: 0.0,
-            part: 0.0,
+            part: None,
             cold_budget: 0.0,
             cold_budget_at: 0.0,
         }
@@ -596,11 +581,10 @@
 
     /// Guards rule 4: a cold processor gets no more than this front's even share of what it can do.
     fn refill(&mut self, now: f64, even_part: f64, cold: &ColdStart) {
-        let allowed = (cold.tip_multiple * COLD_SHARE).max(1.0);
-        let rate = if self.part > 0.0 {
-            self.part * allowed
-        } else {
-            even_part
+        // Less where nothing is known of its size, next to nothing where its predecessor bore nothing.
+        let rate = match self.part {
+            Some(part) => (part * cold.tip_multiple * COLD_SHARE).max(even_part / 10.0),
+            None => even_part / 2.0,
         };
         let grown = rate * self.warmth(now, cold) * (now - self.cold_budget_at).max(0.0);
         self.cold_budget = (self.cold_budget + grown).min(COLD_BURST);
@@ -611,7 +595,7 @@
     /// without free agents, so that it does not use up one of the two draws.
     fn closed(&self, now: f64, bound: f64, deployment: &Deployment) -> bool {
         let cold = &deployment.cold;
-        if self.warmth(now, cold) < 1.0 && self.cold_budget < 1.0 {
+        if self.warmth(now, cold) < 1.0 && (self.cold_budget < 1.0 || self.in_line().next().is_some()) {
             return true;
         }
         self.silent_from.is_some_and(|from| now - from > bound)
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -9,7 +9,6 @@
 #[derive(Clone, Debug, Default)]
 pub struct Deployment {
     pub procedures: Vec<Procedure>,
-    pub fronts: u32,
     pub may_probe: bool,
     pub may_cancel: bool,
     pub max_tries: u32,
