--- a/crates/adapter/src/codec.rs
+++ b/crates/adapter/src/codec.rs
@@ -73,15 +73,10 @@
             return Err("batch header: the clock is not a number".into());
         }
         if !(4..=LONGEST).contains(&length) {
-            return Err(format!(
-                "batch header: a length of {length} bytes is out of range"
-            ));
+            return Err(format!("batch header: a length of {length} bytes is out of range"));
         }
         if self.records > (length - 4) / EVENT {
-            return Err(format!(
-                "batch header: {} records do not fit in {length} bytes",
-                self.records
-            ));
+            return Err(format!("batch header: {} records do not fit in {length} bytes", self.records));
         }
         self.body.resize(length - 4, 0);
         let read = input.read_exact(&mut self.body);
@@ -98,12 +93,8 @@
         let tail = &self.body[self.records * EVENT..];
         let (from, count) = (record.u32(at) as usize, record.u32(at + 4) as usize);
         let to = count.checked_mul(unit).and_then(|size| from.checked_add(size));
-        to.and_then(|to| tail.get(from..to)).ok_or_else(|| {
-            format!(
-                "tail: {count} x {unit} bytes at {from} leave the {} there",
-                tail.len()
-            )
-        })
+        to.and_then(|to| tail.get(from..to))
+            .ok_or_else(|| format!("tail: {count} x {unit} bytes at {from} leave the {} there", tail.len()))
     }
 }
 
@@ -164,10 +155,7 @@
     fn broken_frames_are_named() {
         assert_eq!(batch(4, 0, &[]), Ok(true));
         assert_eq!(Batch::default().read(&mut &[][..]), Ok(false));
-        assert!(Batch::default()
-            .read(&mut &[0; 9][..])
-            .unwrap_err()
-            .contains("after 9 of 16"));
+        assert!(Batch::default().read(&mut &[0; 9][..]).unwrap_err().contains("after 9 of 16"));
         assert!(batch(60, 2, &[0; 56]).unwrap_err().contains("2 records"));
         assert!(batch(60, 1, &[0; 20]).unwrap_err().contains("batch body"));
         assert!(batch(2, 0, &[]).unwrap_err().contains("length of 2"));
@@ -175,17 +163,10 @@
 
     #[test]
     fn tail_offsets_stay_inside() {
-        let mut batch = Batch {
-            clock: 0.0,
-            records: 1,
-            body: vec![0; EVENT + 3],
-        };
+        let mut batch = Batch { clock: 0.0, records: 1, body: vec![0; EVENT + 3] };
         batch.body[4] = 3;
         assert_eq!(batch.tail(batch.record(0), 1, 1).map(<[u8]>::len), Ok(0));
         batch.body[8] = 1;
-        assert!(batch
-            .tail(batch.record(0), 1, 1)
-            .unwrap_err()
-            .contains("leave the 3"));
+        assert!(batch.tail(batch.record(0), 1, 1).unwrap_err().contains("leave the 3"));
     }
 }
--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -55,10 +55,7 @@
             }
             110 => {
                 let rows = batch.tail(event, 5, ENTRY)?;
-                self.lists.insert(
-                    event.u32(1),
-                    rows.chunks_exact(ENTRY).map(|r| entry(Fields(r))).collect(),
-                );
+                self.lists.insert(event.u32(1), rows.chunks_exact(ENTRY).map(|r| entry(Fields(r))).collect());
                 return Ok(());
             }
             _ => {}
@@ -67,14 +64,7 @@
         if event.u8(0) == 10 {
             let (deployment, reading) = settings::decode(batch.tail(event, 9, 1)?)?;
             let control = Control::new(event.u64(1), deployment, now);
-            self.instances.insert(
-                number,
-                Instance {
-                    control,
-                    reading,
-                    called: true,
-                },
-            );
+            self.instances.insert(number, Instance { control, reading, called: true });
             return Ok(());
         }
         if event.u8(0) == 100 {
@@ -90,10 +80,8 @@
                 3 => {}
                 how @ 0..=2 => {
                     let list = event.u32(10);
-                    let rows = self
-                        .lists
-                        .get(&list)
-                        .ok_or_else(|| format!("list {list} is not registered"))?;
+                    let rows =
+                        self.lists.get(&list).ok_or_else(|| format!("list {list} is not registered"))?;
                     control.pools_listed(now, rows, how != 0);
                 }
                 other => return Err(format!("announce of unknown kind {other}")),
@@ -112,14 +100,7 @@
             50 => {
                 let ended = ended(event.u16(14), event.u32(24), reading)?;
                 let report = report(event, 28, reading);
-                control.try_ended(
-                    now,
-                    event.u32(1),
-                    event.server(8),
-                    ended,
-                    event.u8(5) != 0,
-                    report,
-                );
+                control.try_ended(now, event.u32(1), event.server(8), ended, event.u8(5) != 0, report);
             }
             60 => control.client_left(now, event.u32(1)),
             70 => control.wake(now),
@@ -139,26 +120,16 @@
 }
 
 fn entry(row: Fields) -> PoolEntry {
-    PoolEntry {
-        name: row.server(18),
-        number: row.u16(0),
-        started: row.f64(10),
-        ready: row.u8(24) == 1,
-    }
+    PoolEntry { name: row.server(18), number: row.u16(0), started: row.f64(10), ready: row.u8(24) == 1 }
 }
 
 fn report(event: Fields, at: usize, reading: Reading) -> Report {
     let count = usize::from(event.u8(at));
     let value = |place: Option<usize>| {
-        let found = place
-            .filter(|&p| p < count.min(4))
-            .map(|p| event.f32(at + 1 + 4 * p));
+        let found = place.filter(|&p| p < count.min(4)).map(|p| event.f32(at + 1 + 4 * p));
         found.filter(|&v| v >= 0.0)
     };
-    Report {
-        free_agents: value(reading.free_at),
-        wait: value(reading.wait_at).map(|ms| ms / 1000.0),
-    }
+    Report { free_agents: value(reading.free_at), wait: value(reading.wait_at).map(|ms| ms / 1000.0) }
 }
 
 fn ended(disposition: u16, why: u32, reading: Reading) -> Result<Ended, String> {
--- a/crates/adapter/src/main.rs
+++ b/crates/adapter/src/main.rs
@@ -9,11 +9,8 @@
 
 fn main() -> ExitCode {
     let (mut input, mut output) = (io::stdin().lock(), io::stdout().lock());
-    let (mut host, mut batch, mut reply) = (
-        host::Host::default(),
-        codec::Batch::default(),
-        codec::Reply::default(),
-    );
+    let (mut host, mut batch, mut reply) =
+        (host::Host::default(), codec::Batch::default(), codec::Reply::default());
     loop {
         match batch.read(&mut input) {
             Ok(true) => {}
--- a/crates/adapter/src/settings.rs
+++ b/crates/adapter/src/settings.rs
@@ -78,11 +78,7 @@
         may_probe: text.limits.probes,
         max_tries: text.limits.max_attempts,
         release_guard: text.domain.guard_s,
-        longest_pause: if text.limits.retry_after {
-            text.limits.max_retry_after_s
-        } else {
-            0.0
-        },
+        longest_pause: if text.limits.retry_after { text.limits.max_retry_after_s } else { 0.0 },
         cold: ColdStart {
             start_capacity: text.safety.start_capacity,
             warm_after: text.safety.warm_after_s,
--- a/src/control.rs
+++ b/src/control.rs
@@ -160,11 +160,7 @@
             if entry.started > pool.started {
                 // A new processor: what was measured of the old one says nothing of it.
                 let (unanswered, probe_due) = (std::mem::take(&mut pool.unanswered), pool.probe_due);
-                *pool = Pool {
-                    unanswered,
-                    part,
-                    ..Pool::unheard(entry, probe_due)
-                };
+                *pool = Pool { unanswered, part, ..Pool::unheard(entry, probe_due) };
             }
             if entry.ready && !pool.ready {
                 pool.cold_budget_at = now;
@@ -175,10 +171,7 @@
 
     /// A place for a pool not heard of before: that of a predecessor out of service, else a new one.
     fn place_for(&mut self, now: f64, entry: &PoolEntry, part: Option<f64>) -> usize {
-        let pool = Pool {
-            part,
-            ..Pool::unheard(entry, now + self.rng.random::<f64>() * PROBE_PERIOD)
-        };
+        let pool = Pool { part, ..Pool::unheard(entry, now + self.rng.random::<f64>() * PROBE_PERIOD) };
         let free = |p: &Pool| !p.ready && p.number == entry.number && p.unanswered.is_empty();
         if let Some(place) = self.pools.iter().position(free) {
             self.pools[place] = pool;
@@ -237,10 +230,7 @@
                 pool.lossy = delay <= self.bound;
             }
             if let (Some(sent), true) = (sent, self.deployment.may_cancel) {
-                let lost = pool
-                    .unanswered
-                    .iter()
-                    .filter(|u| u.1 + OVERTAKEN * self.bound < sent);
+                let lost = pool.unanswered.iter().filter(|u| u.1 + OVERTAKEN * self.bound < sent);
                 self.overtaken.extend(lost.map(|u| u.0));
             }
         }
@@ -345,10 +335,7 @@
             let Some(&key) = self.by_ue.get(&ue) else { continue };
             let attach = &mut self.attaches[key];
             if attach.out && !std::mem::replace(&mut attach.cancelled, true) {
-                return Some(Decision::Cancel {
-                    ue,
-                    setup_try: attach.tries - 1,
-                });
+                return Some(Decision::Cancel { ue, setup_try: attach.tries - 1 });
             }
         }
         // Newest first: guards against a pile of late attaches (after this front was held up) that would
@@ -364,19 +351,11 @@
                 return Some(Decision::Probe { pool: pool.name });
             }
         }
-        let probes = self
-            .pools
-            .iter()
-            .filter(|p| p.ready && self.deployment.may_probe)
-            .map(|p| p.probe_due);
-        let next = probes
-            .chain(self.waiting.front().map(|w| w.0))
-            .fold(f64::INFINITY, f64::min);
+        let probes = self.pools.iter().filter(|p| p.ready && self.deployment.may_probe).map(|p| p.probe_due);
+        let next = probes.chain(self.waiting.front().map(|w| w.0)).fold(f64::INFINITY, f64::min);
         if next < self.wake_at {
             self.wake_at = next;
-            return Some(Decision::Wake {
-                after: next - now + CLOCK_GRAIN,
-            });
+            return Some(Decision::Wake { after: next - now + CLOCK_GRAIN });
         }
         None
     }
@@ -391,10 +370,7 @@
         }
         let Some(place) = self.route(now, key) else {
             self.unserved(now, ue);
-            return Decision::Refuse {
-                ue,
-                pause: (PAUSE * self.bound).min(self.deployment.longest_pause),
-            };
+            return Decision::Refuse { ue, pause: (PAUSE * self.bound).min(self.deployment.longest_pause) };
         };
         let attach = &mut self.attaches[key];
         let target = self.deployment.procedures[attach.procedure].latency_target;
@@ -410,11 +386,7 @@
         if pool.warmth(now, &self.deployment.cold) < 1.0 {
             pool.cold_budget -= 1.0;
         }
-        Decision::SetUp {
-            ue,
-            pool: pool.name,
-            time_out: target.min(left),
-        }
+        Decision::SetUp { ue, pool: pool.name, time_out: target.min(left) }
     }
 
     /// The design's route: the first choice while under the bound, else the lower wait of two others.
@@ -456,11 +428,7 @@
     /// What the attach would earn now, were it set up at the bound, as a share of the highest utility.
     fn worth(&self, attach: &Attach, now: f64) -> f64 {
         let procedure = &self.deployment.procedures[attach.procedure];
-        let top = self
-            .deployment
-            .procedures
-            .iter()
-            .fold(0.0, |top: f64, p| top.max(p.utility));
+        let top = self.deployment.procedures.iter().fold(0.0, |top: f64, p| top.max(p.utility));
         let late = now + self.bound - attach.asked_at > procedure.latency_target;
         procedure.utility / top * if late { procedure.late_share } else { 1.0 }
     }
@@ -569,10 +537,7 @@
     /// Unanswered set-ups that no answer has overtaken: guards against set-ups or answers that are lost on
     /// the way while the pool works on.
     fn in_line(&self) -> impl Iterator<Item = &f64> {
-        self.unanswered
-            .iter()
-            .map(|u| &u.1)
-            .filter(|&&sent| sent > self.answered_to)
+        self.unanswered.iter().map(|u| &u.1).filter(|&&sent| sent > self.answered_to)
     }
 
     /// Share of its full capacity that the processor is sure to have.
@@ -612,11 +577,7 @@
     /// are probes to bring them.
     fn trial(&self, now: f64, bound: f64, may_probe: bool) -> bool {
         let (misses, alive) = (self.misses, !may_probe || self.probe_answered > self.last_sent);
-        let gap = if self.lossy {
-            bound * f64::from(1 << misses.min(4)) / 2.0
-        } else {
-            PROBE_PERIOD
-        };
+        let gap = if self.lossy { bound * f64::from(1 << misses.min(4)) / 2.0 } else { PROBE_PERIOD };
         let clear = self.lossy || self.in_line().next().is_none();
         self.stale(now) && (misses == 0 || (clear && alive && now - self.last_sent > gap))
     }
--- a/tests/cases.rs
+++ b/tests/cases.rs
@@ -22,14 +22,9 @@
 }
 
 fn tell_wait(world: &mut World, pool: PoolName, wait: f64) {
-    let report = Report {
-        free_agents: None,
-        wait: Some(wait),
-    };
+    let report = Report { free_agents: None, wait: Some(wait) };
     for _ in 0..20 {
-        world
-            .control
-            .pool_heard(world.now, pool, Some((true, 0.02)), report);
+        world.control.pool_heard(world.now, pool, Some((true, 0.02)), report);
     }
     world.pull();
 }
@@ -67,10 +62,7 @@
 #[test]
 fn a_pool_without_free_agents_is_skipped() {
     let mut world = World::new(1, deployment());
-    let none = Report {
-        free_agents: Some(0.0),
-        wait: None,
-    };
+    let none = Report { free_agents: Some(0.0), wait: None };
     world.control.pool_heard(world.now, 0, None, none);
     world.arrive(0, 0, PATIENCE);
     assert!(matches!(sent_to(&world), Some(1 | 2)));
@@ -81,13 +73,7 @@
     let mut world = World::new(1, deployment());
     world.list(&[entry(2, 0.0, false)], false);
     world.pass(10.0);
-    let probes = |pool| {
-        world
-            .decisions
-            .iter()
-            .filter(|d| **d == Decision::Probe { pool })
-            .count()
-    };
+    let probes = |pool| world.decisions.iter().filter(|d| **d == Decision::Probe { pool }).count();
     assert!((9..=11).contains(&probes(0)) && (9..=11).contains(&probes(1)));
     assert_eq!(probes(2), 0);
 }
@@ -95,13 +81,7 @@
 /// Found on kyushu-buoy-net: without probes an old long delay shut the front out for good.
 #[test]
 fn an_old_measurement_does_not_shut_a_pool_out() {
-    let mut world = World::new(
-        1,
-        Deployment {
-            may_probe: false,
-            ..deployment()
-        },
-    );
+    let mut world = World::new(1, Deployment { may_probe: false, ..deployment() });
     served(&mut world, 0, 1.9);
     world.arrive(0, 0, PATIENCE);
     assert_ne!(sent_to(&world), Some(0));
@@ -116,15 +96,7 @@
     let mut world = World::new(1, deployment());
     served(&mut world, 0, 0.05);
     for wait in [4e6, 0.0, 0.0, 0.0, 0.0, 0.0, 0.0] {
-        world.control.pool_heard(
-            world.now,
-            0,
-            None,
-            Report {
-                free_agents: None,
-                wait: Some(wait),
-            },
-        );
+        world.control.pool_heard(world.now, 0, None, Report { free_agents: None, wait: Some(wait) });
     }
     world.arrive(0, 0, PATIENCE);
     assert_eq!(sent_to(&world), Some(0));
@@ -150,9 +122,7 @@
     world.leave(ue);
     world.pass(PATIENCE);
     let later = &world.decisions[before..];
-    assert!(!later
-        .iter()
-        .any(|d| matches!(d, Decision::SetUp { .. } | Decision::Abort { .. })));
+    assert!(!later.iter().any(|d| matches!(d, Decision::SetUp { .. } | Decision::Abort { .. })));
 }
 
 /// Found on kyushu-buoy-net: late redials and fresh attaches had the same claim on a busy pool.
@@ -174,13 +144,7 @@
 /// Incident if76cd7: pools that lose single set-ups were closed by each loss until its time-out.
 #[test]
 fn a_pool_that_loses_single_set_ups_stays_in_use() {
-    let mut world = World::new(
-        1,
-        Deployment {
-            may_probe: false,
-            ..deployment()
-        },
-    );
+    let mut world = World::new(1, Deployment { may_probe: false, ..deployment() });
     let mut lost = 0;
     for n in 0..60 {
         world.pass(0.4);
@@ -203,10 +167,7 @@
     let lost = world.arrive(0, 0, PATIENCE);
     world.pass(0.2);
     served(&mut world, 0, 0.05);
-    assert!(world.decisions.contains(&Decision::Cancel {
-        ue: lost,
-        setup_try: 0
-    }));
+    assert!(world.decisions.contains(&Decision::Cancel { ue: lost, setup_try: 0 }));
     world.pass(GUARD + 0.01);
     assert!(world.out().iter().any(|o| o.0 == lost));
     assert_eq!(world.broken, None);
@@ -246,26 +207,14 @@
         }
     }
     let now = world.now;
-    world.list(
-        &[
-            entry(u64::from(number), 0.0, false),
-            PoolEntry {
-                number,
-                ..entry(9, now, true)
-            },
-        ],
-        false,
-    );
+    world.list(&[entry(u64::from(number), 0.0, false), PoolEntry { number, ..entry(9, now, true) }], false);
     let before = world.decisions.len();
     for _ in 0..80 {
         world.pass(0.05);
         let ue = world.arrive(0, number, PATIENCE);
         world.stands(ue);
     }
-    world.decisions[before..]
-        .iter()
-        .filter(|d| matches!(d, Decision::SetUp { pool: 9, .. }))
-        .count()
+    world.decisions[before..].iter().filter(|d| matches!(d, Decision::SetUp { pool: 9, .. })).count()
 }
 
 /// Hunted kerala-hills days and incident iddd997: an even part left the main pool's successor idle, also when
@@ -287,15 +236,7 @@
         let ue = world.arrive(0, 0, PATIENCE);
         world.ends(ue, ended, Report::default());
         world.pass(0.1);
-        world.control.pool_heard(
-            world.now,
-            0,
-            None,
-            Report {
-                free_agents: Some(5.0),
-                wait: None,
-            },
-        );
+        world.control.pool_heard(world.now, 0, None, Report { free_agents: Some(5.0), wait: None });
         world.arrive(0, 0, PATIENCE);
         assert_eq!(sent_to(&world) == Some(0), soon);
     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -25,21 +25,12 @@
         max_tries: 4,
         release_guard: GUARD,
         longest_pause: 2.0,
-        cold: ColdStart {
-            start_capacity: 0.3,
-            warm_after: 15.0,
-            tip_multiple: MULTIPLE,
-        },
+        cold: ColdStart { start_capacity: 0.3, warm_after: 15.0, tip_multiple: MULTIPLE },
     }
 }
 
 pub fn entry(name: PoolName, started: f64, ready: bool) -> PoolEntry {
-    PoolEntry {
-        name,
-        number: name as u16,
-        started,
-        ready,
-    }
+    PoolEntry { name, number: name as u16, started, ready }
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -86,10 +77,7 @@
             next_ue: 0,
             arrivals: 0,
         };
-        world.list(
-            &[entry(0, 0.0, true), entry(1, 0.0, true), entry(2, 0.0, true)],
-            true,
-        );
+        world.list(&[entry(0, 0.0, true), entry(1, 0.0, true), entry(2, 0.0, true)], true);
         world
     }
 
@@ -113,41 +101,22 @@
         self.next_ue += 1;
         self.arrivals += 1;
         let gives_up_at = self.now + patience;
-        self.open.insert(
-            ue,
-            Open {
-                gives_up_at,
-                released_at: 0.0,
-                out: None,
-            },
-        );
-        self.control.attach_arrived(
-            self.now,
-            NewAttach {
-                ue,
-                procedure,
-                first_choice,
-                number: 0,
-                gives_up_at,
-            },
-        );
+        self.open.insert(ue, Open { gives_up_at, released_at: 0.0, out: None });
+        self.control
+            .attach_arrived(self.now, NewAttach { ue, procedure, first_choice, number: 0, gives_up_at });
         self.pull();
         ue
     }
 
     pub fn out(&self) -> Vec<(UeName, Try)> {
-        self.open
-            .iter()
-            .filter_map(|(ue, o)| o.out.map(|t| (*ue, t)))
-            .collect()
+        self.open.iter().filter_map(|(ue, o)| o.out.map(|t| (*ue, t))).collect()
     }
 
     pub fn stands(&mut self, ue: UeName) {
         let Some(Open { out: Some(sent), .. }) = self.open.remove(&ue) else {
             return;
         };
-        self.control
-            .attach_stands(self.now, ue, sent.pool, self.now - sent.sent);
+        self.control.attach_stands(self.now, ue, sent.pool, self.now - sent.sent);
         self.pull();
     }
 
@@ -159,8 +128,7 @@
         if matches!(ended, Ended::TimedOut | Ended::Cut | Ended::Cancelled) {
             open.released_at = self.now + GUARD;
         }
-        self.control
-            .try_ended(self.now, ue, sent.pool, ended, false, report);
+        self.control.try_ended(self.now, ue, sent.pool, ended, false, report);
         self.pull();
     }
 
@@ -174,23 +142,14 @@
     pub fn pass(&mut self, seconds: f64) {
         let until = self.now + seconds;
         loop {
-            let ends = self
-                .out()
-                .iter()
-                .map(|(_, t)| t.ends)
-                .fold(f64::INFINITY, f64::min);
+            let ends = self.out().iter().map(|(_, t)| t.ends).fold(f64::INFINITY, f64::min);
             let wake = self.wakes.iter().copied().fold(f64::INFINITY, f64::min);
             let next = ends.min(wake);
             if next > until {
                 break;
             }
             self.now = next.max(self.now);
-            let due: Vec<UeName> = self
-                .out()
-                .iter()
-                .filter(|(_, t)| t.ends <= next)
-                .map(|o| o.0)
-                .collect();
+            let due: Vec<UeName> = self.out().iter().filter(|(_, t)| t.ends <= next).map(|o| o.0).collect();
             for ue in due {
                 self.ends(ue, Ended::TimedOut, Report::default());
             }
@@ -219,8 +178,7 @@
     }
 
     fn fault(&mut self, rule: u32, what: String) {
-        self.broken
-            .get_or_insert(format!("rule {rule} at {}: {what}", self.now));
+        self.broken.get_or_insert(format!("rule {rule} at {}: {what}", self.now));
     }
 
     fn check_final(&mut self, ue: UeName) {
@@ -232,10 +190,7 @@
     }
 
     fn check_answers(&mut self) {
-        let overdue = self
-            .open
-            .iter()
-            .find(|(_, o)| o.out.is_none() && self.now > o.gives_up_at + SLACK);
+        let overdue = self.open.iter().find(|(_, o)| o.out.is_none() && self.now > o.gives_up_at + SLACK);
         if let Some((ue, _)) = overdue {
             self.fault(1, format!("{ue} has no answer"));
         }
@@ -267,21 +222,11 @@
             let rate = f64::from(self.arrivals) / (now - self.started).max(1.0);
             let capacity = rate / self.ready.len() as f64;
             let present = capacity * (cold.start_capacity + (1.0 - cold.start_capacity) * age);
-            let window = sent
-                .iter()
-                .filter(|&&s| s > now - WINDOW && s >= listed.started)
-                .count() as f64;
+            let window = sent.iter().filter(|&&s| s > now - WINDOW && s >= listed.started).count() as f64;
             if window > MULTIPLE * present * WINDOW + 1.0 {
-                self.fault(
-                    4,
-                    format!("{window} set-ups to cold {pool}, which can do {present}"),
-                );
+                self.fault(4, format!("{window} set-ups to cold {pool}, which can do {present}"));
             }
         }
-        self.open.get_mut(&ue).unwrap().out = Some(Try {
-            pool,
-            sent: now,
-            ends: now + time_out,
-        });
+        self.open.get_mut(&ue).unwrap().out = Some(Try { pool, sent: now, ends: now + time_out });
     }
 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -10,22 +10,14 @@
 type Script = Vec<(u8, u8, u16)>;
 
 fn play(script: Script, seed: u64, probes: bool) -> World {
-    let mut world = World::new(
-        seed,
-        Deployment {
-            may_probe: probes,
-            ..deployment()
-        },
-    );
+    let mut world = World::new(seed, Deployment { may_probe: probes, ..deployment() });
     for (kind, detail, pause) in script {
         world.pass(f64::from(pause % 700) / 1000.0);
         let pick = usize::from(detail);
         let pool = u64::from(detail % 3);
         let out = world.out();
-        let report = Report {
-            free_agents: Some(9.0),
-            wait: (detail & 1 == 1).then(|| f64::from(detail) / 50.0),
-        };
+        let report =
+            Report { free_agents: Some(9.0), wait: (detail & 1 == 1).then(|| f64::from(detail) / 50.0) };
         match kind % 16 {
             0..=6 => {
                 let patience = PATIENCE * (0.01 + f64::from(detail) / 255.0);
@@ -47,10 +39,7 @@
             12 => world.list(&[entry(pool, 0.0, detail & 4 == 0)], false),
             13 => world.list(&[entry(pool, world.now - f64::from(detail % 5), true)], false),
             14 if detail > 200 => world.list(&[entry(pool, 0.0, true)], true),
-            14 => world.list(
-                &[entry(0, 0.0, true), entry(1, 0.0, true), entry(2, 0.0, true)],
-                true,
-            ),
+            14 => world.list(&[entry(0, 0.0, true), entry(1, 0.0, true), entry(2, 0.0, true)], true),
             15 => {
                 // Late news of attaches that ended long ago, and probes.
                 let stale = u32::from(detail);
@@ -60,14 +49,10 @@
                         .iter()
                         .any(|d| matches!(d, Decision::Refuse { ue, .. } if *ue == stale))
                 {
-                    world
-                        .control
-                        .try_ended(world.now, stale, pool, Ended::TimedOut, true, report);
+                    world.control.try_ended(world.now, stale, pool, Ended::TimedOut, true, report);
                     world.control.client_left(world.now, stale);
                 }
-                world
-                    .control
-                    .pool_heard(world.now, pool, Some((detail & 8 == 0, 0.02)), report);
+                world.control.pool_heard(world.now, pool, Some((detail & 8 == 0, 0.02)), report);
                 world.pull();
             }
             _ => {}
@@ -89,9 +74,8 @@
         }
     }
     for seed in 0..20 {
-        let mut check = QuickCheck::new()
-            .rng(Gen::from_size_and_seed(60 + 40 * seed as usize, seed))
-            .tests(100);
+        let mut check =
+            QuickCheck::new().rng(Gen::from_size_and_seed(60 + 40 * seed as usize, seed)).tests(100);
         check.quickcheck(kept as fn(Script, u64, bool) -> TestResult);
     }
 }
@@ -119,15 +103,10 @@
         };
         stream(&mut world, 200);
         let now = world.now;
-        world.list(
-            &[entry(0, now, true), entry(1, now, true), entry(2, now, true)],
-            true,
-        );
+        world.list(&[entry(0, now, true), entry(1, now, true), entry(2, now, true)], true);
         let before = world.decisions.len();
         stream(&mut world, 300);
         assert_eq!(world.broken, None);
-        assert!(world.decisions[before..]
-            .iter()
-            .any(|d| matches!(d, Decision::SetUp { pool: 1, .. })));
+        assert!(world.decisions[before..].iter().any(|d| matches!(d, Decision::SetUp { pool: 1, .. })));
     }
 }
