--- a/src/control.rs
+++ b/src/control.rs
@@ -395,7 +395,7 @@
         let allowed = &self.deployment.procedures[attach.procedure].pools;
         let (first, last) = (attach.first_choice, attach.last_pool);
         let even_part = self.even_part(now);
-        let bound = self.bound * self.worth(attach, now).sqrt();
+        let bound = self.bound * self.worth(attach, now);
         let mut others = [0; 16];
         let mut count = 0;
         for place in 0..self.pools.len() {
