Cold budget is saved up for what is worth most; the draw has no limit on pools

The less an attach is worth, the more must be saved up. Two others are now drawn without a table of sixteen.

--- a/src/control.rs
+++ b/src/control.rs
@@ -27,8 +27,8 @@
 const CLOCK_GRAIN: f64 = 2e-6;
 /// Part of what would push a cold pool over that this front allows itself.
 const COLD_SHARE: f64 = 0.8;
-/// Set-ups that a cold pool may be sent at once from a budget saved up.
-const COLD_BURST: f64 = 1.0;
+/// Set-ups that can be saved up for a cold pool; below two, so that never two go at once.
+const COLD_SAVED: f64 = 1.5;
 
 /// What this front knows of one pool.
 struct Pool {
@@ -395,9 +395,10 @@
         let allowed = &self.deployment.procedures[attach.procedure].pools;
         let (first, last) = (attach.first_choice, attach.last_pool);
         let even_part = self.even_part(now);
-        let bound = self.bound * self.worth(attach, now);
-        let mut others = [0; 16];
-        let mut count = 0;
+        let worth = self.worth(attach, now);
+        let asking = Asking { now, worth, bound: self.bound * worth, deployment: &self.deployment };
+        let mut drawn = [None; 2];
+        let mut seen = 0;
         for place in 0..self.pools.len() {
             let pool = &mut self.pools[place];
             let usable = pool.ready && allowed.contains(&pool.number) && pool.free_agents != Some(0.0);
@@ -405,21 +406,25 @@
                 continue;
             }
             pool.refill(now, even_part, &self.deployment.cold);
-            if pool.number == first && pool.wait(now, bound, &self.deployment) < bound {
-                return Some(place);
-            }
-            if pool.number != first && count < others.len() && !pool.closed(now, bound, &self.deployment) {
-                others[count] = place;
-                count += 1;
+            if pool.number == first {
+                if pool.wait(&asking) < asking.bound {
+                    return Some(place);
+                }
+            } else if !pool.closed(&asking) {
+                // Each of those seen so far has the same chance to be one of the two drawn.
+                let slot = if seen < 2 { seen } else { self.rng.random_range(0..=seen) };
+                if slot < 2 {
+                    drawn[slot] = Some(place);
+                }
+                seen += 1;
             }
         }
         let mut best = None;
-        let mut least = bound;
-        for drawn in 0..count.min(2) {
-            others.swap(drawn, self.rng.random_range(drawn..count));
-            let wait = self.pools[others[drawn]].wait(now, bound, &self.deployment);
+        let mut least = asking.bound;
+        for place in drawn.into_iter().flatten() {
+            let wait = self.pools[place].wait(&asking);
             if wait < least {
-                (best, least) = (Some(others[drawn]), wait);
+                (best, least) = (Some(place), wait);
             }
         }
         best
@@ -462,6 +467,14 @@
     }
 }
 
+/// An attach that asks for a pool: what it is worth now, and the bound on its wait.
+struct Asking<'a> {
+    now: f64,
+    worth: f64,
+    bound: f64,
+    deployment: &'a Deployment,
+}
+
 impl Pool {
     fn unheard(entry: &PoolEntry, probe_due: f64) -> Pool {
         Pool {
@@ -557,45 +570,49 @@
             None => even_part / 2.0,
         };
         let grown = rate * self.warmth(now, cold) * (now - self.cold_budget_at).max(0.0);
-        self.cold_budget = (self.cold_budget + grown).min(COLD_BURST);
+        self.cold_budget = (self.cold_budget + grown).min(COLD_SAVED);
         self.cold_budget_at = now;
     }
 
-    /// Whether silence or an empty cold budget keeps all set-ups away. Such a pool is skipped like one
+    /// Whether silence or an empty cold budget keeps the attach away. Such a pool is skipped like one
     /// without free agents, so that it does not use up one of the two draws.
-    fn closed(&self, now: f64, bound: f64, deployment: &Deployment) -> bool {
-        let cold = &deployment.cold;
-        if self.warmth(now, cold) < 1.0 && (self.cold_budget < 1.0 || self.in_line().next().is_some()) {
-            return true;
+    fn closed(&self, asking: &Asking) -> bool {
+        if self.warmth(asking.now, &asking.deployment.cold) < 1.0 {
+            // The less it is worth the more must be saved up: the budget must not go to late redials first.
+            let needed = 1.0 + (COLD_SAVED - 1.0) * (1.0 - asking.worth);
+            if self.cold_budget < needed || self.in_line().next().is_some() {
+                return true;
+            }
         }
-        self.silent_from.is_some_and(|from| now - from > bound)
-            && !self.trial(now, bound, deployment.may_probe)
+        self.silent_from.is_some_and(|from| asking.now - from > asking.bound) && !self.trial(asking)
     }
 
     /// Guards against being shut out by an old measurement: with nothing heard for as long as the wait
     /// last seen, one set-up goes to measure again; to a silent pool, only after news of it, where there
     /// are probes to bring them.
-    fn trial(&self, now: f64, bound: f64, may_probe: bool) -> bool {
-        let (misses, alive) = (self.misses, !may_probe || self.probe_answered > self.last_sent);
-        let gap = if self.lossy { bound * f64::from(1 << misses.min(4)) / 2.0 } else { PROBE_PERIOD };
+    fn trial(&self, asking: &Asking) -> bool {
+        let alive = !asking.deployment.may_probe || self.probe_answered > self.last_sent;
+        let doubled = asking.bound * f64::from(1 << self.misses.min(4)) / 2.0;
+        let gap = if self.lossy { doubled } else { PROBE_PERIOD };
         let clear = self.lossy || self.in_line().next().is_none();
-        self.stale(now) && (misses == 0 || (clear && alive && now - self.last_sent > gap))
+        let rested = clear && alive && asking.now - self.last_sent > gap;
+        self.stale(asking.now) && (self.misses == 0 || rested)
     }
 
     /// The design's predicted wait with the newcomer added; infinite where it must not go.
-    fn wait(&self, now: f64, bound: f64, deployment: &Deployment) -> f64 {
-        if self.closed(now, bound, deployment) {
+    fn wait(&self, asking: &Asking) -> f64 {
+        if self.closed(asking) {
             return f64::INFINITY;
         }
-        if self.trial(now, bound, deployment.may_probe) {
-            return self.least.unwrap_or(0.0).min(bound / 2.0);
+        if self.trial(asking) {
+            return self.least.unwrap_or(0.0).min(asking.bound / 2.0);
         }
         // Unheard counts as idle; heard of, but not by an answered set-up, the delay stands for itself.
         let Some(least) = self.least else {
             return self.smoothed;
         };
         // Guards against servers that fall silent: a set-up still unanswered is a delay of its age.
-        let silence = self.silent_from.map_or(0.0, |from| now - from);
+        let silence = self.silent_from.map_or(0.0, |from| asking.now - from);
         let delay = self.smoothed.max(least).max(silence);
         let utilisation = 1.0 - least / delay + STEP * (self.in_line().count() + 1) as f64;
         if utilisation >= 1.0 {
