A measurement is stale after 0.6 of its own delay

The queue that a measurement told of has mostly passed by then, and a trial set-up keeps a pool at work.

--- a/src/control.rs
+++ b/src/control.rs
@@ -27,6 +27,8 @@
 const CLOCK_GRAIN: f64 = 2e-6;
 /// Part of what would push a cold pool over that this front allows itself.
 const COLD_SHARE: f64 = 0.8;
+/// Age, in its own delay, from which a measurement is stale: that part of the queue it saw has passed.
+const STALE: f64 = 0.6;
 /// Set-ups that can be saved up for a cold pool; below two, so that never two go at once.
 const COLD_SAVED: f64 = 1.5;
 
@@ -503,7 +505,7 @@
         }
     }
 
-    /// A measurement that is older than the delay it told of is replaced, not smoothed: a queue of that
+    /// A stale measurement is replaced, not smoothed: most of the queue of that
     /// length has passed since.
     /// Guards against absurd figures and slow forgetting: past `limit` a delay only says 'far too long'.
     fn measured(&mut self, now: f64, delay: f64, limit: f64) {
@@ -514,7 +516,7 @@
     }
 
     fn stale(&self, now: f64) -> bool {
-        now - self.measured_at > self.smoothed
+        now - self.measured_at > STALE * self.smoothed
     }
 
     fn reported(&mut self, now: f64, report: Report, limit: f64) {
