--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -106,11 +106,9 @@
             70 => control.wake(now),
             80 => {
                 // Unasked news of free lines is an answer that took no time at all.
-                let took = event.f64(9);
-                let asked = took > 0.0 || event.u16(7) != 100;
-                let answered = event.u16(7) == 100;
+                let probed = event.f64(9) > 0.0 && event.u16(7) == 100;
                 let report = report(event, 17, reading);
-                control.pool_heard(now, event.server(1), asked.then_some((answered, took)), report);
+                control.pool_heard(now, event.server(1), probed, report);
             }
             90 => {}
             other => return Err(format!("unknown event code {other}")),
--- a/src/control.rs
+++ b/src/control.rs
@@ -291,15 +291,14 @@
         self.unserved(now, ue);
     }
 
-    /// A pool was heard of outside a set-up. `probe` tells, for an answer to a probe, whether it was good
-    /// and how long it took.
-    pub fn pool_heard(&mut self, now: f64, pool: PoolName, probe: Option<(bool, f64)>, report: Report) {
+    /// A pool was heard of outside a set-up; `probed` tells that it answered a probe.
+    pub fn pool_heard(&mut self, now: f64, pool: PoolName, probed: bool, report: Report) {
         let limit = FAR_TOO_LONG * self.bound;
         let Some(pool) = self.pools.iter_mut().find(|p| p.name == pool) else {
             return;
         };
         pool.reported(now, report, limit);
-        if let Some((true, _)) = probe {
+        if probed {
             pool.probe_answered = now;
         }
     }
@@ -507,7 +506,8 @@
 
     /// A stale measurement is replaced, not smoothed: most of the queue of that
     /// length has passed since.
-    /// Guards against absurd figures and slow forgetting: past `limit` a delay only says 'far too long'.
+    /// Guards against absurd figures and slow forgetting: past `limit` a delay only says 'far too long'. Also
+    /// for reports frozen high and for queues long gone; where all pools are far too long it hides the least.
     fn measured(&mut self, now: f64, delay: f64, limit: f64) {
         let delay = delay.min(limit);
         let weight = if self.stale(now) { 1.0 } else { SMOOTHING };
@@ -550,7 +550,7 @@
     }
 
     /// Unanswered set-ups that no answer has overtaken: guards against set-ups or answers that are lost on
-    /// the way while the pool works on.
+    /// the way while the pool works on. Wrong for a pool that answers out of order on purpose.
     fn in_line(&self) -> impl Iterator<Item = &f64> {
         self.unanswered.iter().map(|u| &u.1).filter(|&&sent| sent > self.answered_to)
     }
@@ -613,7 +613,8 @@
         let Some(least) = self.least else {
             return self.smoothed;
         };
-        // Guards against servers that fall silent: a set-up still unanswered is a delay of its age.
+        // Guards against servers that fall silent (hung, gone, cut off, slowed): a set-up still unanswered is
+        // a delay of its age. May close a pool too long where answers come out of order.
         let silence = self.silent_from.map_or(0.0, |from| asking.now - from);
         let delay = self.smoothed.max(least).max(silence);
         let utilisation = 1.0 - least / delay + STEP * (self.in_line().count() + 1) as f64;
--- a/tests/cases.rs
+++ b/tests/cases.rs
@@ -24,7 +24,7 @@
 fn tell_wait(world: &mut World, pool: PoolName, wait: f64) {
     let report = Report { free_agents: None, wait: Some(wait) };
     for _ in 0..20 {
-        world.control.pool_heard(world.now, pool, Some((true, 0.02)), report);
+        world.control.pool_heard(world.now, pool, true, report);
     }
     world.pull();
 }
@@ -63,7 +63,7 @@
 fn a_pool_without_free_agents_is_skipped() {
     let mut world = World::new(1, deployment());
     let none = Report { free_agents: Some(0.0), wait: None };
-    world.control.pool_heard(world.now, 0, None, none);
+    world.control.pool_heard(world.now, 0, false, none);
     world.arrive(0, 0, PATIENCE);
     assert!(matches!(sent_to(&world), Some(1 | 2)));
 }
@@ -96,7 +96,7 @@
     let mut world = World::new(1, deployment());
     served(&mut world, 0, 0.05);
     for wait in [4e6, 0.0, 0.0, 0.0, 0.0, 0.0, 0.0] {
-        world.control.pool_heard(world.now, 0, None, Report { free_agents: None, wait: Some(wait) });
+        world.control.pool_heard(world.now, 0, false, Report { free_agents: None, wait: Some(wait) });
     }
     world.arrive(0, 0, PATIENCE);
     assert_eq!(sent_to(&world), Some(0));
@@ -236,7 +236,7 @@
         let ue = world.arrive(0, 0, PATIENCE);
         world.ends(ue, ended, Report::default());
         world.pass(0.1);
-        world.control.pool_heard(world.now, 0, None, Report { free_agents: Some(5.0), wait: None });
+        world.control.pool_heard(world.now, 0, false, Report { free_agents: Some(5.0), wait: None });
         world.arrive(0, 0, PATIENCE);
         assert_eq!(sent_to(&world) == Some(0), soon);
     }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -52,7 +52,7 @@
                     world.control.try_ended(world.now, stale, pool, Ended::TimedOut, true, report);
                     world.control.client_left(world.now, stale);
                 }
-                world.control.pool_heard(world.now, pool, Some((detail & 8 == 0, 0.02)), report);
+                world.control.pool_heard(world.now, pool, detail & 8 == 0, report);
                 world.pull();
             }
             _ => {}
