--- a/src/control.rs
+++ b/src/control.rs
@@ -29,6 +29,8 @@
 const COLD_SHARE: f64 = 0.8;
 /// Age, in its own delay, from which a measurement is stale: that part of the queue it saw has passed.
 const STALE: f64 = 0.6;
+/// Share of this front's even part of the set-ups that may go to a pool as trials.
+const TRIAL_SHARE: f64 = 0.5;
 /// Set-ups that can be saved up for a cold pool; below two, so that never two go at once.
 const COLD_SAVED: f64 = 1.5;
 
@@ -59,6 +61,8 @@
     lossy: bool,
     /// When a set-up was last sent.
     last_sent: f64,
+    /// No trial before.
+    trial_due: f64,
     /// When a probe was last answered.
     probe_answered: f64,
     probe_due: f64,
@@ -189,21 +193,23 @@
     }
 
     pub fn attach_arrived(&mut self, now: f64, new: NewAttach) {
-        let span = self.deployment.cold.warm_after;
-        self.arrivals = 1.0 + self.arrivals * (-(now - self.arrivals_at) / span).exp();
-        self.arrivals_at = now;
         let timer = self.deployment.procedures[new.procedure].t_timer;
         while self.unserved_order.front().is_some_and(|u| now - u.0 > timer) {
             let number = self.unserved_order.pop_front().map(|u| u.1);
             number.map(|n| self.unserved.remove(&n));
         }
-        let asked_at = self.unserved.get(&new.number).copied().unwrap_or(now);
+        let redial = self.unserved.get(&new.number).copied();
+        if redial.is_none() {
+            let span = self.deployment.cold.warm_after;
+            self.arrivals = 1.0 + self.arrivals * (-(now - self.arrivals_at) / span).exp();
+            self.arrivals_at = now;
+        }
         let key = self.attaches.insert(Attach {
             ue: new.ue,
             procedure: new.procedure,
             first_choice: new.first_choice,
             number: new.number,
-            asked_at,
+            asked_at: redial.unwrap_or(now),
             gives_up_at: new.gives_up_at,
             tries: 0,
             last_pool: None,
@@ -217,6 +223,7 @@
 
     pub fn attach_stands(&mut self, now: f64, ue: UeName, pool: PoolName, delay: f64) {
         self.forget(ue);
+        let delay = delay.max(CLOCK_GRAIN);
         let limit = FAR_TOO_LONG * self.bound;
         if let Some(pool) = self.pools.iter_mut().find(|p| p.name == pool) {
             let sent = pool.ended(ue);
@@ -373,6 +380,8 @@
             self.unserved(now, ue);
             return Decision::Refuse { ue, pause: (PAUSE * self.bound).min(self.deployment.longest_pause) };
         };
+        let even_part = self.even_part(now);
+        let spread = 0.5 + self.rng.random::<f64>();
         let attach = &mut self.attaches[key];
         let target = self.deployment.procedures[attach.procedure].latency_target;
         attach.tries += 1;
@@ -384,6 +393,7 @@
         pool.silent_from.get_or_insert(now);
         pool.misses += 1;
         pool.last_sent = now;
+        pool.trial_due = now + spread / (TRIAL_SHARE * even_part);
         if pool.warmth(now, &self.deployment.cold) < 1.0 {
             pool.cold_budget -= 1.0;
         }
@@ -494,6 +504,7 @@
             misses: 0,
             lossy: false,
             last_sent: f64::NEG_INFINITY,
+            trial_due: f64::NEG_INFINITY,
             probe_answered: f64::NEG_INFINITY,
             probe_due,
             stood: 0.0,
@@ -591,14 +602,17 @@
 
     /// Guards against being shut out by an old measurement: with nothing heard for as long as the wait
     /// last seen, one set-up goes to measure again; to a silent pool, only after news of it, where there
-    /// are probes to bring them.
+    /// are probes to bring them. Trials are spread, and those of all fronts together stay a part of what a
+    /// pool can do: guards against hundreds of fronts that try a crowded pool at once and so keep it crowded.
+    /// Covers any news that reaches all fronts together; a pool that recovers is found later. A pool known
+    /// to answer promptly what it does not lose is not crowded and needs no such care.
     fn trial(&self, asking: &Asking) -> bool {
         let alive = !asking.deployment.may_probe || self.probe_answered > self.last_sent;
         let doubled = asking.bound * f64::from(1 << self.misses.min(4)) / 2.0;
         let gap = if self.lossy { doubled } else { PROBE_PERIOD };
         let clear = self.lossy || self.in_line().next().is_none();
         let rested = clear && alive && asking.now - self.last_sent > gap;
-        self.stale(asking.now) && (self.misses == 0 || rested)
+        self.stale(asking.now) && (self.lossy || asking.now > self.trial_due) && (self.misses == 0 || rested)
     }
 
     /// The design's predicted wait with the newcomer added; infinite where it must not go.
--- a/tests/cases.rs
+++ b/tests/cases.rs
@@ -241,3 +241,23 @@
         assert_eq!(sent_to(&world) == Some(0), soon);
     }
 }
+
+/// Incidents ia55317 and i189bb4: each front tried each crowded pool again as soon as its measurement was
+/// stale; hundreds of fronts together kept all pools full.
+#[test]
+fn trials_of_all_fronts_stay_a_part_of_what_pools_can_do() {
+    let mut trials = 0;
+    for seed in 0..40 {
+        let mut world = World::new(seed, Deployment { may_probe: false, ..deployment() });
+        for n in 0..160 {
+            world.pass(0.3);
+            let ue = world.arrive(0, n % 3, PATIENCE);
+            while world.out().iter().any(|o| o.0 == ue) {
+                trials += usize::from(n >= 60);
+                world.ends(ue, Ended::Throttled { wait: None }, Report::default());
+            }
+        }
+    }
+    // 40 fronts with 100 attaches each at crowded pools: some must try, not most.
+    assert!((600..=2200).contains(&trials), "{trials}");
+}
