--- a/src/control.rs
+++ b/src/control.rs
@@ -21,6 +21,8 @@
 const STEP: f64 = 0.03;
 /// Time between two probes of a pool (design).
 const PROBE_PERIOD: f64 = 1.0;
+/// Longest time between two probes of a pool that stays crowded.
+const RAREST_PROBE: f64 = 16.0 * PROBE_PERIOD;
 /// Share of the smoothed delay that a new measurement replaces.
 const SMOOTHING: f64 = 0.5;
 /// Hosts may round times to microseconds: a wait is lengthened by so much that it never ends early.
@@ -66,6 +68,8 @@
     /// When a probe was last answered.
     probe_answered: f64,
     probe_due: f64,
+    /// Time between the last probe and the next.
+    probe_gap: f64,
     /// Attaches that stood there, smoothed over `warm_after`, as of `stood_at`.
     stood: f64,
     stood_at: f64,
@@ -355,7 +359,13 @@
         }
         if self.deployment.may_probe {
             if let Some(pool) = self.pools.iter_mut().find(|p| p.ready && p.probe_due <= now) {
-                pool.probe_due = now + PROBE_PERIOD;
+                // Guards against probes that keep a pool crowded, or come on top of a crowd: what one front
+                // asks each second, hundreds do. Covers silent and lost pools; finds a recovery later.
+                let answered = pool.probe_answered >= pool.probe_due - pool.probe_gap;
+                let crowded = !answered || pool.smoothed > self.bound;
+                pool.probe_gap = if crowded { 2.0 * pool.probe_gap } else { pool.probe_gap / 2.0 }
+                    .clamp(PROBE_PERIOD, RAREST_PROBE);
+                pool.probe_due = now + pool.probe_gap;
                 return Some(Decision::Probe { pool: pool.name });
             }
         }
@@ -507,6 +517,7 @@
             trial_due: f64::NEG_INFINITY,
             probe_answered: f64::NEG_INFINITY,
             probe_due,
+            probe_gap: PROBE_PERIOD,
             stood: 0.0,
             stood_at: 0.0,
             part: None,
--- a/tests/cases.rs
+++ b/tests/cases.rs
@@ -70,12 +70,20 @@
 
 #[test]
 fn probes_go_to_each_ready_pool_each_second() {
-    let mut world = World::new(1, deployment());
-    world.list(&[entry(2, 0.0, false)], false);
-    world.pass(10.0);
-    let probes = |pool| world.decisions.iter().filter(|d| **d == Decision::Probe { pool }).count();
-    assert!((9..=11).contains(&probes(0)) && (9..=11).contains(&probes(1)));
-    assert_eq!(probes(2), 0);
+    let probes = |wait| {
+        let mut world = World::new(1, deployment());
+        world.list(&[entry(2, 0.0, false)], false);
+        for _ in 0..40 {
+            world.pass(0.25);
+            let report = Report { free_agents: None, wait: Some(wait) };
+            (0..2).for_each(|pool| world.control.pool_heard(world.now, pool, true, report));
+        }
+        [0, 1, 2].map(|p| world.decisions.iter().filter(|d| **d == Decision::Probe { pool: p }).count())
+    };
+    assert!(probes(0.1)[..2].iter().all(|n| (9..=11).contains(n)));
+    assert_eq!(probes(0.1)[2], 0);
+    // Incident i189bb4: the probes of hundreds of fronts alone kept small pools crowded.
+    assert!(probes(3.0)[..2].iter().all(|n| (1..=5).contains(n)));
 }
 
 /// Found on kyushu-buoy-net: without probes an old long delay shut the front out for good.
