--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -127,7 +127,11 @@
         let found = place.filter(|&p| p < count.min(4)).map(|p| event.f32(at + 1 + 4 * p));
         found.filter(|&v| v >= 0.0)
     };
-    Report { free_agents: value(reading.free_at), wait: value(reading.wait_at).map(|ms| ms / 1000.0) }
+    Report {
+        free_agents: value(reading.free_at),
+        agents: value(reading.agents_at),
+        wait: value(reading.wait_at).map(|ms| ms / 1000.0),
+    }
 }
 
 fn ended(disposition: u16, why: u32, reading: Reading) -> Result<Ended, String> {
--- a/crates/adapter/src/settings.rs
+++ b/crates/adapter/src/settings.rs
@@ -52,6 +52,7 @@
 #[derive(Clone, Copy, Default)]
 pub struct Reading {
     pub free_at: Option<usize>,
+    pub agents_at: Option<usize>,
     pub wait_at: Option<usize>,
     pub tells_wait: bool,
 }
@@ -61,6 +62,7 @@
     let fields = &text.stats.fields;
     let reading = Reading {
         free_at: fields.iter().position(|f| f == "free"),
+        agents_at: fields.iter().position(|f| f == "size"),
         wait_at: fields.iter().position(|f| f == "latency_ms"),
         tells_wait: text.domain.tells_wait,
     };
--- a/src/control.rs
+++ b/src/control.rs
@@ -31,7 +31,7 @@
 const COLD_SHARE: f64 = 0.8;
 /// Age, in its own delay, from which a measurement is stale: that part of the queue it saw has passed.
 const STALE: f64 = 0.6;
-/// Share of this front's even part of the set-ups that may go to a pool as trials.
+/// Share of this front's part of the set-ups, by the pool's size, that may go there as trials.
 const TRIAL_SHARE: f64 = 0.5;
 /// Set-ups that can be saved up for a cold pool; below two, so that never two go at once.
 const COLD_SAVED: f64 = 1.5;
@@ -44,6 +44,8 @@
     /// Last told to be in service.
     ready: bool,
     free_agents: Option<f64>,
+    /// All its agents; 0 where it never told.
+    agents: f64,
     /// It reports its processor's wait, so its own figure replaces delays measured from here.
     reports: bool,
     /// Least delay of an answered set-up, the network included.
@@ -390,7 +392,7 @@
             self.unserved(now, ue);
             return Decision::Refuse { ue, pause: (PAUSE * self.bound).min(self.deployment.longest_pause) };
         };
-        let even_part = self.even_part(now);
+        let trials = TRIAL_SHARE * self.even_part(now) * self.size(place);
         let spread = 0.5 + self.rng.random::<f64>();
         let attach = &mut self.attaches[key];
         let target = self.deployment.procedures[attach.procedure].latency_target;
@@ -403,7 +405,7 @@
         pool.silent_from.get_or_insert(now);
         pool.misses += 1;
         pool.last_sent = now;
-        pool.trial_due = now + spread / (TRIAL_SHARE * even_part);
+        pool.trial_due = now + spread / trials;
         if pool.warmth(now, &self.deployment.cold) < 1.0 {
             pool.cold_budget -= 1.0;
         }
@@ -480,6 +482,18 @@
         Some(pool.stood * ((pool.stood_at - now) / cold.warm_after).exp() / self.span_seen(now))
     }
 
+    /// Size of a pool against the mean of those in service, by their agents; 1 where some have not told.
+    /// Guards small pools against trials by an even part, which alone can keep them crowded.
+    fn size(&self, place: usize) -> f64 {
+        let ready = || self.pools.iter().filter(|p| p.ready);
+        let (all, least) = ready().fold((0.0, f64::INFINITY), |(a, l), p| (a + p.agents, p.agents.min(l)));
+        if least > 0.0 {
+            self.pools[place].agents * ready().count() as f64 / all
+        } else {
+            1.0
+        }
+    }
+
     /// This front's even part of what callers ask, a second, for each pool in service.
     fn even_part(&self, now: f64) -> f64 {
         let ready = self.pools.iter().filter(|p| p.ready).count().max(1) as f64;
@@ -504,6 +518,7 @@
             started: entry.started,
             ready: false,
             free_agents: None,
+            agents: 0.0,
             reports: false,
             least: None,
             smoothed: 0.0,
@@ -545,6 +560,7 @@
         if report.free_agents.is_some() {
             self.free_agents = report.free_agents;
         }
+        self.agents = report.agents.unwrap_or(self.agents);
         if let Some(wait) = report.wait {
             self.reports = true;
             self.measured(now, self.least.unwrap_or(0.0) + wait, limit);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -63,6 +63,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Report {
     pub free_agents: Option<f64>,
+    /// How many agents it has in all.
+    pub agents: Option<f64>,
     /// Wait at the processor, seconds.
     pub wait: Option<f64>,
 }
--- a/tests/cases.rs
+++ b/tests/cases.rs
@@ -22,7 +22,7 @@
 }
 
 fn tell_wait(world: &mut World, pool: PoolName, wait: f64) {
-    let report = Report { free_agents: None, wait: Some(wait) };
+    let report = Report { free_agents: None, wait: Some(wait), ..Report::default() };
     for _ in 0..20 {
         world.control.pool_heard(world.now, pool, true, report);
     }
@@ -62,7 +62,7 @@
 #[test]
 fn a_pool_without_free_agents_is_skipped() {
     let mut world = World::new(1, deployment());
-    let none = Report { free_agents: Some(0.0), wait: None };
+    let none = Report { free_agents: Some(0.0), wait: None, ..Report::default() };
     world.control.pool_heard(world.now, 0, false, none);
     world.arrive(0, 0, PATIENCE);
     assert!(matches!(sent_to(&world), Some(1 | 2)));
@@ -75,7 +75,7 @@
         world.list(&[entry(2, 0.0, false)], false);
         for _ in 0..40 {
             world.pass(0.25);
-            let report = Report { free_agents: None, wait: Some(wait) };
+            let report = Report { free_agents: None, wait: Some(wait), ..Report::default() };
             (0..2).for_each(|pool| world.control.pool_heard(world.now, pool, true, report));
         }
         [0, 1, 2].map(|p| world.decisions.iter().filter(|d| **d == Decision::Probe { pool: p }).count())
@@ -104,7 +104,12 @@
     let mut world = World::new(1, deployment());
     served(&mut world, 0, 0.05);
     for wait in [4e6, 0.0, 0.0, 0.0, 0.0, 0.0, 0.0] {
-        world.control.pool_heard(world.now, 0, false, Report { free_agents: None, wait: Some(wait) });
+        world.control.pool_heard(
+            world.now,
+            0,
+            false,
+            Report { free_agents: None, wait: Some(wait), ..Report::default() },
+        );
     }
     world.arrive(0, 0, PATIENCE);
     assert_eq!(sent_to(&world), Some(0));
@@ -244,7 +249,12 @@
         let ue = world.arrive(0, 0, PATIENCE);
         world.ends(ue, ended, Report::default());
         world.pass(0.1);
-        world.control.pool_heard(world.now, 0, false, Report { free_agents: Some(5.0), wait: None });
+        world.control.pool_heard(
+            world.now,
+            0,
+            false,
+            Report { free_agents: Some(5.0), wait: None, ..Report::default() },
+        );
         world.arrive(0, 0, PATIENCE);
         assert_eq!(sent_to(&world) == Some(0), soon);
     }
@@ -254,18 +264,26 @@
 /// stale; hundreds of fronts together kept all pools full.
 #[test]
 fn trials_of_all_fronts_stay_a_part_of_what_pools_can_do() {
-    let mut trials = 0;
+    let (mut trials, mut at_small) = (0, 0);
     for seed in 0..40 {
         let mut world = World::new(seed, Deployment { may_probe: false, ..deployment() });
+        for (pool, agents) in [(0, 10.0), (1, 200.0), (2, 200.0)] {
+            let report = Report { agents: Some(agents), ..Report::default() };
+            world.control.pool_heard(world.now, pool, false, report);
+        }
         for n in 0..160 {
             world.pass(0.3);
             let ue = world.arrive(0, n % 3, PATIENCE);
             while world.out().iter().any(|o| o.0 == ue) {
+                let sent = world.out().iter().find(|o| o.0 == ue).map(|o| o.1.pool);
                 trials += usize::from(n >= 60);
+                at_small += usize::from(n >= 60 && sent == Some(0));
                 world.ends(ue, Ended::Throttled { wait: None }, Report::default());
             }
         }
     }
     // 40 fronts with 100 attaches each at crowded pools: some must try, not most.
     assert!((600..=2200).contains(&trials), "{trials}");
+    // Incident ia55317 again: a small pool was kept crowded by a third of all trials.
+    assert!(at_small < trials / 8, "{at_small} of {trials}");
 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -16,8 +16,11 @@
         let pick = usize::from(detail);
         let pool = u64::from(detail % 3);
         let out = world.out();
-        let report =
-            Report { free_agents: Some(9.0), wait: (detail & 1 == 1).then(|| f64::from(detail) / 50.0) };
+        let report = Report {
+            free_agents: Some(9.0),
+            wait: (detail & 1 == 1).then(|| f64::from(detail) / 50.0),
+            ..Report::default()
+        };
         match kind % 16 {
             0..=6 => {
                 let patience = PATIENCE * (0.01 + f64::from(detail) / 255.0);
