--- a/src/control.rs
+++ b/src/control.rs
@@ -409,7 +409,10 @@
         if pool.warmth(now, &self.deployment.cold) < 1.0 {
             pool.cold_budget -= 1.0;
         }
-        Decision::SetUp { ue, pool: pool.name, time_out: target.min(left) }
+        // Guards against single lost set-ups or answers: where they are known, time is left for another try.
+        let again = attach.asked_at + target - now - self.deployment.release_guard - self.bound;
+        let time_out = if pool.lossy && again > self.bound { again } else { target };
+        Decision::SetUp { ue, pool: pool.name, time_out: time_out.min(left) }
     }
 
     /// The design's route: the first choice while under the bound, else the lower wait of two others.
--- a/tests/cases.rs
+++ b/tests/cases.rs
@@ -287,3 +287,21 @@
     // Incident ia55317 again: a small pool was kept crowded by a third of all trials.
     assert!(at_small < trials / 8, "{at_small} of {trials}");
 }
+
+/// Full-size kerala-hills days with answers lost: a second try after the whole latency target stood late.
+#[test]
+fn a_try_at_a_lossy_pool_leaves_time_for_another() {
+    let mut world = World::new(1, deployment());
+    served(&mut world, 0, 0.05);
+    let time_out = |world: &World, ue| {
+        let out = world.out();
+        let found = out.iter().find(|o| o.0 == ue);
+        found.map(|(_, t)| t.ends - t.sent).unwrap()
+    };
+    let lost = world.arrive(0, 0, PATIENCE);
+    assert!(time_out(&world, lost) >= 2.0);
+    world.pass(0.2);
+    served(&mut world, 0, 0.05);
+    let next = world.arrive(0, 0, PATIENCE);
+    assert!((0.6..2.0 - GUARD).contains(&time_out(&world, next)));
+}
