--- a/src/control.rs
+++ b/src/control.rs
@@ -21,7 +21,9 @@
 const STEP: f64 = 0.03;
 /// Time between two probes of a pool (design).
 const PROBE_PERIOD: f64 = 1.0;
-/// Longest time between two probes of a pool that stays crowded.
+/// Smoothed delay, in bounds, from which a pool has no room to be probed each second.
+const PRESSED: f64 = 0.25;
+/// Longest time between two probes of a pool that stays so.
 const RAREST_PROBE: f64 = 16.0 * PROBE_PERIOD;
 /// Share of the smoothed delay that a new measurement replaces.
 const SMOOTHING: f64 = 0.5;
@@ -361,11 +363,11 @@
         }
         if self.deployment.may_probe {
             if let Some(pool) = self.pools.iter_mut().find(|p| p.ready && p.probe_due <= now) {
-                // Guards against probes that keep a pool crowded, or come on top of a crowd: what one front
+                // Guards against probes that take what a pool has left, or keep it crowded: what one front
                 // asks each second, hundreds do. Covers silent and lost pools; finds a recovery later.
                 let answered = pool.probe_answered >= pool.probe_due - pool.probe_gap;
-                let crowded = !answered || pool.smoothed > self.bound;
-                pool.probe_gap = if crowded { 2.0 * pool.probe_gap } else { pool.probe_gap / 2.0 }
+                let pressed = !answered || pool.smoothed > PRESSED * self.bound;
+                pool.probe_gap = if pressed { 2.0 * pool.probe_gap } else { pool.probe_gap / 2.0 }
                     .clamp(PROBE_PERIOD, RAREST_PROBE);
                 pool.probe_due = now + pool.probe_gap;
                 return Some(Decision::Probe { pool: pool.name });
