--- a/src/control.rs
+++ b/src/control.rs
@@ -34,7 +34,7 @@
 /// Age, in its own delay, from which a measurement is stale: that part of the queue it saw has passed.
 const STALE: f64 = 0.6;
 /// Share of this front's part of the set-ups, by the pool's size, that may go there as trials.
-const TRIAL_SHARE: f64 = 0.5;
+const TRIAL_SHARE: f64 = 0.25;
 /// Set-ups that can be saved up for a cold pool; below two, so that never two go at once.
 const COLD_SAVED: f64 = 1.5;
 
