--- a/src/control.rs
+++ b/src/control.rs
@@ -18,7 +18,7 @@
 /// Pause named to a refused caller, in bounds.
 const PAUSE: f64 = 0.5;
 /// Utilisation added by each own unanswered set-up and by the newcomer (design).
-const STEP: f64 = 0.03;
+const STEP: f64 = 0.01;
 /// Time between two probes of a pool (design).
 const PROBE_PERIOD: f64 = 1.0;
 /// Smoothed delay, in bounds, from which a pool has no room to be probed each second.
