--- a/src/control.rs
+++ b/src/control.rs
@@ -23,6 +23,8 @@
 const PROBE_PERIOD: f64 = 1.0;
 /// Smoothed delay, in bounds, from which a pool has no room to be probed each second.
 const PRESSED: f64 = 0.25;
+/// Time between the first probes of a pool not heard of before; it may be small, and all fronts start as one.
+const FIRST_PROBES: f64 = 8.0 * PROBE_PERIOD;
 /// Longest time between two probes of a pool that stays so.
 const RAREST_PROBE: f64 = 16.0 * PROBE_PERIOD;
 /// Share of the smoothed delay that a new measurement replaces.
@@ -72,6 +74,8 @@
     /// When a probe was last answered.
     probe_answered: f64,
     probe_due: f64,
+    /// When it was last probed.
+    probed_at: f64,
     /// Time between the last probe and the next.
     probe_gap: f64,
     /// Attaches that stood there, smoothed over `warm_after`, as of `stood_at`.
@@ -185,7 +189,7 @@
 
     /// A place for a pool not heard of before: that of a predecessor out of service, else a new one.
     fn place_for(&mut self, now: f64, entry: &PoolEntry, part: Option<f64>) -> usize {
-        let pool = Pool { part, ..Pool::unheard(entry, now + self.rng.random::<f64>() * PROBE_PERIOD) };
+        let pool = Pool { part, ..Pool::unheard(entry, now + self.rng.random::<f64>() * FIRST_PROBES) };
         let free = |p: &Pool| !p.ready && p.number == entry.number && p.unanswered.is_empty();
         if let Some(place) = self.pools.iter().position(free) {
             self.pools[place] = pool;
@@ -365,11 +369,14 @@
             if let Some(pool) = self.pools.iter_mut().find(|p| p.ready && p.probe_due <= now) {
                 // Guards against probes that take what a pool has left, or keep it crowded: what one front
                 // asks each second, hundreds do. Covers silent and lost pools; finds a recovery later.
-                let answered = pool.probe_answered >= pool.probe_due - pool.probe_gap;
+                let answered = pool.probe_answered >= pool.probed_at;
                 let pressed = !answered || pool.smoothed > PRESSED * self.bound;
+                pool.probed_at = now;
                 pool.probe_gap = if pressed { 2.0 * pool.probe_gap } else { pool.probe_gap / 2.0 }
                     .clamp(PROBE_PERIOD, RAREST_PROBE);
-                pool.probe_due = now + pool.probe_gap;
+                // Rare ones are spread: guards against hundreds of fronts that find a pool well together.
+                let spread = if pool.probe_gap > PROBE_PERIOD { 0.5 + self.rng.random::<f64>() } else { 1.0 };
+                pool.probe_due = now + spread * pool.probe_gap;
                 return Some(Decision::Probe { pool: pool.name });
             }
         }
@@ -537,7 +544,8 @@
             trial_due: f64::NEG_INFINITY,
             probe_answered: f64::NEG_INFINITY,
             probe_due,
-            probe_gap: PROBE_PERIOD,
+            probed_at: f64::NEG_INFINITY,
+            probe_gap: FIRST_PROBES,
             stood: 0.0,
             stood_at: 0.0,
             part: None,
