--- a/src/control.rs
+++ b/src/control.rs
@@ -25,7 +25,7 @@
 const PRESSED: f64 = 0.25;
 /// Time between the first probes of a pool not heard of before; it may be small, and all fronts start as one.
 const FIRST_PROBES: f64 = 8.0 * PROBE_PERIOD;
-/// Longest time between two probes of a pool that stays so.
+/// Longest time between two probes of a pool that stays so, if its trials are not more frequent.
 const RAREST_PROBE: f64 = 16.0 * PROBE_PERIOD;
 /// Share of the smoothed delay that a new measurement replaces.
 const SMOOTHING: f64 = 0.5;
@@ -366,14 +366,16 @@
             }
         }
         if self.deployment.may_probe {
-            if let Some(pool) = self.pools.iter_mut().find(|p| p.ready && p.probe_due <= now) {
+            if let Some(place) = self.pools.iter().position(|p| p.ready && p.probe_due <= now) {
+                let rarest = (1.0 / self.trials(now, place)).min(RAREST_PROBE);
+                let pool = &mut self.pools[place];
                 // Guards against probes that take what a pool has left, or keep it crowded: what one front
                 // asks each second, hundreds do. Covers silent and lost pools; finds a recovery later.
                 let answered = pool.probe_answered >= pool.probed_at;
                 let pressed = !answered || pool.smoothed > PRESSED * self.bound;
                 pool.probed_at = now;
                 pool.probe_gap = if pressed { 2.0 * pool.probe_gap } else { pool.probe_gap / 2.0 }
-                    .clamp(PROBE_PERIOD, RAREST_PROBE);
+                    .clamp(PROBE_PERIOD, rarest.max(PROBE_PERIOD));
                 // Rare ones are spread: guards against hundreds of fronts that find a pool well together.
                 let spread = if pool.probe_gap > PROBE_PERIOD { 0.5 + self.rng.random::<f64>() } else { 1.0 };
                 pool.probe_due = now + spread * pool.probe_gap;
@@ -401,7 +403,7 @@
             self.unserved(now, ue);
             return Decision::Refuse { ue, pause: (PAUSE * self.bound).min(self.deployment.longest_pause) };
         };
-        let trials = TRIAL_SHARE * self.even_part(now) * self.size(place);
+        let trials = self.trials(now, place);
         let spread = 0.5 + self.rng.random::<f64>();
         let attach = &mut self.attaches[key];
         let target = self.deployment.procedures[attach.procedure].latency_target;
@@ -494,6 +496,11 @@
         Some(pool.stood * ((pool.stood_at - now) / cold.warm_after).exp() / self.span_seen(now))
     }
 
+    /// Set-ups a second that this front may send to a pool to measure it.
+    fn trials(&self, now: f64, place: usize) -> f64 {
+        TRIAL_SHARE * self.even_part(now) * self.size(place)
+    }
+
     /// Size of a pool against the mean of those in service, by their agents; 1 where some have not told.
     /// Guards small pools against trials by an even part, which alone can keep them crowded.
     fn size(&self, place: usize) -> f64 {
--- a/tests/cases.rs
+++ b/tests/cases.rs
@@ -310,3 +310,20 @@
     let next = world.arrive(0, 0, PATIENCE);
     assert!((0.6..2.0 - GUARD).contains(&time_out(&world, next)));
 }
+
+/// Twin of a full-size kerala-hills day, few fronts: probes that had backed off to 16 s kept idle pools closed.
+#[test]
+fn a_busy_front_probes_a_pressed_pool_soon_again() {
+    let mut world = World::new(1, deployment());
+    let mut before = 0;
+    for n in 0..1200 {
+        world.pass(0.05);
+        let report = Report { wait: Some(3.0), ..Report::default() };
+        (0..3).for_each(|pool| world.control.pool_heard(world.now, pool, true, report));
+        world.arrive(0, n % 3, PATIENCE);
+        before = if n < 600 { world.decisions.len() } else { before };
+    }
+    // 20 attaches a second, a third of them for each pool: a quarter of that would be 1.7 trials a second.
+    let probes = world.decisions[before..].iter().filter(|d| **d == Decision::Probe { pool: 0 }).count();
+    assert!((20..=31).contains(&probes), "{probes}");
+}
