--- a/src/control.rs
+++ b/src/control.rs
@@ -652,14 +652,18 @@
     /// are probes to bring them. Trials are spread, and those of all fronts together stay a part of what a
     /// pool can do: guards against hundreds of fronts that try a crowded pool at once and so keep it crowded.
     /// Covers any news that reaches all fronts together; a pool that recovers is found later. A pool known
-    /// to answer promptly what it does not lose is not crowded and needs no such care.
+    /// to answer promptly what it does not lose is not crowded and needs no such care: any report that tells
+    /// of a short wait is news enough.
     fn trial(&self, asking: &Asking) -> bool {
-        let alive = !asking.deployment.may_probe || self.probe_answered > self.last_sent;
+        let heard = if self.lossy { self.measured_at } else { self.probe_answered };
+        let alive = !asking.deployment.may_probe || heard > self.last_sent;
         let doubled = asking.bound * f64::from(1 << self.misses.min(4)) / 2.0;
         let gap = if self.lossy { doubled } else { PROBE_PERIOD };
         let clear = self.lossy || self.in_line().next().is_none();
         let rested = clear && alive && asking.now - self.last_sent > gap;
-        self.stale(asking.now) && (self.lossy || asking.now > self.trial_due) && (self.misses == 0 || rested)
+        let due = self.stale(asking.now) && (self.lossy || asking.now > self.trial_due);
+        let prompt = self.lossy && self.smoothed < asking.bound;
+        due && self.misses == 0 || (due || prompt) && rested
     }
 
     /// The design's predicted wait with the newcomer added; infinite where it must not go.
--- a/tests/cases.rs
+++ b/tests/cases.rs
@@ -327,3 +327,23 @@
     let probes = world.decisions[before..].iter().filter(|d| **d == Decision::Probe { pool: 0 }).count();
     assert!((20..=31).contains(&probes), "{probes}");
 }
+
+/// Twin of a full-size kerala-hills day: reports told of a short wait, yet lost set-ups kept pools closed.
+#[test]
+fn a_lossy_pool_is_tried_on_a_report_of_a_short_wait() {
+    let mut world = World::new(1, deployment());
+    served(&mut world, 0, 0.05);
+    world.arrive(0, 0, PATIENCE);
+    world.pass(0.2);
+    served(&mut world, 0, 0.05);
+    world.arrive(0, 0, PATIENCE);
+    world.pass(1.5);
+    for (wait, opens) in [(1.5, false), (0.1, true)] {
+        for _ in 0..5 {
+            let report = Report { wait: Some(wait), ..Report::default() };
+            world.control.pool_heard(world.now, 0, false, report);
+        }
+        world.arrive(1, 0, PATIENCE);
+        assert_eq!(sent_to(&world) == Some(0), opens);
+    }
+}
