--- a/src/control.rs
+++ b/src/control.rs
@@ -37,6 +37,8 @@
 const STALE: f64 = 0.6;
 /// Share of this front's part of the set-ups, by the pool's size, that may go there as trials.
 const TRIAL_SHARE: f64 = 0.25;
+/// A pool has room for any attach while its predicted wait is less than so many least delays.
+const ROOM: f64 = 3.0;
 /// Set-ups that can be saved up for a cold pool; below two, so that never two go at once.
 const COLD_SAVED: f64 = 1.5;
 
@@ -444,7 +446,7 @@
             }
             pool.refill(now, even_part, &self.deployment.cold);
             if pool.number == first {
-                if pool.wait(&asking) < asking.bound {
+                if pool.wait(&asking) < pool.bound(&asking, self.bound) {
                     return Some(place);
                 }
             } else if !pool.closed(&asking) {
@@ -457,10 +459,10 @@
             }
         }
         let mut best = None;
-        let mut least = asking.bound;
+        let mut least = f64::INFINITY;
         for place in drawn.into_iter().flatten() {
             let wait = self.pools[place].wait(&asking);
-            if wait < least {
+            if wait < least.min(self.pools[place].bound(&asking, self.bound)) {
                 (best, least) = (Some(place), wait);
             }
         }
@@ -666,6 +668,12 @@
         due && self.misses == 0 || (due || prompt) && rested
     }
 
+    /// Bound on its wait for this attach: guards against pools so slow that one set-up takes longer than the bound
+    /// of what earns less, which would then be refused by an idle pool.
+    fn bound(&self, asking: &Asking, whole: f64) -> f64 {
+        asking.bound.max(whole.min(ROOM * self.least.unwrap_or(0.0)))
+    }
+
     /// The design's predicted wait with the newcomer added; infinite where it must not go.
     fn wait(&self, asking: &Asking) -> f64 {
         if self.closed(asking) {
--- a/tests/cases.rs
+++ b/tests/cases.rs
@@ -347,3 +347,15 @@
         assert_eq!(sent_to(&world) == Some(0), opens);
     }
 }
+
+/// Small twins of altiplano-calls-later days: pools that need 0.2 s for one set-up refused what earns less.
+#[test]
+fn an_idle_slow_pool_takes_what_earns_less() {
+    let mut world = World::new(1, deployment());
+    for pool in 0..3 {
+        served(&mut world, pool, 0.25);
+        tell_wait(&mut world, pool, 0.1);
+    }
+    world.arrive(0, 0, PATIENCE);
+    assert_eq!(sent_to(&world), Some(0));
+}
