--- a/tests/cases.rs
+++ b/tests/cases.rs
@@ -354,7 +354,7 @@
     let mut world = World::new(1, deployment());
     for pool in 0..3 {
         served(&mut world, pool, 0.25);
-        tell_wait(&mut world, pool, 0.1);
+        tell_wait(&mut world, u64::from(pool), 0.1);
     }
     world.arrive(0, 0, PATIENCE);
     assert_eq!(sent_to(&world), Some(0));
