--- a/src/control.rs
+++ b/src/control.rs
@@ -128,6 +128,9 @@
     unserved: HashMap<u64, f64>,
     /// The same in order of when they went, to be forgotten after the T-timer.
     unserved_order: VecDeque<(f64, u64)>,
+    /// Longest time that a caller has been seen to wait, and when this front last had its turn.
+    patience: f64,
+    last_turn: f64,
     /// Smoothed count of arrivals within `warm_after`, and when it was last brought up to date.
     arrivals: f64,
     arrivals_at: f64,
@@ -150,6 +153,8 @@
             started: now,
             unserved: HashMap::new(),
             unserved_order: VecDeque::new(),
+            patience: 0.0,
+            last_turn: now,
             arrivals: 0.0,
             arrivals_at: now,
         }
@@ -212,6 +217,10 @@
             let number = self.unserved_order.pop_front().map(|u| u.1);
             number.map(|n| self.unserved.remove(&n));
         }
+        let left = new.gives_up_at - now;
+        self.patience = self.patience.max(left);
+        // Guards against a front held up that takes for fresh what came long ago.
+        let held = (self.patience - left).min(now - self.last_turn);
         let redial = self.unserved.get(&new.number).copied();
         if redial.is_none() {
             let span = self.deployment.cold.warm_after;
@@ -223,7 +232,7 @@
             procedure: new.procedure,
             first_choice: new.first_choice,
             number: new.number,
-            asked_at: redial.unwrap_or(now),
+            asked_at: redial.unwrap_or(now - held),
             gives_up_at: new.gives_up_at,
             tries: 0,
             last_pool: None,
@@ -390,6 +399,7 @@
             self.wake_at = next;
             return Some(Decision::Wake { after: next - now + CLOCK_GRAIN });
         }
+        self.last_turn = now;
         None
     }
 
--- a/tests/cases.rs
+++ b/tests/cases.rs
@@ -359,3 +359,19 @@
     world.arrive(0, 0, PATIENCE);
     assert_eq!(sent_to(&world), Some(0));
 }
+
+/// Full-size kerala-hills days with fronts that stand still: what had waited for two seconds counted as fresh.
+#[test]
+fn what_a_held_up_front_finds_counts_by_its_age() {
+    let mut world = World::new(1, deployment());
+    (0..3).for_each(|pool| served(&mut world, pool, 0.05));
+    (0..3).for_each(|pool| tell_wait(&mut world, pool, 0.2));
+    // No turn for two seconds, then one who came at once and one who came just now.
+    world.now += 2.0;
+    for (left, sent) in [(PATIENCE - 2.0, false), (PATIENCE, true)] {
+        (0..3).for_each(|pool| tell_wait(&mut world, pool, 0.2));
+        world.now += 1.9 * f64::from(u8::from(!sent));
+        world.arrive(1, 0, left);
+        assert_eq!(sent_to(&world).is_some(), sent);
+    }
+}
