--- a/src/control.rs
+++ b/src/control.rs
@@ -33,6 +33,8 @@
 const CLOCK_GRAIN: f64 = 2e-6;
 /// Part of what would push a cold pool over that this front allows itself.
 const COLD_SHARE: f64 = 0.8;
+/// The least part, of its own by a pool's size, that a front counts on where no more was borne.
+const COLD_LEAST: f64 = 0.25;
 /// Age, in its own delay, from which a measurement is stale: that part of the queue it saw has passed.
 const STALE: f64 = 0.6;
 /// Share of this front's part of the set-ups, by the pool's size, that may go there as trials.
@@ -85,6 +87,8 @@
     stood_at: f64,
     /// Set-ups a second that this front brought to it when last in service, or to its predecessor.
     part: Option<f64>,
+    /// Begun anywhere below one set-up: guards against hundreds of fronts none of which has saved up a whole one
+    /// by the time the pool is warm, or all of them at once. Their sum is the same from the first second on.
     cold_budget: f64,
     cold_budget_at: f64,
 }
@@ -185,7 +189,7 @@
             if entry.started > pool.started {
                 // A new processor: what was measured of the old one says nothing of it.
                 let (unanswered, probe_due) = (std::mem::take(&mut pool.unanswered), pool.probe_due);
-                *pool = Pool { unanswered, part, ..Pool::unheard(entry, probe_due) };
+                *pool = Pool { unanswered, part, ..Pool::unheard(entry, probe_due, self.rng.random()) };
             }
             if entry.ready && !pool.ready {
                 pool.cold_budget_at = now;
@@ -196,7 +200,8 @@
 
     /// A place for a pool not heard of before: that of a predecessor out of service, else a new one.
     fn place_for(&mut self, now: f64, entry: &PoolEntry, part: Option<f64>) -> usize {
-        let pool = Pool { part, ..Pool::unheard(entry, now + self.rng.random::<f64>() * FIRST_PROBES) };
+        let probe_due = now + self.rng.random::<f64>() * FIRST_PROBES;
+        let pool = Pool { part, ..Pool::unheard(entry, probe_due, self.rng.random()) };
         let free = |p: &Pool| !p.ready && p.number == entry.number && p.unanswered.is_empty();
         if let Some(place) = self.pools.iter().position(free) {
             self.pools[place] = pool;
@@ -449,12 +454,14 @@
         let mut drawn = [None; 2];
         let mut seen = 0;
         for place in 0..self.pools.len() {
+            let cold = self.pools[place].warmth(now, &self.deployment.cold) < 1.0;
+            let size = if cold { self.size(place) } else { 1.0 };
             let pool = &mut self.pools[place];
             let usable = pool.ready && allowed.contains(&pool.number) && pool.free_agents != Some(0.0);
             if !usable || last == Some(place) {
                 continue;
             }
-            pool.refill(now, even_part, &self.deployment.cold);
+            pool.refill(now, even_part * size, &self.deployment.cold);
             if pool.number == first {
                 if pool.wait(&asking) < pool.bound(&asking, self.bound) {
                     return Some(place);
@@ -542,7 +549,7 @@
 }
 
 impl Pool {
-    fn unheard(entry: &PoolEntry, probe_due: f64) -> Pool {
+    fn unheard(entry: &PoolEntry, probe_due: f64, cold_budget: f64) -> Pool {
         Pool {
             name: entry.name,
             number: entry.number,
@@ -568,7 +575,7 @@
             stood: 0.0,
             stood_at: 0.0,
             part: None,
-            cold_budget: 0.0,
+            cold_budget,
             cold_budget_at: 0.0,
         }
     }
@@ -636,11 +643,9 @@
 
     /// Guards rule 4: a cold processor gets no more than this front's even share of what it can do.
     fn refill(&mut self, now: f64, even_part: f64, cold: &ColdStart) {
-        // Less where nothing is known of its size, next to nothing where its predecessor bore nothing.
-        let rate = match self.part {
-            Some(part) => (part * cold.tip_multiple * COLD_SHARE).max(even_part / 10.0),
-            None => even_part / 2.0,
-        };
+        // Little where its predecessor bore next to nothing or none is known.
+        let borne = self.part.unwrap_or(0.0) * cold.tip_multiple * COLD_SHARE;
+        let rate = borne.max(COLD_LEAST * even_part);
         let grown = rate * self.warmth(now, cold) * (now - self.cold_budget_at).max(0.0);
         self.cold_budget = (self.cold_budget + grown).min(COLD_SAVED);
         self.cold_budget_at = now;
