--- a/src/control.rs
+++ b/src/control.rs
@@ -450,6 +450,7 @@
         let (first, last) = (attach.first_choice, attach.last_pool);
         let even_part = self.even_part(now);
         let worth = self.worth(attach, now);
+        let whole = if self.late(attach, now) { 0.0 } else { self.bound };
         let asking = Asking { now, worth, bound: self.bound * worth, deployment: &self.deployment };
         let mut drawn = [None; 2];
         let mut seen = 0;
@@ -463,7 +464,7 @@
             }
             pool.refill(now, even_part * size, &self.deployment.cold);
             if pool.number == first {
-                if pool.wait(&asking) < pool.bound(&asking, self.bound) {
+                if pool.wait(&asking) < pool.bound(&asking, whole) {
                     return Some(place);
                 }
             } else if !pool.closed(&asking) {
@@ -479,7 +480,7 @@
         let mut least = f64::INFINITY;
         for place in drawn.into_iter().flatten() {
             let wait = self.pools[place].wait(&asking);
-            if wait < least.min(self.pools[place].bound(&asking, self.bound)) {
+            if wait < least.min(self.pools[place].bound(&asking, whole)) {
                 (best, least) = (Some(place), wait);
             }
         }
@@ -490,8 +491,12 @@
     fn worth(&self, attach: &Attach, now: f64) -> f64 {
         let procedure = &self.deployment.procedures[attach.procedure];
         let top = self.deployment.procedures.iter().fold(0.0, |top: f64, p| top.max(p.utility));
-        let late = now + self.bound - attach.asked_at > procedure.latency_target;
-        procedure.utility / top * if late { procedure.late_share } else { 1.0 }
+        procedure.utility / top * if self.late(attach, now) { procedure.late_share } else { 1.0 }
+    }
+
+    /// It can no longer stand within its latency target.
+    fn late(&self, attach: &Attach, now: f64) -> bool {
+        now + self.bound - attach.asked_at > self.deployment.procedures[attach.procedure].latency_target
     }
 
     /// Counts smoothed over `warm_after` become rates when divided by this.
@@ -684,7 +689,7 @@
     }
 
     /// Bound on its wait for this attach: guards against pools so slow that one set-up takes longer than the bound
-    /// of what earns less, which would then be refused by an idle pool.
+    /// of what earns less, which an idle pool would then refuse. `whole` is none for what is late already.
     fn bound(&self, asking: &Asking, whole: f64) -> f64 {
         asking.bound.max(whole.min(ROOM * self.least.unwrap_or(0.0)))
     }
