--- a/src/control.rs
+++ b/src/control.rs
@@ -87,8 +87,8 @@
     stood_at: f64,
     /// Set-ups a second that this front brought to it when last in service, or to its predecessor.
     part: Option<f64>,
-    /// Begun anywhere below one set-up: guards against hundreds of fronts none of which has saved up a whole one
-    /// by the time the pool is warm, or all of them at once. Their sum is the same from the first second on.
+    /// Begun anywhere below one set-up: guards against hundreds of fronts none of which has saved up a whole
+    /// one by the time the pool is warm, or all at once. Their sum is the same from the first second on.
     cold_budget: f64,
     cold_budget_at: f64,
 }
@@ -688,8 +688,8 @@
         due && self.misses == 0 || (due || prompt) && rested
     }
 
-    /// Bound on its wait for this attach: guards against pools so slow that one set-up takes longer than the bound
-    /// of what earns less, which an idle pool would then refuse. `whole` is none for what is late already.
+    /// Bound on its wait for this attach: guards against pools so slow that one set-up takes longer than the
+    /// bound of what earns less, which an idle pool would then refuse. `whole` is 0 for what is late already.
     fn bound(&self, asking: &Asking, whole: f64) -> f64 {
         asking.bound.max(whole.min(ROOM * self.least.unwrap_or(0.0)))
     }
--- a/tests/cases.rs
+++ b/tests/cases.rs
@@ -330,7 +330,7 @@
     assert_eq!(sent_to(&world), Some(0));
 }
 
-/// Full-size kerala-hills days with fronts that stand still: what had waited for two seconds counted as fresh.
+/// Full-size kerala-hills days with fronts that stand still: what had waited for 2 s counted as fresh.
 #[test]
 fn what_a_held_up_front_finds_counts_by_its_age() {
     let mut world = known(0.05);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -113,7 +113,7 @@
     }
 }
 
-/// Rule 4 with hundreds of fronts beside one cold pool, each of which brought a small part of its predecessor's load.
+/// Rule 4 with hundreds of fronts beside one cold pool, each of which bore a small part of the load before.
 #[test]
 fn the_budgets_of_many_fronts_add_up() {
     for seed in 0..5 {
@@ -137,7 +137,7 @@
                 }
             }
         }
-        // 40 a second were borne; the least that it can do cold, times the multiple, is 24 and rises to 80 in 15 s.
+        // 40 a second were borne; the multiple of the least that it can do is 24 and rises to 80 in 15 s.
         for from in 400..680 {
             let window = at.iter().filter(|&&s| s >= from && s < from + 20).count() as f64;
             let limit = 24.0 + 56.0 * f64::from(from - 400) / 300.0;
