--- a/src/control.rs
+++ b/src/control.rs
@@ -38,7 +38,7 @@
 /// Age, in its own delay, from which a measurement is stale: that part of the queue it saw has passed.
 const STALE: f64 = 0.6;
 /// Share of this front's part of the set-ups, by the pool's size, that may go there as trials.
-const TRIAL_SHARE: f64 = 0.25;
+const TRIAL_SHARE: f64 = 1.0 / 3.0;
 /// A pool has room for any attach while its predicted wait is less than so many least delays.
 const ROOM: f64 = 3.0;
 /// Set-ups that can be saved up for a cold pool; below two, so that never two go at once.
