--- a/src/control.rs
+++ b/src/control.rs
@@ -217,7 +217,7 @@
     }
 
     pub fn attach_arrived(&mut self, now: f64, new: NewAttach) {
-        let timer = self.deployment.procedures[new.procedure].t_timer;
+        let timer = self.deployment.procedures.iter().fold(0.0, |longest: f64, p| longest.max(p.t_timer));
         while self.unserved_order.front().is_some_and(|u| now - u.0 > timer) {
             let number = self.unserved_order.pop_front().map(|u| u.1);
             number.map(|n| self.unserved.remove(&n));
@@ -412,7 +412,8 @@
         let attach = &self.attaches[key];
         let ue = attach.ue;
         let left = attach.gives_up_at - now;
-        if left <= 0.0 || now < attach.not_before || attach.tries >= self.deployment.max_tries {
+        let unknown = attach.procedure >= self.deployment.procedures.len();
+        if unknown || left <= 0.0 || now < attach.not_before || attach.tries >= self.deployment.max_tries {
             self.unserved(now, ue);
             return Decision::Abort { ue };
         }
--- a/tests/cases.rs
+++ b/tests/cases.rs
@@ -87,9 +87,7 @@
         for step in 0..from + 40 {
             world.pass(0.25);
             (0..2).for_each(|pool| world.told(pool, true, wait_of(wait)));
-            for _ in 0..asked {
-                world.arrive(0, 0, PATIENCE);
-            }
+            (0..asked).for_each(|_| _ = world.arrive(0, 0, PATIENCE));
             before = if step < from { world.decisions.len() } else { before };
         }
         let sent = &world.decisions[before..];
@@ -152,6 +150,13 @@
     assert!(!later.iter().any(|d| matches!(d, Decision::SetUp { .. } | Decision::Abort { .. })));
 }
 
+#[test]
+fn an_attach_of_an_unknown_procedure_is_answered_at_once() {
+    let mut world = World::new(1, deployment());
+    let ue = world.arrive(9, 0, PATIENCE);
+    assert_eq!(world.decisions.last(), Some(&Decision::Abort { ue }));
+}
+
 /// Found on kyushu-buoy-net: late redials and fresh attaches had the same claim on a busy pool.
 #[test]
 fn near_the_bound_an_attach_that_earns_more_goes_first() {
@@ -269,9 +274,8 @@
     let (mut trials, mut at_small) = (0, 0);
     for seed in 0..40 {
         let mut world = World::new(seed, Deployment { may_probe: false, ..deployment() });
-        for (pool, agents) in [(0, 10.0), (1, 200.0), (2, 200.0)] {
-            world.told(pool, false, Report { agents: Some(agents), ..Report::default() });
-        }
+        let lines = |agents| Report { agents: Some(agents), ..Report::default() };
+        [10.0, 200.0, 200.0].iter().zip(0..).for_each(|(&a, pool)| world.told(pool, false, lines(a)));
         for n in 0..160 {
             world.pass(0.3);
             let ue = world.arrive(0, n % 3, PATIENCE);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -130,9 +130,8 @@
                 let often = if step < 400 { 100 } else { 10 };
                 if chance.random_range(0..often) == 0 {
                     let ue = world.arrive(1, 0, PATIENCE);
-                    if world.out().iter().any(|o| o.0 == ue && o.1.pool == 0) && step >= 400 {
-                        at.push(step);
-                    }
+                    let sent = world.out().iter().any(|o| o.0 == ue && o.1.pool == 0);
+                    at.extend((sent && step >= 400).then_some(step));
                     world.stands(ue);
                 }
             }
