--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -143,6 +143,6 @@
             // A quarter for chance: 24 to 80 independent fronts send in a second.
             assert!(window <= 1.25 * limit, "seed {seed}: {window} in the second from {from}, limit {limit}");
         }
-        assert!(at.len() > 400, "{}", at.len());
+        assert!(at.len() > 400 && at[60] < 500, "{} in all, 60 by step {}", at.len(), at[60]);
     }
 }
