The decision module moves as it is into a crate of its own

Need: the running front and all later subsystems are crates beside the module, so the root becomes a virtual workspace.

--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -2,8 +2,8 @@
 
 use crate::codec::{Batch, Fields, Reply, ENTRY};
 use crate::settings::{self, Reading};
-use shalespindle::control::Control;
-use shalespindle::interface::{Decision, Ended, NewAttach, PoolEntry, Report};
+use shalespindle_control::control::Control;
+use shalespindle_control::interface::{Decision, Ended, NewAttach, PoolEntry, Report};
 use std::collections::BTreeMap;
 
 struct Instance {
--- a/crates/adapter/src/settings.rs
+++ b/crates/adapter/src/settings.rs
@@ -1,7 +1,7 @@
 //! The settings text of `boot`, decoded once into what the module needs.
 
 use serde::Deserialize;
-use shalespindle::interface::{ColdStart, Deployment, Procedure};
+use shalespindle_control::interface::{ColdStart, Deployment, Procedure};
 
 #[derive(Deserialize)]
 struct Text {
--- a/tests/cases.rs
+++ b/crates/control/tests/cases.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use shalespindle::interface::*;
+use shalespindle_control::interface::*;
 
 fn sent_to(world: &World) -> Option<PoolName> {
     world.decisions.iter().rev().find_map(|d| match d {
--- a/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! One front in a made-up world that checks the five rules after every step.
 
-use shalespindle::control::Control;
-use shalespindle::interface::*;
+use shalespindle_control::control::Control;
+use shalespindle_control::interface::*;
 use std::collections::BTreeMap;
 
 pub const GUARD: f64 = 0.5;
--- a/tests/rules.rs
+++ b/crates/control/tests/rules.rs
@@ -5,7 +5,7 @@
 use common::*;
 use quickcheck::{Gen, QuickCheck, TestResult};
 use rand::{Rng, SeedableRng};
-use shalespindle::interface::*;
+use shalespindle_control::interface::*;
 
 /// What happens, in order: kind, detail, milliseconds that pass first.
 type Script = Vec<(u8, u8, u16)>;
