--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,1 @@
+//! Scenarios played on loopback sockets, rules checked, and their reports
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! Settings: TOML with units into checked types, and their schema
--- /dev/null
+++ b/crates/signalling/src/transaction.rs
@@ -0,0 +1,168 @@
+//! Server and client transactions (RFC 3261 section 17, RFC 6026) as state machines: they are told what
+//! came and what time it is and say what to send again and when to ask next. They hold no sockets.
+
+/// Round-trip estimate T1, seconds (RFC 3261 section 17.1.1.1).
+pub const T1: f64 = 0.5;
+/// Longest interval between retransmissions, T2.
+pub const T2: f64 = 4.0;
+/// Longest time that a message stays in the network, T4.
+pub const T4: f64 = 5.0;
+/// Timers B, F, H, J: 64 T1.
+pub const LONG: f64 = 64.0 * T1;
+
+/// What the owner of a transaction is to do now.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Todo {
+    Nothing,
+    /// Send the last message again.
+    Again,
+    /// The peer never confirmed; the transaction is over.
+    GaveUp,
+    /// Over in the ordinary way.
+    Over,
+}
+
+/// The server side of an INVITE (17.2.1, with the Accepted state of RFC 6026). A final answer other than
+/// 2xx, and over any transport a 2xx (13.3.1.4), is sent again until the ACK comes.
+#[derive(Clone, Debug)]
+pub struct InviteServer {
+    reliable: bool,
+    state: InviteState,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum InviteState {
+    Proceeding,
+    /// Answered: interval, next retransmission, end.
+    Answered { gap: f64, again: f64, until: f64 },
+    /// ACK seen: absorbs what still comes until then.
+    Confirmed { until: f64 },
+}
+
+impl InviteServer {
+    pub fn new(reliable: bool) -> InviteServer {
+        InviteServer { reliable, state: InviteState::Proceeding }
+    }
+
+    /// The final answer was sent.
+    pub fn answered(&mut self, now: f64, success: bool) {
+        let again = if self.reliable && !success { f64::INFINITY } else { now + T1 };
+        self.state = InviteState::Answered { gap: T1, again, until: now + LONG };
+    }
+
+    /// The same INVITE came again (17.2.1): the last answer is repeated, a provisional one too.
+    pub fn repeated(&self) -> Todo {
+        match self.state {
+            InviteState::Confirmed { .. } => Todo::Nothing,
+            _ => Todo::Again,
+        }
+    }
+
+    pub fn acknowledged(&mut self, now: f64) {
+        if let InviteState::Answered { .. } = self.state {
+            let linger = if self.reliable { 0.0 } else { T4 };
+            self.state = InviteState::Confirmed { until: now + linger };
+        }
+    }
+
+    pub fn is_answered(&self) -> bool {
+        self.state != InviteState::Proceeding
+    }
+
+    /// What is due now; ask again at [`InviteServer::due`].
+    pub fn tick(&mut self, now: f64) -> Todo {
+        match &mut self.state {
+            InviteState::Answered { until, .. } if now >= *until => Todo::GaveUp,
+            InviteState::Answered { gap, again, .. } if now >= *again => {
+                *gap = (*gap * 2.0).min(T2);
+                *again = now + *gap;
+                Todo::Again
+            }
+            InviteState::Confirmed { until } if now >= *until => Todo::Over,
+            _ => Todo::Nothing,
+        }
+    }
+
+    pub fn due(&self) -> f64 {
+        match self.state {
+            InviteState::Proceeding => f64::INFINITY,
+            InviteState::Answered { again, until, .. } => again.min(until),
+            InviteState::Confirmed { until } => until,
+        }
+    }
+}
+
+/// The client side of a request other than INVITE (17.1.2).
+#[derive(Clone, Debug)]
+pub struct Client {
+    gap: f64,
+    again: f64,
+    until: f64,
+}
+
+impl Client {
+    pub fn new(now: f64, reliable: bool) -> Client {
+        Client { gap: T1, again: if reliable { f64::INFINITY } else { now + T1 }, until: now + LONG }
+    }
+
+    pub fn tick(&mut self, now: f64) -> Todo {
+        if now >= self.until {
+            return Todo::GaveUp;
+        }
+        if now >= self.again {
+            self.gap = (self.gap * 2.0).min(T2);
+            self.again = now + self.gap;
+            return Todo::Again;
+        }
+        Todo::Nothing
+    }
+
+    pub fn due(&self) -> f64 {
+        self.again.min(self.until)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn an_unconfirmed_answer_is_repeated_at_doubling_gaps_and_given_up() {
+        let mut server = InviteServer::new(false);
+        assert_eq!((server.repeated(), server.due()), (Todo::Again, f64::INFINITY));
+        server.answered(0.0, false);
+        let mut sent = Vec::new();
+        loop {
+            let now = server.due();
+            match server.tick(now) {
+                Todo::Again => sent.push(now),
+                other => {
+                    assert_eq!((other, now), (Todo::GaveUp, LONG));
+                    break;
+                }
+            }
+        }
+        assert_eq!(sent[..5], [0.5, 1.5, 3.5, 7.5, 11.5]);
+    }
+
+    #[test]
+    fn an_ack_ends_the_repeats() {
+        for (reliable, success, first) in [(false, false, T1), (true, true, T1), (true, false, LONG)] {
+            let mut server = InviteServer::new(reliable);
+            server.answered(0.0, success);
+            assert_eq!(server.due(), first);
+            server.acknowledged(0.1);
+            assert_eq!(server.repeated(), Todo::Nothing);
+            assert_eq!(server.tick(server.due()), Todo::Over);
+        }
+    }
+
+    #[test]
+    fn requests_are_repeated_over_datagrams_only() {
+        let mut stream = Client::new(0.0, true);
+        assert_eq!((stream.due(), stream.tick(1.0), stream.tick(LONG)), (LONG, Todo::Nothing, Todo::GaveUp));
+        let mut datagrams = Client::new(0.0, false);
+        assert_eq!(datagrams.tick(T1), Todo::Again);
+        assert_eq!(datagrams.due(), 1.5);
+    }
+}
