--- /dev/null
+++ b/crates/front/src/callers.rs
@@ -0,0 +1,470 @@
+//! The callers' side: INVITE, ACK, CANCEL, BYE and OPTIONS as a user agent server (RFC 3261 sections 8.2,
+//! 9.2, 13.3, 15.1.2), and our BYE towards a caller.
+
+use crate::front::{Attach, CallerStream, Due, Front, Stage};
+use crate::io::{Event, Outcome, Output, Source};
+use crate::told::Told;
+use rand::Rng;
+use shalespindle_control::interface::NewAttach;
+use shalespindle_signalling::message::{address, tag, Message, Method, ParseError};
+use shalespindle_signalling::transaction::{Client, InviteServer, Todo, LONG, T4};
+use shalespindle_signalling::write::{ResponseHead, Writer};
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+/// Header with a caller's patience in milliseconds, where whole seconds of Expires are too coarse.
+pub const PATIENCE: &str = "Attach-Patience-Ms";
+/// First choice of an attach whose trunk group is unknown: no pool has this number.
+const NO_POOL: u16 = u16::MAX;
+/// Over the attaches in hand, so many times as many answered ones are kept to meet repeats.
+const KEPT_FOR_REPEATS: usize = 8;
+/// Longest time that part of a message may take to come.
+const PARTIAL: f64 = LONG / 4.0;
+
+impl Front {
+    pub(crate) fn caller_bytes(&mut self, now: f64, arrived: f64, stream: u64, bytes: &[u8]) {
+        let mut caller: CallerStream = self.streams.remove(&stream).unwrap_or_default();
+        caller.framer.push(bytes);
+        loop {
+            match caller.framer.next_frame() {
+                Ok(Some(frame)) => {
+                    caller.partial_since = None;
+                    let frame = frame.to_vec();
+                    self.caller_message(now, arrived, Source::Stream(stream), &frame);
+                }
+                Ok(None) => break,
+                Err(why) => {
+                    self.bad("caller's stream", why.to_string());
+                    self.outputs.push_back(Output::CloseCaller { stream });
+                    self.caller_closed(now, stream);
+                    return;
+                }
+            }
+        }
+        if caller.framer.held() > 0 {
+            // Guards against peers that keep a connection for ever on one byte a second.
+            if now - *caller.partial_since.get_or_insert(now) > PARTIAL {
+                self.bad("caller's stream", "part of a message for too long".into());
+                self.outputs.push_back(Output::CloseCaller { stream });
+                self.caller_closed(now, stream);
+                return;
+            }
+        }
+        self.streams.insert(stream, caller);
+    }
+
+    /// A caller's connection is lost: its attaches in hand are left, those that stand are released.
+    pub(crate) fn caller_closed(&mut self, now: f64, stream: u64) {
+        self.streams.remove(&stream);
+        let from = Source::Stream(stream);
+        let keys: Vec<usize> =
+            self.attaches.iter().filter(|(_, a)| a.source == from).map(|(k, _)| k).collect();
+        for key in keys {
+            match self.attaches[key].stage {
+                Stage::InHand => {
+                    self.left(now, key);
+                    self.forget(key);
+                }
+                Stage::Standing => self.release(now, key, false, true, true),
+                Stage::Over => self.forget(key),
+            }
+        }
+    }
+
+    pub(crate) fn caller_message(&mut self, now: f64, arrived: f64, source: Source, bytes: &[u8]) {
+        if bytes.iter().all(|b| b.is_ascii_whitespace()) {
+            return; // Keep-alive (RFC 5626 section 3.5.1).
+        }
+        let message = match Message::parse(bytes) {
+            Ok(message) => message,
+            Err(why) => return self.bad("caller", why.to_string()),
+        };
+        let Some(method) = message.method() else {
+            return self.caller_response(now, &message);
+        };
+        let needed = || -> Result<_, ParseError> {
+            message.from()?;
+            message.to()?;
+            Ok((message.via()?, message.cseq()?, message.call_id()?))
+        };
+        let (via, cseq, _) = match needed() {
+            Ok(parts) => parts,
+            Err(why) => {
+                self.bad("caller", why.to_string());
+                if method != Method::Ack && message.header("Via").is_some() {
+                    self.answer_once(source, &message, 400);
+                }
+                return;
+            }
+        };
+        if cseq.1 != method && method != Method::Other {
+            self.bad("caller", "CSeq names another method".into());
+            if method != Method::Ack {
+                self.answer_once(source, &message, 400);
+            }
+            return;
+        }
+        let transaction = format!("{}|{}", via.branch, via.sent_by);
+        match method {
+            Method::Invite => self.invite(now, arrived, source, &message, transaction),
+            Method::Ack => self.ack(now, &message, &transaction),
+            Method::Cancel => self.cancel(now, source, &message, &transaction),
+            Method::Bye => self.bye(now, source, &message),
+            Method::Options => self.answer_once(source, &message, if self.is_ending() { 503 } else { 200 }),
+            Method::Other => {
+                let head = ResponseHead::of(&message, &self.tag);
+                let allow = "INVITE, ACK, BYE, CANCEL, OPTIONS";
+                self.send_to_caller(source, Writer::response(405, &head).with("Allow", allow).finish());
+            }
+        }
+    }
+
+    fn invite(&mut self, now: f64, arrived: f64, source: Source, message: &Message, transaction: String) {
+        if let Some(&key) = self.by_transaction.get(transaction.as_str()) {
+            self.counters.repeats += 1;
+            let attach = &self.attaches[key];
+            if attach.server.repeated() == Todo::Again {
+                let bytes = attach.last.clone();
+                self.send_to_caller(source, bytes);
+            }
+            return;
+        }
+        if message.to().ok().and_then(tag).is_some() {
+            let status = if self.dialog(message).is_some() { 488 } else { 481 };
+            return self.answer_once(source, message, status);
+        }
+        let hops = message.header("Max-Forwards").and_then(|v| v.parse().ok()).unwrap_or(70u32);
+        if hops == 0 {
+            return self.answer_once(source, message, 483);
+        }
+        let Some(called) = message.called() else {
+            return self.answer_once(source, message, 404);
+        };
+        if self.attaches.len() >= KEPT_FOR_REPEATS * self.params.most_in_hand {
+            // Guards memory against a flood: what is not taken is not owed an answer; callers repeat it.
+            self.counters.door_refused += 1;
+            return;
+        }
+        let procedure = self.procedure(message);
+        let first_choice = called.trunk_group.map_or(NO_POOL, |group| {
+            let known = self.params.trunk_groups.get(group).copied();
+            self.counters.unknown_trunk_group += u64::from(known.is_none());
+            known.unwrap_or(NO_POOL)
+        });
+        let timer = self.params.deployment.procedures.get(procedure).map_or(0.0, |p| p.t_timer);
+        let patience =
+            [message.expires(), message.millis(PATIENCE)].into_iter().flatten().fold(timer, f64::min);
+        let gives_up_at = arrived + patience - self.params.answer_margin;
+
+        let serial = self.serial();
+        self.next_ue = self.next_ue.wrapping_add(1);
+        let ue = self.next_ue;
+        let caller: Box<str> = message.from().unwrap_or_default().into();
+        let own_tag = format!("{}-{:x}-{serial:x}", self.tag, self.attaches.vacant_key());
+        let session = match message.session() {
+            Some(session) => session.into(),
+            None => format!("{:032x}", self.rng.random::<u128>()).into_boxed_str(),
+        };
+        let key = self.attaches.insert(Attach {
+            serial,
+            ue,
+            stage: Stage::InHand,
+            source,
+            head: ResponseHead::of(message, &own_tag),
+            call_id: message.call_id().unwrap_or_default().into(),
+            caller,
+            called: format!("{};tag={own_tag}", message.to().unwrap_or_default()).into_boxed_str(),
+            contact: message.header("Contact").map(address).unwrap_or_default().into(),
+            number: called.number.into(),
+            session,
+            relay: relayed(message),
+            body: message.body.into(),
+            hops,
+            arrived,
+            gives_up_at,
+            stood_at: 0.0,
+            leg: None,
+            tries: 0,
+            last_server: None,
+            server: InviteServer::new(matches!(source, Source::Stream(_))),
+            last: Vec::new(),
+            bye: None,
+            remove_at: f64::INFINITY,
+            transaction: transaction.clone().into_boxed_str(),
+        });
+        self.by_transaction.insert(transaction.into_boxed_str(), key);
+        self.by_ue.insert(ue, key);
+        self.in_hand += 1;
+        self.counters.offered += 1;
+        if self.is_ending() || self.in_hand > self.params.most_in_hand {
+            self.counters.door_refused += 1;
+            let pause = self.params.deployment.longest_pause;
+            return self.final_answer(now, key, Outcome::Refused, 503, Some(pause).filter(|p| *p > 0.0));
+        }
+        self.answer(key, 100, |w| w);
+        let number = number_called(called.number);
+        let new = NewAttach { ue, procedure, first_choice, number, gives_up_at };
+        self.control.tell(now, Told::Arrived(new));
+    }
+
+    fn procedure(&mut self, message: &Message) -> usize {
+        let Some(value) = message.header("Resource-Priority") else { return self.params.usual_procedure };
+        let known = value.split(',').find_map(|v| self.params.priorities.get(v.trim()).copied());
+        self.counters.unknown_priority += u64::from(known.is_none());
+        known.unwrap_or(self.params.usual_procedure)
+    }
+
+    /// The attach whose dialog a request of the caller's belongs to (RFC 3261 section 12.2.2).
+    fn dialog(&self, message: &Message) -> Option<usize> {
+        let (key, serial) = self.own_name(tag(message.to().ok()?)?)?;
+        let attach = self.attaches.get(key).filter(|a| a.serial == serial)?;
+        (*attach.call_id == *message.call_id().ok()?).then_some(key)
+    }
+
+    /// Reads `tag-key-serial` back, where the tag is this front's own.
+    pub(crate) fn own_name(&self, text: &str) -> Option<(usize, u32)> {
+        let rest = text.strip_prefix(self.tag.as_str())?.strip_prefix('-')?;
+        let (key, serial) = rest.split_once('-')?;
+        Some((usize::from_str_radix(key, 16).ok()?, u32::from_str_radix(serial, 16).ok()?))
+    }
+
+    fn ack(&mut self, now: f64, message: &Message, transaction: &str) {
+        // To a refusal it comes in the INVITE's transaction, to a 200 in one of its own (17.1.1.3, 13.2.2.4).
+        let known = self.by_transaction.get(transaction).copied().or_else(|| self.dialog(message));
+        let Some(key) = known else { return };
+        let attach = &mut self.attaches[key];
+        attach.server.acknowledged(now);
+        let (due, serial) = (attach.server.due(), attach.serial);
+        self.timers.set(due, Due::Caller { key, serial });
+    }
+
+    fn cancel(&mut self, now: f64, source: Source, message: &Message, transaction: &str) {
+        let Some(&key) = self.by_transaction.get(transaction) else {
+            return self.answer_once(source, message, 481);
+        };
+        self.answer_once(source, message, 200);
+        if self.attaches[key].stage == Stage::InHand {
+            self.left(now, key);
+            self.answer(key, 487, |w| w);
+            self.answered(now, key, false);
+        }
+    }
+
+    /// The caller went away before its answer.
+    fn left(&mut self, now: f64, key: usize) {
+        self.settled(now, key, Outcome::Left, 487, 0.0);
+        let attach = &mut self.attaches[key];
+        attach.stage = Stage::Over;
+        let ue = attach.ue;
+        let leg = attach.leg.take();
+        self.by_ue.remove(&ue);
+        self.control.tell(now, Told::Left { ue });
+        if let Some(leg) = leg {
+            self.give_up_leg(now, leg, shalespindle_control::interface::Ended::Cancelled, true);
+        }
+    }
+
+    fn bye(&mut self, now: f64, source: Source, message: &Message) {
+        let Some(key) = self.dialog(message) else {
+            return self.answer_once(source, message, 481);
+        };
+        self.answer_once(source, message, 200);
+        if self.attaches[key].stage == Stage::Standing {
+            self.release(now, key, false, true, false);
+        }
+    }
+
+    /// A caller's answer to our BYE.
+    fn caller_response(&mut self, now: f64, message: &Message) {
+        let Ok(via) = message.via() else { return };
+        let name = via.branch.strip_prefix("z9hG4bK").and_then(|b| b.strip_suffix("-c"));
+        let Some((key, serial)) = name.and_then(|n| self.own_name(n)) else { return };
+        if let Some(attach) = self.attaches.get_mut(key).filter(|a| a.serial == serial) {
+            if attach.bye.take().is_some() {
+                attach.remove_at = now;
+                self.timers.set(now, Due::Caller { key, serial });
+            }
+        }
+    }
+
+    /// Sends the one final answer of an attach in hand that does not stand, or whose caller is refused.
+    pub(crate) fn final_answer(
+        &mut self,
+        now: f64,
+        key: usize,
+        outcome: Outcome,
+        status: u16,
+        pause: Option<f64>,
+    ) {
+        self.settled(now, key, outcome, status, 0.0);
+        let attach = &mut self.attaches[key];
+        attach.stage = Stage::Over;
+        let ue = attach.ue;
+        self.by_ue.remove(&ue);
+        self.answer(key, status, |w| match pause {
+            Some(pause) => w.retry_after(pause),
+            None => w,
+        });
+        self.answered(now, key, false);
+    }
+
+    /// Writes and sends an answer to the attach's INVITE.
+    pub(crate) fn answer(&mut self, key: usize, status: u16, more: impl FnOnce(Writer) -> Writer) {
+        let attach = &mut self.attaches[key];
+        let writer = Writer::response(status, &attach.head).with("Session-ID", &attach.session);
+        let bytes = more(writer).finish();
+        attach.last.clone_from(&bytes);
+        let source = attach.source;
+        self.send_to_caller(source, bytes);
+    }
+
+    pub(crate) fn answered(&mut self, now: f64, key: usize, success: bool) {
+        let attach = &mut self.attaches[key];
+        attach.server.answered(now, success);
+        let (due, serial) = (attach.server.due(), attach.serial);
+        self.timers.set(due, Due::Caller { key, serial });
+    }
+
+    pub(crate) fn caller_due(&mut self, now: f64, key: usize, serial: u32) {
+        let Some(attach) = self.attaches.get_mut(key).filter(|a| a.serial == serial) else { return };
+        if now >= attach.remove_at {
+            return self.forget(key);
+        }
+        if attach.remove_at.is_finite() {
+            // It stood and is released: its answer is not repeated any more.
+            let due = attach.remove_at;
+            return self.timers.set(due, Due::Caller { key, serial });
+        }
+        match attach.server.tick(now) {
+            Todo::Again => {
+                let (source, bytes) = (attach.source, attach.last.clone());
+                let due = attach.server.due();
+                self.send_to_caller(source, bytes);
+                self.timers.set(due, Due::Caller { key, serial });
+            }
+            Todo::GaveUp if attach.stage == Stage::Standing => {
+                // RFC 3261 section 13.3.1.4: an answer never confirmed ends the call.
+                self.release(now, key, true, true, true);
+            }
+            Todo::Over if attach.stage == Stage::Standing => {}
+            Todo::GaveUp | Todo::Over => {
+                if attach.bye.is_none() {
+                    self.forget(key);
+                }
+            }
+            Todo::Nothing => {
+                let due = attach.server.due().min(attach.remove_at);
+                if due > now && attach.stage != Stage::Standing {
+                    self.timers.set(due, Due::Caller { key, serial });
+                }
+            }
+        }
+    }
+
+    /// Ends a standing attach, towards its caller, its server, or both.
+    pub(crate) fn release(&mut self, now: f64, key: usize, to_caller: bool, to_server: bool, cut: bool) {
+        let attach = &mut self.attaches[key];
+        attach.stage = Stage::Over;
+        attach.remove_at = now + T4;
+        let (serial, leg, ue) = (attach.serial, attach.leg.take(), attach.ue);
+        let event =
+            Event::Released { session: attach.session.clone(), cut, stood_for: now - attach.stood_at };
+        self.standing -= 1;
+        self.counters.released += 1;
+        self.counters.cut += u64::from(cut);
+        self.by_ue.remove(&ue);
+        self.event(event);
+        if to_caller {
+            self.send_bye(now, key);
+        } else {
+            self.timers.set(now + T4, Due::Caller { key, serial });
+        }
+        if let (true, Some(leg)) = (to_server, leg) {
+            self.release_leg(now, leg);
+        }
+    }
+
+    fn send_bye(&mut self, now: f64, key: usize) {
+        let host = self.params.host.clone();
+        let name = format!("{}-{key:x}-{:x}", self.tag, self.attaches[key].serial);
+        let attach = &mut self.attaches[key];
+        let (transport, reliable) = match attach.source {
+            Source::Datagram(_) => ("UDP", false),
+            Source::Stream(_) => ("TCP", true),
+        };
+        let uri = if attach.contact.is_empty() { address(&attach.caller) } else { &attach.contact };
+        let bytes = Writer::request(Method::Bye, uri)
+            .with_args("Via", format_args!("SIP/2.0/{transport} {host};rport;branch=z9hG4bK{name}-c"))
+            .with("Max-Forwards", "70")
+            .with("From", &attach.called)
+            .with("To", &attach.caller)
+            .with("Call-ID", &attach.call_id)
+            .with("CSeq", "1 BYE")
+            .with("Session-ID", &attach.session)
+            .finish();
+        let client = Client::new(now, reliable);
+        let (due, serial, source) = (client.due(), attach.serial, attach.source);
+        attach.remove_at = now + LONG;
+        attach.bye = Some((client, bytes.clone()));
+        self.timers.set(due, Due::Release { key, serial });
+        self.send_to_caller(source, bytes);
+    }
+
+    pub(crate) fn bye_due(&mut self, now: f64, key: usize, serial: u32) {
+        let Some(attach) = self.attaches.get_mut(key).filter(|a| a.serial == serial) else { return };
+        let Some((client, bytes)) = &mut attach.bye else { return };
+        match client.tick(now) {
+            Todo::Again => {
+                let (bytes, due, source) = (bytes.clone(), client.due(), attach.source);
+                self.timers.set(due, Due::Release { key, serial });
+                self.send_to_caller(source, bytes);
+            }
+            Todo::GaveUp | Todo::Over => self.forget(key),
+            Todo::Nothing => {
+                let due = client.due();
+                self.timers.set(due, Due::Release { key, serial });
+            }
+        }
+    }
+
+    fn forget(&mut self, key: usize) {
+        let attach = self.attaches.remove(key);
+        self.by_transaction.remove(&attach.transaction);
+        self.by_ue.remove(&attach.ue);
+    }
+
+    /// An answer without state of its own.
+    fn answer_once(&mut self, source: Source, message: &Message, status: u16) {
+        let head = ResponseHead::of(message, &self.tag);
+        self.send_to_caller(source, Writer::response(status, &head).finish());
+    }
+
+    pub(crate) fn send_to_caller(&mut self, source: Source, bytes: Vec<u8>) {
+        self.outputs.push_back(match source {
+            Source::Datagram(to) => Output::Datagram { to, bytes },
+            Source::Stream(stream) => Output::ToCaller { stream, bytes },
+        });
+    }
+}
+
+/// Header lines that an attach's set-ups carry on to the server.
+fn relayed(message: &Message) -> Box<str> {
+    let mut lines = Writer::lines();
+    for name in ["Resource-Priority", "Content-Type", "P-Asserted-Identity"] {
+        if let Some(value) = message.header(name) {
+            lines = lines.with(name, value);
+        }
+    }
+    lines.into_lines()
+}
+
+/// The number called as the module's opaque 64 bits; 0 is kept for 'none told'.
+fn number_called(text: &str) -> u64 {
+    let digits = text.strip_prefix('+').unwrap_or(text);
+    if let Ok(number) = digits.parse::<u64>() {
+        return number.max(1);
+    }
+    // Fixed keys: the same text is the same number in every front and run.
+    let mut hasher = DefaultHasher::new();
+    text.hash(&mut hasher);
+    hasher.finish().max(1)
+}
--- /dev/null
+++ b/crates/front/src/front.rs
@@ -0,0 +1,451 @@
+//! The front's state and its turn: reports in, due times, decisions pulled until none is left, outputs out.
+
+use crate::io::{Counters, Event, FinalAnswer, Input, LinkId, Outcome, Output, Source};
+use crate::links::{Frame, LegRef, Link, LinkState};
+use crate::params::Params;
+use crate::pool_list::{Dropped, Known, PoolList, ServerState};
+use crate::told::{Tapped, Told};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use shalespindle_control::interface::*;
+use shalespindle_signalling::timers::Timers;
+use shalespindle_signalling::transaction::{Client, InviteServer};
+use shalespindle_signalling::write::ResponseHead;
+use shalespindle_signalling::Framer;
+use slab::Slab;
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
+
+/// What falls due.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Due {
+    /// The decision module asked to be woken.
+    Control,
+    /// The time-out of the leg with that key and serial number.
+    Leg {
+        key: usize,
+        serial: u32,
+    },
+    /// The caller's transaction of that attach.
+    Caller {
+        key: usize,
+        serial: u32,
+    },
+    /// A request of our own towards a caller, or a release towards a server.
+    Release {
+        key: usize,
+        serial: u32,
+    },
+    /// The drain of that link's server is so old that nothing half sent may go on.
+    Drained {
+        link: usize,
+        connection: u64,
+    },
+    /// Connect again, or give a connection up.
+    Link {
+        link: usize,
+        connection: u64,
+    },
+    End,
+}
+
+/// What an attach is doing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Stage {
+    /// No final answer yet.
+    InHand,
+    Standing,
+    /// Answered and over; kept only to meet repeats.
+    Over,
+}
+
+/// One attach: its caller's side.
+pub(crate) struct Attach {
+    pub serial: u32,
+    pub ue: UeName,
+    pub stage: Stage,
+    pub source: Source,
+    pub transaction: Box<str>,
+    pub head: ResponseHead,
+    pub call_id: Box<str>,
+    /// The caller's From value, where our own requests to it go.
+    pub caller: Box<str>,
+    pub called: Box<str>,
+    pub contact: Box<str>,
+    pub number: Box<str>,
+    pub session: Box<str>,
+    /// Header lines that go on to the server as they came.
+    pub relay: Box<str>,
+    pub body: Box<[u8]>,
+    pub hops: u32,
+    pub arrived: f64,
+    pub gives_up_at: f64,
+    pub stood_at: f64,
+    /// The leg that is out or stands.
+    pub leg: Option<LegRef>,
+    pub tries: u32,
+    pub last_server: Option<SocketAddr>,
+    pub server: InviteServer,
+    /// The last answer, for repeats.
+    pub last: Vec<u8>,
+    /// Our BYE to the caller.
+    pub bye: Option<(Client, Vec<u8>)>,
+    pub remove_at: f64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum LegStage {
+    /// The INVITE waits for its socket.
+    Queued,
+    /// Sent, no final answer.
+    Out,
+    /// Given up by CANCEL; a late 200 is met with ACK and BYE.
+    Cancelled,
+    Standing,
+    /// BYE is on its way.
+    Releasing,
+}
+
+/// One setup try, and the server's side of the attach that stands by it.
+pub(crate) struct Leg {
+    pub serial: u32,
+    pub stage: LegStage,
+    pub attach: Option<(usize, u32)>,
+    pub ue: UeName,
+    pub link: usize,
+    pub setup_try: u32,
+    pub sent_at: f64,
+    /// Time-out of the try; later, when the leg is forgotten.
+    pub due: f64,
+    pub uri: Box<str>,
+    pub from: Box<str>,
+    pub to: Box<str>,
+    pub target: Box<str>,
+}
+
+/// A caller's connection.
+#[derive(Default)]
+pub(crate) struct CallerStream {
+    pub framer: Framer,
+    /// Since when part of a message is held.
+    pub partial_since: Option<f64>,
+}
+
+/// One front. See the crate's page for how it is driven.
+pub struct Front {
+    pub(crate) params: Params,
+    pub(crate) control: Tapped,
+    pub(crate) rng: ChaCha8Rng,
+    /// Tells this front's names of dialogs and transactions from another's.
+    pub(crate) tag: String,
+    pub(crate) list: PoolList,
+    pub(crate) links: Vec<Link>,
+    pub(crate) by_pool: HashMap<PoolName, usize>,
+    pub(crate) attaches: Slab<Attach>,
+    pub(crate) by_ue: HashMap<UeName, usize>,
+    pub(crate) by_transaction: HashMap<Box<str>, usize>,
+    pub(crate) legs: Slab<Leg>,
+    pub(crate) streams: HashMap<u64, CallerStream>,
+    pub(crate) timers: Timers<Due>,
+    pub(crate) outputs: VecDeque<Output>,
+    pub(crate) counters: Counters,
+    pub(crate) next_ue: UeName,
+    pub(crate) next_serial: u32,
+    pub(crate) in_hand: usize,
+    pub(crate) standing: usize,
+    /// Since when it takes nothing new.
+    ending: Option<f64>,
+}
+
+impl Front {
+    pub fn new(params: Params, seed: u64, now: f64) -> Front {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        // The module's chance is its own, so that what the front draws never shifts a decision.
+        let control = Tapped::new(rng.random(), params.deployment.clone(), now);
+        let tag = format!("{:012x}", rng.random::<u64>() >> 16);
+        Front {
+            params,
+            control,
+            rng,
+            tag,
+            list: PoolList::default(),
+            links: Vec::new(),
+            by_pool: HashMap::new(),
+            attaches: Slab::new(),
+            by_ue: HashMap::new(),
+            by_transaction: HashMap::new(),
+            legs: Slab::new(),
+            streams: HashMap::new(),
+            timers: Timers::default(),
+            outputs: VecDeque::new(),
+            counters: Counters::default(),
+            next_ue: 0,
+            next_serial: 0,
+            in_hand: 0,
+            standing: 0,
+            ending: None,
+        }
+    }
+
+    /// The seed that the decision module of a front made with `seed` gets, for replays.
+    pub fn control_seed(seed: u64) -> u64 {
+        ChaCha8Rng::seed_from_u64(seed).random()
+    }
+
+    /// Keeps all that the module is told from now on.
+    pub fn record(&mut self) {
+        self.control.record();
+    }
+
+    pub fn tape(&self) -> &[(f64, Told)] {
+        self.control.tape()
+    }
+
+    pub fn counters(&self) -> Counters {
+        self.counters
+    }
+
+    /// Attaches without a final answer.
+    pub fn in_hand(&self) -> usize {
+        self.in_hand
+    }
+
+    pub fn standing(&self) -> usize {
+        self.standing
+    }
+
+    /// Legs and attaches held in any state, for bounds on memory.
+    pub fn held(&self) -> (usize, usize) {
+        (self.attaches.len(), self.legs.len())
+    }
+
+    pub fn servers(&self) -> impl Iterator<Item = &Known> {
+        self.list.servers()
+    }
+
+    /// Asked to end, with nothing left in hand and no attach standing.
+    pub fn is_done(&self) -> bool {
+        self.ending.is_some() && self.in_hand == 0 && self.standing == 0
+    }
+
+    pub(crate) fn is_ending(&self) -> bool {
+        self.ending.is_some()
+    }
+
+    /// Takes one report. `arrived` is when its bytes came at the latest known time before they were read:
+    /// the same as `now` unless the host was held up, see docs/design-notes/front.md.
+    pub fn take(&mut self, now: f64, arrived: f64, input: Input) {
+        match input {
+            Input::Datagram { from, bytes } => {
+                self.caller_message(now, arrived, Source::Datagram(from), bytes);
+            }
+            Input::CallerBytes { stream, bytes } => self.caller_bytes(now, arrived, stream, bytes),
+            Input::CallerClosed { stream } => self.caller_closed(now, stream),
+            Input::Connected { id } => self.connected(id),
+            Input::LinkLost { id } => self.link_lost(now, id),
+            Input::LinkBytes { id, bytes } => self.link_bytes(now, id, bytes),
+            Input::Blocked { id } => self.with_link(id, |link| link.blocked = true),
+            Input::Writable { id } => self.with_link(id, |link| link.blocked = false),
+            Input::FeedConnected => self.list.connected(),
+            Input::FeedBytes { bytes } => self.feed_bytes(now, bytes),
+            Input::FeedLost => {}
+            Input::End => self.end(now),
+        }
+    }
+
+    /// Handles what is due and pulls decisions until there are none. Call it after reports, and at
+    /// [`Front::wake_at`]; then pull outputs.
+    pub fn turn(&mut self, now: f64) {
+        while let Some(due) = self.timers.pop(now) {
+            match due {
+                Due::Control => self.control.tell(now, Told::Wake),
+                Due::Leg { key, serial } => self.leg_due(now, LegRef { key, serial }),
+                Due::Caller { key, serial } => self.caller_due(now, key, serial),
+                Due::Release { key, serial } => self.bye_due(now, key, serial),
+                Due::Drained { link, connection } => self.drain_due(now, link, connection),
+                Due::Link { link, connection } => self.link_due(now, link, connection),
+                Due::End => self.release_all(now),
+            }
+        }
+        self.decide(now);
+    }
+
+    /// When [`Front::turn`] must be called at the latest; infinite when nothing is due.
+    pub fn wake_at(&self) -> f64 {
+        self.timers.next()
+    }
+
+    /// The next thing for the host to do. Frames to servers come last and one by one: after one that does
+    /// not fit, report [`Input::Blocked`] before the next pull.
+    pub fn next_output(&mut self, now: f64) -> Option<Output> {
+        if let Some(output) = self.outputs.pop_front() {
+            return Some(output);
+        }
+        for place in 0..self.links.len() {
+            if let Some(bytes) = self.next_frame(now, place) {
+                return Some(Output::ToServer { id: self.links[place].id(place), bytes });
+            }
+        }
+        None
+    }
+
+    fn next_frame(&mut self, now: f64, place: usize) -> Option<Vec<u8>> {
+        let link = &mut self.links[place];
+        if link.blocked || link.state != LinkState::Up {
+            return None;
+        }
+        while let Some(frame) = link.queue.pop_front() {
+            link.last_set_up = None;
+            match frame {
+                Frame::Other(bytes) => return Some(bytes),
+                Frame::Release(leg, bytes) => {
+                    if self.legs.get(leg.key).is_some_and(|l| l.serial == leg.serial) {
+                        return Some(bytes);
+                    }
+                }
+                Frame::SetUp(at, bytes) => {
+                    let Some(leg) = self.legs.get_mut(at.key).filter(|l| l.serial == at.serial) else {
+                        continue;
+                    };
+                    // Guards rules 1 and 3: taken back, or due to be, while it waited.
+                    if leg.stage != LegStage::Queued || now >= leg.due || !link.ready {
+                        continue;
+                    }
+                    leg.stage = LegStage::Out;
+                    leg.sent_at = now;
+                    link.last_set_up = Some(at);
+                    self.counters.setup_tries += 1;
+                    return Some(bytes);
+                }
+            }
+        }
+        None
+    }
+
+    fn with_link(&mut self, id: LinkId, change: impl FnOnce(&mut Link)) {
+        if let Some(link) = self.links.get_mut(id.link).filter(|l| l.connection == id.connection) {
+            change(link);
+        }
+    }
+
+    pub(crate) fn serial(&mut self) -> u32 {
+        self.next_serial = self.next_serial.wrapping_add(1);
+        self.next_serial
+    }
+
+    pub(crate) fn event(&mut self, event: Event) {
+        self.outputs.push_back(Output::Event(event));
+    }
+
+    pub(crate) fn bad(&mut self, from: &'static str, why: String) {
+        self.counters.bad_messages += 1;
+        self.event(Event::BadInput { from, why });
+    }
+
+    // ---- the pool list ----
+
+    fn feed_bytes(&mut self, now: f64, bytes: &[u8]) {
+        if !self.list.push(bytes) {
+            self.counters.bad_list_lines += 1;
+            self.list.connected();
+            self.event(Event::Feed { what: "line too long", detail: String::new() });
+        }
+        while let Some(line) = self.list.next_line(now) {
+            match line {
+                Ok(news) => {
+                    let (entries, whole) = (news.entries, news.whole);
+                    self.control.tell(now, Told::PoolsListed { entries, whole });
+                    for known in news.changed {
+                        self.listed(now, known);
+                    }
+                }
+                Err(Dropped::Nonsense(why)) => {
+                    self.counters.bad_list_lines += 1;
+                    self.event(Event::Feed { what: "nonsense", detail: why });
+                }
+                Err(Dropped::Backwards { epoch, sequence }) => {
+                    let detail = format!("epoch {epoch}, line {sequence}");
+                    self.event(Event::Feed { what: "old news", detail });
+                }
+            }
+        }
+    }
+
+    /// A server's state changed: its link follows.
+    fn listed(&mut self, now: f64, known: Known) {
+        let place = match self.by_pool.get(&known.name) {
+            Some(&place) => place,
+            None => {
+                self.links.push(Link::new(known.name, known.pool, known.address));
+                self.by_pool.insert(known.name, self.links.len() - 1);
+                self.links.len() - 1
+            }
+        };
+        let link = &mut self.links[place];
+        link.number = known.pool;
+        link.ready = known.state == ServerState::Ready;
+        link.listed = known.state != ServerState::Gone;
+        let age = if known.started == 0.0 { f64::INFINITY } else { now - known.started };
+        self.event(Event::Pool { server: known.address, number: known.pool, state: known.state.name(), age });
+        if self.links[place].ready {
+            if let LinkState::Down { retry_at } = self.links[place].state {
+                if retry_at <= now {
+                    self.connect(now, place);
+                }
+            }
+            return;
+        }
+        self.take_back(now, place);
+        let link = &self.links[place];
+        if link.blocked {
+            // What is half written may go on inside the grace, not after it.
+            let at = now + self.params.drain_grace / 2.0;
+            self.timers.set(at, Due::Drained { link: place, connection: link.connection });
+        }
+        self.close_unused(now, place);
+    }
+
+    // ---- the end ----
+
+    fn end(&mut self, now: f64) {
+        if self.ending.is_none() {
+            self.ending = Some(now);
+            self.timers.set(now + self.params.end_within, Due::End);
+            self.event(Event::Ending { in_hand: self.in_hand, standing: self.standing });
+        }
+    }
+
+    /// Standing attaches have held up the end for long enough.
+    fn release_all(&mut self, now: f64) {
+        let keys: Vec<usize> =
+            self.attaches.iter().filter(|(_, a)| a.stage == Stage::Standing).map(|(k, _)| k).collect();
+        for key in keys {
+            self.release(now, key, true, true, true);
+        }
+    }
+
+    // ---- final answers ----
+
+    /// The one final answer of an attach, for the log and the counts.
+    pub(crate) fn settled(&mut self, now: f64, key: usize, outcome: Outcome, status: u16, set_up: f64) {
+        let attach = &self.attaches[key];
+        let answer = FinalAnswer {
+            session: attach.session.clone(),
+            number: attach.number.clone(),
+            outcome,
+            status,
+            pool: attach.last_server,
+            tries: attach.tries,
+            after: now - attach.arrived,
+            set_up,
+        };
+        self.in_hand -= 1;
+        match outcome {
+            Outcome::Stands => self.counters.stands += 1,
+            Outcome::Refused => self.counters.refused += 1,
+            Outcome::Fails => self.counters.fails += 1,
+            Outcome::Left => self.counters.left += 1,
+        }
+        self.event(Event::Final(answer));
+    }
+}
--- /dev/null
+++ b/crates/front/src/io.rs
@@ -0,0 +1,197 @@
+//! What goes into a front and what comes out of it.
+
+use std::net::SocketAddr;
+
+/// Where a caller's message came from, and where its answers go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Source {
+    Datagram(SocketAddr),
+    /// A caller's connection, by the host's number for it; a number is not used twice.
+    Stream(u64),
+}
+
+/// One connection to one server; a link that is connected again has a new `connection`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct LinkId {
+    pub link: usize,
+    pub connection: u64,
+}
+
+/// What the host reports. Reports only update what is known; the host then calls [`crate::Front::turn`]
+/// and pulls outputs until there are none.
+#[derive(Clone, Debug)]
+pub enum Input<'a> {
+    Datagram {
+        from: SocketAddr,
+        bytes: &'a [u8],
+    },
+    CallerBytes {
+        stream: u64,
+        bytes: &'a [u8],
+    },
+    CallerClosed {
+        stream: u64,
+    },
+    Connected {
+        id: LinkId,
+    },
+    /// The connection was refused, timed out, closed or reset.
+    LinkLost {
+        id: LinkId,
+    },
+    LinkBytes {
+        id: LinkId,
+        bytes: &'a [u8],
+    },
+    /// The last frame pulled for this link did not fit into its socket; the host keeps the rest.
+    Blocked {
+        id: LinkId,
+    },
+    /// All that was kept is written.
+    Writable {
+        id: LinkId,
+    },
+    FeedConnected,
+    FeedBytes {
+        bytes: &'a [u8],
+    },
+    FeedLost,
+    /// Take no new attaches, answer those in hand, then be done.
+    End,
+}
+
+/// What the host is asked to do.
+#[derive(Clone, Debug)]
+pub enum Output {
+    Datagram {
+        to: SocketAddr,
+        bytes: Vec<u8>,
+    },
+    ToCaller {
+        stream: u64,
+        bytes: Vec<u8>,
+    },
+    CloseCaller {
+        stream: u64,
+    },
+    Connect {
+        id: LinkId,
+        to: SocketAddr,
+    },
+    ToServer {
+        id: LinkId,
+        bytes: Vec<u8>,
+    },
+    /// Close at once and forget what is not written: `reset` asks for a reset, so that nothing written but
+    /// not yet sent leaves either.
+    CloseLink {
+        id: LinkId,
+        reset: bool,
+    },
+    /// For the log; carries nothing to do.
+    Event(Event),
+}
+
+/// How an attach ended for its caller, one of the rule's final answers, or its caller left first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Outcome {
+    Stands,
+    Refused,
+    Fails,
+    Left,
+}
+
+impl Outcome {
+    pub fn name(self) -> &'static str {
+        match self {
+            Outcome::Stands => "stands",
+            Outcome::Refused => "refused",
+            Outcome::Fails => "fails",
+            Outcome::Left => "left",
+        }
+    }
+}
+
+/// One final answer, with what an operator asks first.
+#[derive(Clone, Debug)]
+pub struct FinalAnswer {
+    pub session: Box<str>,
+    pub number: Box<str>,
+    pub outcome: Outcome,
+    pub status: u16,
+    /// The server of the last setup try.
+    pub pool: Option<SocketAddr>,
+    pub tries: u32,
+    /// Seconds from its arrival to this answer.
+    pub after: f64,
+    /// Seconds of its last setup try, where that stood.
+    pub set_up: f64,
+}
+
+/// What is worth a line in the log.
+#[derive(Clone, Debug)]
+pub enum Event {
+    Final(FinalAnswer),
+    /// A standing attach has ended; `cut` when its server's connection was lost or a side never confirmed.
+    Released {
+        session: Box<str>,
+        cut: bool,
+        stood_for: f64,
+    },
+    Pool {
+        server: SocketAddr,
+        number: u16,
+        state: &'static str,
+        age: f64,
+    },
+    LinkUp {
+        server: SocketAddr,
+    },
+    LinkLost {
+        server: SocketAddr,
+        cut: usize,
+        retry_after: f64,
+    },
+    /// Set-ups taken back before they left.
+    TakenBack {
+        server: SocketAddr,
+        count: usize,
+    },
+    Feed {
+        what: &'static str,
+        detail: String,
+    },
+    BadInput {
+        from: &'static str,
+        why: String,
+    },
+    Ending {
+        in_hand: usize,
+        standing: usize,
+    },
+}
+
+/// Counts since the front was made.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counters {
+    pub offered: u64,
+    pub stands: u64,
+    pub refused: u64,
+    pub fails: u64,
+    pub left: u64,
+    pub setup_tries: u64,
+    pub taken_back: u64,
+    pub probes: u64,
+    /// Repeats of a message that was already seen.
+    pub repeats: u64,
+    /// Late 200s met with ACK and BYE.
+    pub late_answers: u64,
+    pub released: u64,
+    pub cut: u64,
+    pub bad_messages: u64,
+    pub bad_list_lines: u64,
+    pub unknown_priority: u64,
+    pub unknown_trunk_group: u64,
+    /// Refused at the door: too many in hand, or the front is ending.
+    pub door_refused: u64,
+}
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -1,1 +1,19 @@
-//! One front without I/O: attaches, setup tries, dialogs, timers and the pool list
+//! One front as a library, without I/O: a [`Front`] owns one decision module, every attach in hand, its
+//! setup tries, dialogs and timers, and the pool list. It is driven by bytes and time and yields frames to
+//! send; it has no sockets, threads or clock, so dropping it leaves nothing running and two of them share
+//! nothing. The shape is in docs/design-notes/front.md, the wire in docs/wire.md.
+
+mod callers;
+mod decisions;
+mod front;
+pub mod io;
+pub mod links;
+pub mod outcome;
+pub mod params;
+pub mod pool_list;
+mod servers;
+pub mod told;
+
+pub use front::Front;
+pub use io::{Counters, Event, FinalAnswer, Input, LinkId, Outcome, Output, Source};
+pub use params::Params;
--- /dev/null
+++ b/crates/front/src/outcome.rs
@@ -0,0 +1,75 @@
+//! The written table from a server's SIP answer to the module's word for how a setup try ended; the same
+//! table, with its reasons, stands in docs/wire.md.
+
+use shalespindle_control::interface::{Ended, Report};
+use shalespindle_signalling::Message;
+
+/// Header with a processor's wait, milliseconds.
+pub const WAIT: &str = "Processor-Wait-Ms";
+/// Header with the lines that are free now.
+pub const FREE: &str = "Free-Lines";
+/// Header with all lines.
+pub const LINES: &str = "Lines";
+/// Q.850 cause 'no circuit/channel available'.
+const NO_CIRCUIT: u16 = 34;
+
+/// How the try ended that got this final answer other than 2xx.
+pub fn ended(status: u16, answer: &Message) -> Ended {
+    match status {
+        // 480 and 503 with cause 34 say that no line is free; others of them, that the processor is too busy.
+        480 | 503 if answer.q850_cause() == Some(NO_CIRCUIT) => Ended::NoAgent,
+        503 => Ended::Throttled { wait: answer.retry_after() },
+        // The server ended it after our CANCEL, or by its own timer: what it held may stay taken.
+        487 | 408 => Ended::Cancelled,
+        _ => Ended::Rejected,
+    }
+}
+
+/// What a server says of itself in any message.
+pub fn report(message: &Message) -> Report {
+    Report { free_agents: message.count(FREE), agents: message.count(LINES), wait: message.millis(WAIT) }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn each_row_of_the_table() {
+        let rows = [
+            (486, "", Ended::Rejected),
+            (480, "Reason: Q.850;cause=34\r\n", Ended::NoAgent),
+            (503, "Reason: Q.850;cause=34\r\nRetry-After: 1\r\n", Ended::NoAgent),
+            (480, "", Ended::Rejected),
+            (503, "Retry-After: 2\r\n", Ended::Throttled { wait: Some(2.0) }),
+            (503, "Retry-After: 2;ms=1300\r\n", Ended::Throttled { wait: Some(1.3) }),
+            (503, "", Ended::Throttled { wait: None }),
+            (487, "", Ended::Cancelled),
+            (408, "", Ended::Cancelled),
+            (500, "", Ended::Rejected),
+            (604, "", Ended::Rejected),
+        ];
+        for (status, lines, expected) in rows {
+            let text = format!("SIP/2.0 {status} x\r\n{lines}\r\n");
+            assert_eq!(
+                ended(status, &Message::parse(text.as_bytes()).unwrap()),
+                expected,
+                "{status} {lines}"
+            );
+        }
+    }
+
+    #[test]
+    fn reports_are_read_and_nonsense_is_not() {
+        let read = |lines: &str| {
+            let text = format!("SIP/2.0 200 OK\r\n{lines}\r\n");
+            let r = report(&Message::parse(text.as_bytes()).unwrap());
+            (r.free_agents, r.agents, r.wait)
+        };
+        assert_eq!(
+            read("Processor-Wait-Ms: 12.5\r\nFree-Lines: 3\r\nLines: 40\r\n"),
+            (Some(3.0), Some(40.0), Some(0.0125))
+        );
+        assert_eq!(read("Processor-Wait-Ms: NaN\r\nFree-Lines: -3\r\nLines: inf\r\n"), (None, None, None));
+    }
+}
--- /dev/null
+++ b/crates/front/src/pool_list.rs
@@ -0,0 +1,298 @@
+//! The pool list as a front follows it: JSON lines from a feed (schema by `shalespindle schema --feed`),
+//! whole lists and changes, turned into the entries that the decision module is told.
+//!
+//! The feed may stop, repeat itself, send nonsense or go backwards: what is older than what is known is
+//! dropped, what cannot be read is counted, and with no feed the last known list stands. Ages are relative
+//! (`age_ms`), so no clocks need to agree; a server that started anew is known by its `incarnation`.
+
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use shalespindle_control::interface::{PoolEntry, PoolName};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// Longest line of the feed, bytes; a longer one ends the connection.
+pub const LONGEST_LINE: usize = 1 << 20;
+/// Most servers that a list may name.
+pub const MOST_SERVERS: usize = 10_000;
+
+/// One line of the feed.
+#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Line {
+    /// Names one life of the feed; it never falls. A feed that restarts takes a higher one.
+    pub epoch: u64,
+    /// Counts the lines of an epoch; it never falls either.
+    pub sequence: u64,
+    /// True: all servers there are. False: those that changed.
+    pub whole: bool,
+    pub servers: Vec<Server>,
+}
+
+/// What the feed says of one server.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Server {
+    #[schemars(with = "String")]
+    pub address: SocketAddr,
+    /// The pool's number, as procedures and trunk groups name it.
+    pub pool: u16,
+    pub state: ServerState,
+    /// Counts the starts of its processor; it never falls.
+    pub incarnation: u64,
+    /// Milliseconds since that start when the line was written; absent: long ago.
+    #[serde(default)]
+    pub age_ms: Option<u64>,
+}
+
+/// Whether a processor runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "lowercase")]
+pub enum ServerState {
+    Ready,
+    Draining,
+    Gone,
+}
+
+impl ServerState {
+    pub fn name(self) -> &'static str {
+        match self {
+            ServerState::Ready => "ready",
+            ServerState::Draining => "draining",
+            ServerState::Gone => "gone",
+        }
+    }
+}
+
+/// One server as this front knows it.
+#[derive(Clone, Debug)]
+pub struct Known {
+    pub name: PoolName,
+    pub address: SocketAddr,
+    pub pool: u16,
+    pub state: ServerState,
+    pub incarnation: u64,
+    /// Start of its processor on the front's clock; 0 when long ago.
+    pub started: f64,
+}
+
+/// What a line changed.
+#[derive(Clone, Debug, Default)]
+pub struct News {
+    /// For the module: the servers that the line told something new of.
+    pub entries: Vec<PoolEntry>,
+    pub whole: bool,
+    /// Servers whose state changed, for links and log.
+    pub changed: Vec<Known>,
+}
+
+/// Why a line was not taken.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Dropped {
+    /// Not JSON, not of the schema, or with values out of range.
+    Nonsense(String),
+    /// Older than, or the same as, one already taken.
+    Backwards { epoch: u64, sequence: u64 },
+}
+
+/// The list as last told.
+#[derive(Debug, Default)]
+pub struct PoolList {
+    bytes: Vec<u8>,
+    last: Option<(u64, u64)>,
+    servers: BTreeMap<SocketAddr, Known>,
+    next_name: PoolName,
+}
+
+impl PoolList {
+    pub fn servers(&self) -> impl Iterator<Item = &Known> {
+        self.servers.values()
+    }
+
+    /// When the list was last told to this front, epoch and sequence.
+    pub fn position(&self) -> Option<(u64, u64)> {
+        self.last
+    }
+
+    /// A new connection begins at the start of a line.
+    pub fn connected(&mut self) {
+        self.bytes.clear();
+    }
+
+    /// Takes bytes of the feed; false when a line is too long to follow and the connection must end.
+    pub fn push(&mut self, bytes: &[u8]) -> bool {
+        self.bytes.extend_from_slice(bytes);
+        self.bytes.len() <= LONGEST_LINE || self.bytes.contains(&b'\n')
+    }
+
+    /// The next whole line's news, if there is a whole line.
+    pub fn next_line(&mut self, now: f64) -> Option<Result<News, Dropped>> {
+        let end = self.bytes.iter().position(|&b| b == b'\n')?;
+        let line: Vec<u8> = self.bytes.drain(..=end).collect();
+        let line = line.trim_ascii();
+        if line.is_empty() {
+            return self.next_line(now);
+        }
+        Some(self.take(now, line))
+    }
+
+    fn take(&mut self, now: f64, line: &[u8]) -> Result<News, Dropped> {
+        let line: Line = serde_json::from_slice(line).map_err(|e| Dropped::Nonsense(e.to_string()))?;
+        if line.servers.len() > MOST_SERVERS {
+            return Err(Dropped::Nonsense(format!("{} servers; {MOST_SERVERS} at most", line.servers.len())));
+        }
+        let position = (line.epoch, line.sequence);
+        // Guards against a feed that repeats itself or goes backwards: old news would undo a drain. A whole
+        // list of the same position is the ordinary greeting after a reconnect and says nothing new.
+        if self.last.is_some_and(|last| position <= last) {
+            return Err(Dropped::Backwards { epoch: line.epoch, sequence: line.sequence });
+        }
+        // A new epoch knows nothing of what was: only a whole list can begin it.
+        if !line.whole && self.last.map(|l| l.0) != Some(line.epoch) {
+            return Err(Dropped::Nonsense(format!("epoch {} begins without a whole list", line.epoch)));
+        }
+        self.last = Some(position);
+        let mut news = News { whole: line.whole, ..News::default() };
+        if line.whole {
+            self.leave_out(&line.servers, &mut news);
+        }
+        for server in &line.servers {
+            self.server(now, server, &mut news);
+        }
+        self.servers.retain(|_, s| s.state != ServerState::Gone);
+        Ok(news)
+    }
+
+    /// What a whole list does not name is gone.
+    fn leave_out(&mut self, named: &[Server], news: &mut News) {
+        for known in self.servers.values_mut() {
+            if !named.iter().any(|s| s.address == known.address) {
+                known.state = ServerState::Gone;
+                news.changed.push(known.clone());
+            }
+        }
+    }
+
+    fn server(&mut self, now: f64, server: &Server, news: &mut News) {
+        let started = match server.age_ms {
+            Some(age) => (now - age as f64 / 1000.0).max(f64::MIN_POSITIVE),
+            None => 0.0,
+        };
+        if let Some(known) = self.servers.get_mut(&server.address) {
+            // Guards against a line put together from old and new parts: an earlier start is old news.
+            if server.incarnation < known.incarnation {
+                return;
+            }
+            let anew = server.incarnation > known.incarnation;
+            let changed = anew || known.state != server.state || known.pool != server.pool;
+            if anew {
+                // Told late, a start seems later than it was, which errs on the side of cold.
+                known.started = started;
+            }
+            known.incarnation = server.incarnation;
+            known.state = server.state;
+            known.pool = server.pool;
+            if changed {
+                news.changed.push(known.clone());
+            }
+            news.entries.push(entry(known));
+            return;
+        }
+        if server.state == ServerState::Gone {
+            return;
+        }
+        self.next_name += 1;
+        let known = Known {
+            name: self.next_name,
+            address: server.address,
+            pool: server.pool,
+            state: server.state,
+            incarnation: server.incarnation,
+            started,
+        };
+        news.changed.push(known.clone());
+        news.entries.push(entry(&known));
+        self.servers.insert(server.address, known);
+    }
+}
+
+fn entry(known: &Known) -> PoolEntry {
+    PoolEntry {
+        name: known.name,
+        number: known.pool,
+        started: known.started,
+        ready: known.state == ServerState::Ready,
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn line(epoch: u64, sequence: u64, whole: bool, servers: &[(u16, &str, u64)]) -> String {
+        let one = |(port, state, incarnation): &(u16, &str, u64)| {
+            format!(
+                r#"{{"address":"127.0.0.1:{port}","pool":{port},"state":"{state}","incarnation":{incarnation},"age_ms":500}}"#
+            )
+        };
+        let servers: Vec<String> = servers.iter().map(one).collect();
+        format!(
+            "{{\"epoch\":{epoch},\"sequence\":{sequence},\"whole\":{whole},\"servers\":[{}]}}\n",
+            servers.join(",")
+        )
+    }
+
+    fn taken(list: &mut PoolList, text: &str) -> Result<News, Dropped> {
+        assert!(list.push(text.as_bytes()));
+        list.next_line(100.0).expect("a whole line")
+    }
+
+    #[test]
+    fn lists_and_changes_are_followed() {
+        let mut list = PoolList::default();
+        let news = taken(&mut list, &line(1, 1, true, &[(1, "ready", 3), (2, "ready", 1)])).unwrap();
+        assert_eq!((news.entries.len(), news.changed.len(), news.entries[0].started), (2, 2, 99.5));
+        let news = taken(&mut list, &line(1, 2, false, &[(1, "draining", 3)])).unwrap();
+        assert!(!news.entries[0].ready && news.changed.len() == 1);
+        // Started anew at the same address: same name, later start.
+        let news = taken(&mut list, &line(1, 3, false, &[(1, "ready", 4)])).unwrap();
+        assert!(news.entries[0].ready && news.entries[0].name == 1);
+        let news = taken(&mut list, &line(1, 4, true, &[(2, "ready", 1)])).unwrap();
+        assert!(news.whole && news.changed.len() == 1 && news.changed[0].state == ServerState::Gone);
+        assert_eq!(list.servers().count(), 1);
+    }
+
+    #[test]
+    fn a_feed_that_repeats_or_goes_backwards_undoes_nothing() {
+        let mut list = PoolList::default();
+        taken(&mut list, &line(2, 5, true, &[(1, "ready", 1)])).unwrap();
+        taken(&mut list, &line(2, 6, false, &[(1, "draining", 1)])).unwrap();
+        for (epoch, sequence) in [(2, 6), (2, 5), (1, 99)] {
+            let dropped = taken(&mut list, &line(epoch, sequence, true, &[(1, "ready", 1)])).unwrap_err();
+            assert_eq!(dropped, Dropped::Backwards { epoch, sequence });
+        }
+        assert_eq!(list.servers().next().unwrap().state, ServerState::Draining);
+        assert!(matches!(
+            taken(&mut list, &line(3, 1, false, &[(1, "ready", 1)])),
+            Err(Dropped::Nonsense(_))
+        ));
+        taken(&mut list, &line(3, 1, true, &[(1, "ready", 1)])).unwrap();
+        let stale = taken(&mut list, &line(3, 2, false, &[(1, "gone", 0)])).unwrap();
+        assert!(stale.entries.is_empty(), "an earlier incarnation is old news");
+    }
+
+    #[test]
+    fn nonsense_is_told_apart_and_bounded() {
+        let mut list = PoolList::default();
+        for text in [
+            "nonsense\n",
+            "{}\n",
+            "[1,2]\n",
+            "{\"epoch\":1,\"sequence\":1,\"whole\":true,\"servers\":[{\"address\":\"x\"}]}\n",
+        ] {
+            assert!(matches!(taken(&mut list, text), Err(Dropped::Nonsense(_))), "{text}");
+        }
+        assert!(list.next_line(0.0).is_none());
+        assert!(!list.push(&vec![b'x'; LONGEST_LINE + 1]));
+    }
+}
--- /dev/null
+++ b/crates/front/src/servers.rs
@@ -0,0 +1,488 @@
+//! The servers' side: links, setup tries as a user agent client (RFC 3261 sections 9.1, 13.2, 17.1), what
+//! is taken back, and releases.
+
+use crate::front::{Due, Front, Leg, LegStage, Stage};
+use crate::io::{Event, LinkId, Outcome, Output};
+use crate::links::{Frame, LegRef, LinkState};
+use crate::outcome;
+use crate::told::Told;
+use rand::Rng;
+use shalespindle_control::interface::{Ended, Report};
+use shalespindle_signalling::message::{address, Message, Method};
+use shalespindle_signalling::transaction::LONG;
+use shalespindle_signalling::write::{ResponseHead, Writer};
+
+impl Front {
+    // ---- links ----
+
+    pub(crate) fn connect(&mut self, now: f64, place: usize) {
+        let within = self.params.connect_within;
+        let link = &mut self.links[place];
+        link.connection += 1;
+        link.state = LinkState::Connecting;
+        let (id, to) = (link.id(place), link.address);
+        self.timers.set(now + within, Due::Link { link: place, connection: id.connection });
+        self.outputs.push_back(Output::Connect { id, to });
+    }
+
+    pub(crate) fn connected(&mut self, id: LinkId) {
+        let Some(link) = self.links.get_mut(id.link).filter(|l| l.connection == id.connection) else {
+            return;
+        };
+        if link.state == LinkState::Connecting {
+            link.state = LinkState::Up;
+            link.pause = 0.0;
+            let server = link.address;
+            self.event(Event::LinkUp { server });
+        }
+    }
+
+    pub(crate) fn link_lost(&mut self, now: f64, id: LinkId) {
+        let known = self.links.get(id.link).filter(|l| l.connection == id.connection);
+        if known.is_none_or(|l| matches!(l.state, LinkState::Down { .. })) {
+            return;
+        }
+        let chance = self.rng.random();
+        let (least, longest) = self.params.reconnect;
+        let link = &mut self.links[id.link];
+        let retry_after = link.back_off(least, longest, chance);
+        link.state = LinkState::Down { retry_at: now + retry_after };
+        // The next connection has another number, so that late reports of this one are told apart.
+        link.connection += 1;
+        link.lost();
+        let (server, wanted) = (link.address, link.listed || link.legs > 0);
+        if wanted {
+            let due = Due::Link { link: id.link, connection: link.connection };
+            self.timers.set(now + retry_after, due);
+        }
+        let cut = self.legs_lost(now, id.link);
+        self.event(Event::LinkLost { server, cut, retry_after });
+    }
+
+    /// What a lost connection means for each of its legs; returns how many standing attaches it cut.
+    fn legs_lost(&mut self, now: f64, place: usize) -> usize {
+        let mut cut = 0;
+        let keys: Vec<usize> = self.legs.iter().filter(|(_, l)| l.link == place).map(|(k, _)| k).collect();
+        for key in keys {
+            let leg = &self.legs[key];
+            let at = LegRef { key, serial: leg.serial };
+            match leg.stage {
+                // Nothing of it was written.
+                LegStage::Queued => self.try_over(now, at, Ended::Unreached, Report::default()),
+                LegStage::Out => self.try_over(now, at, Ended::Cut, Report::default()),
+                // A late 200 can no longer come by this connection, and a new one has no such transaction.
+                LegStage::Cancelled => self.remove_leg(now, key),
+                LegStage::Standing => {
+                    cut += 1;
+                    let (ue, pool) = (leg.ue, self.links[place].pool);
+                    let attach = leg.attach;
+                    let report = Report::default();
+                    self.control
+                        .tell(now, Told::Ended { ue, pool, ended: Ended::Cut, finished: true, report });
+                    if let Some((attach, _)) = attach {
+                        self.release(now, attach, true, true, true);
+                    }
+                }
+                LegStage::Releasing => self.queue_bye(at),
+            }
+        }
+        cut
+    }
+
+    pub(crate) fn link_due(&mut self, now: f64, place: usize, connection: u64) {
+        let link = &self.links[place];
+        if link.connection != connection {
+            return;
+        }
+        match link.state {
+            LinkState::Connecting => {
+                let id = link.id(place);
+                self.outputs.push_back(Output::CloseLink { id, reset: false });
+                self.link_lost(now, id);
+            }
+            LinkState::Down { .. } if link.listed || link.legs > 0 => self.connect(now, place),
+            _ => {}
+        }
+    }
+
+    /// A link that nobody names any more goes once nothing is left on it.
+    pub(crate) fn close_unused(&mut self, now: f64, place: usize) {
+        let link = &self.links[place];
+        if !link.listed && link.legs == 0 && !matches!(link.state, LinkState::Down { .. }) {
+            let id = link.id(place);
+            self.outputs.push_back(Output::CloseLink { id, reset: false });
+            self.link_lost(now, id);
+        }
+    }
+
+    /// Guards rule 3: set-ups that wait for the socket of a server that drains or is gone do not leave.
+    pub(crate) fn take_back(&mut self, now: f64, place: usize) {
+        let is_queued = |l: &Leg| l.link == place && l.stage == LegStage::Queued;
+        let queued: Vec<LegRef> = self
+            .legs
+            .iter()
+            .filter(|(_, l)| is_queued(l))
+            .map(|(key, l)| LegRef { key, serial: l.serial })
+            .collect();
+        for at in &queued {
+            self.counters.taken_back += 1;
+            self.try_over(now, *at, Ended::Unreached, Report::default());
+        }
+        if !queued.is_empty() {
+            let server = self.links[place].address;
+            self.event(Event::TakenBack { server, count: queued.len() });
+        }
+    }
+
+    pub(crate) fn drain_due(&mut self, now: f64, place: usize, connection: u64) {
+        let link = &self.links[place];
+        if link.connection == connection && link.blocked && !link.ready {
+            self.reset(now, place);
+        }
+    }
+
+    /// Guards against set-ups that sit in a full socket: a reset throws away what was not sent.
+    fn reset(&mut self, now: f64, place: usize) {
+        let id = self.links[place].id(place);
+        self.outputs.push_back(Output::CloseLink { id, reset: true });
+        self.link_lost(now, id);
+    }
+
+    // ---- setup tries ----
+
+    /// The INVITE of a leg, its transaction and dialog named by its place and serial number.
+    pub(crate) fn write_invite(&self, now: f64, at: LegRef) -> Vec<u8> {
+        let leg = &self.legs[at.key];
+        let attach = leg.attach.map(|(key, _)| &self.attaches[key]);
+        let mut writer = self.leg_request(Method::Invite, at, &leg.uri, "i", "1 INVITE");
+        writer = writer.with_args("Contact", format_args!("<sip:{};transport=tcp>", self.params.host));
+        let Some(attach) = attach else { return writer.finish() };
+        let seconds = (leg.due - now).max(0.0).ceil();
+        writer
+            .with_args("Expires", format_args!("{seconds}"))
+            .with("Session-ID", &attach.session)
+            .with_lines(&attach.relay)
+            .finish_with(&attach.body)
+    }
+
+    /// A request on a leg; `mark` tells its transactions apart.
+    fn leg_request(&self, method: Method, at: LegRef, uri: &str, mark: &str, cseq: &str) -> Writer {
+        let leg = &self.legs[at.key];
+        let (tag, host) = (&self.tag, &self.params.host);
+        let name = format_args!("{:x}-{:x}", at.key, at.serial).to_string();
+        let hops = leg.attach.and_then(|(key, _)| self.attaches.get(key)).map_or(69, |a| a.hops - 1);
+        Writer::request(method, uri)
+            .with_args("Via", format_args!("SIP/2.0/TCP {host};branch=z9hG4bK{tag}-{name}-{mark}"))
+            .with_args("Max-Forwards", format_args!("{hops}"))
+            .with("From", &leg.from)
+            .with("To", &leg.to)
+            .with_args("Call-ID", format_args!("{tag}-{name}"))
+            .with("CSeq", cseq)
+    }
+
+    pub(crate) fn leg(&self, at: LegRef) -> Option<&Leg> {
+        self.legs.get(at.key).filter(|l| l.serial == at.serial)
+    }
+
+    /// A setup try that is queued or out has ended; the module hears of it, the leg goes.
+    pub(crate) fn try_over(&mut self, now: f64, at: LegRef, ended: Ended, report: Report) {
+        let Some(leg) = self.leg(at) else { return };
+        let (ue, pool, attach) = (leg.ue, self.links[leg.link].pool, leg.attach);
+        if let Some(attach) =
+            attach.and_then(|(key, serial)| self.attaches.get_mut(key).filter(|a| a.serial == serial))
+        {
+            if attach.leg == Some(at) {
+                attach.leg = None;
+            }
+        }
+        self.remove_leg(now, at.key);
+        self.control.tell(now, Told::Ended { ue, pool, ended, finished: false, report });
+    }
+
+    /// Gives up a try: taken back if it has not left, else CANCEL. `finished`: its caller has gone.
+    pub(crate) fn give_up_leg(&mut self, now: f64, at: LegRef, ended: Ended, finished: bool) {
+        let Some(leg) = self.leg(at) else { return };
+        let (ue, place, stage) = (leg.ue, leg.link, leg.stage);
+        let pool = self.links[place].pool;
+        let ended = match stage {
+            LegStage::Queued => {
+                self.counters.taken_back += 1;
+                self.remove_leg(now, at.key);
+                Ended::Unreached
+            }
+            LegStage::Out => {
+                let blocked = self.links[place].blocked && self.links[place].last_set_up == Some(at);
+                let leg = &mut self.legs[at.key];
+                leg.stage = LegStage::Cancelled;
+                leg.attach = None;
+                leg.due = now + LONG;
+                self.timers.set(now + LONG, Due::Leg { key: at.key, serial: at.serial });
+                if blocked {
+                    // Half of it sits in a socket that takes no more: the rest must never be sent.
+                    self.reset(now, place);
+                } else {
+                    let uri = self.legs[at.key].uri.clone();
+                    let cancel = self.leg_request(Method::Cancel, at, &uri, "i", "1 CANCEL").finish();
+                    self.links[place].queue.push_back(Frame::Other(cancel));
+                }
+                ended
+            }
+            _ => return,
+        };
+        self.control.tell(now, Told::Ended { ue, pool, ended, finished, report: Report::default() });
+    }
+
+    pub(crate) fn leg_due(&mut self, now: f64, at: LegRef) {
+        let Some(leg) = self.leg(at).filter(|l| now >= l.due) else { return };
+        match leg.stage {
+            LegStage::Queued | LegStage::Out => {
+                let attach = leg.attach;
+                self.give_up_leg(now, at, Ended::TimedOut, false);
+                if let Some(attach) =
+                    attach.and_then(|(k, s)| self.attaches.get_mut(k).filter(|a| a.serial == s))
+                {
+                    attach.leg = None;
+                }
+            }
+            LegStage::Cancelled | LegStage::Releasing => self.remove_leg(now, at.key),
+            LegStage::Standing => {}
+        }
+    }
+
+    pub(crate) fn remove_leg(&mut self, now: f64, key: usize) {
+        let leg = self.legs.remove(key);
+        self.links[leg.link].legs -= 1;
+        self.close_unused(now, leg.link);
+    }
+
+    pub(crate) fn release_leg(&mut self, now: f64, at: LegRef) {
+        let Some(leg) = self.legs.get_mut(at.key).filter(|l| l.serial == at.serial) else { return };
+        leg.stage = LegStage::Releasing;
+        leg.attach = None;
+        leg.due = now + LONG;
+        self.timers.set(now + LONG, Due::Leg { key: at.key, serial: at.serial });
+        self.queue_bye(at);
+    }
+
+    fn queue_bye(&mut self, at: LegRef) {
+        let leg = &self.legs[at.key];
+        let (uri, place) = (leg.target.clone(), leg.link);
+        let bytes = self.leg_request(Method::Bye, at, &uri, "b", "2 BYE").finish();
+        self.links[place].queue.push_back(Frame::Release(at, bytes));
+    }
+
+    // ---- what servers send ----
+
+    pub(crate) fn link_bytes(&mut self, now: f64, id: LinkId, bytes: &[u8]) {
+        let Some(link) = self.links.get_mut(id.link).filter(|l| l.connection == id.connection) else {
+            return;
+        };
+        link.framer.push(bytes);
+        loop {
+            // A message can end in the loss of the link; what came after it then counts no more.
+            let Some(link) = self.links.get_mut(id.link).filter(|l| l.connection == id.connection) else {
+                return;
+            };
+            match link.framer.next_frame() {
+                Ok(Some(frame)) => {
+                    let frame = frame.to_vec();
+                    let parsed = Message::parse(&frame);
+                    match parsed {
+                        Ok(message) => self.server_message(now, id.link, &message),
+                        Err(why) => self.bad("server", why.to_string()),
+                    }
+                }
+                Ok(None) => return,
+                Err(why) => {
+                    self.bad("server's stream", why.to_string());
+                    self.outputs.push_back(Output::CloseLink { id, reset: false });
+                    return self.link_lost(now, id);
+                }
+            }
+        }
+    }
+
+    fn server_message(&mut self, now: f64, place: usize, message: &Message) {
+        match message.start {
+            shalespindle_signalling::Start::Response { status, .. } => {
+                self.server_response(now, place, status, message)
+            }
+            shalespindle_signalling::Start::Request { method, .. } => {
+                self.server_request(now, place, method, message)
+            }
+        }
+    }
+
+    fn server_response(&mut self, now: f64, place: usize, status: u16, message: &Message) {
+        let (Ok(via), Ok((_, method))) = (message.via(), message.cseq()) else {
+            return self.bad("server", "an answer without Via or CSeq".into());
+        };
+        let Some(name) = via.branch.strip_prefix("z9hG4bK") else { return };
+        if let Some(name) = name.strip_suffix("-o") {
+            return self.probe_answered(now, place, name, status, message);
+        }
+        let Some((name, _)) = name.rsplit_once('-') else { return };
+        let Some((key, serial)) = self.own_name(name) else { return };
+        let at = LegRef { key, serial };
+        // Only the server that a leg went to may speak for it.
+        let Some(leg) = self.leg(at).filter(|l| l.link == place) else { return };
+        match (method, leg.stage) {
+            (Method::Invite, _) if status < 200 => {}
+            (Method::Invite, LegStage::Out) if status < 300 => self.stands(now, at, message),
+            (Method::Invite, LegStage::Standing | LegStage::Releasing) if status < 300 => {
+                self.acknowledge(at)
+            }
+            (Method::Invite, LegStage::Cancelled) if status < 300 => {
+                // Guards against a call left standing that the caller was told had failed.
+                self.counters.late_answers += 1;
+                self.confirm(at, message);
+                self.release_leg(now, at);
+            }
+            (Method::Invite, stage) => {
+                self.refused_by_server(at, message);
+                match stage {
+                    LegStage::Out => {
+                        let report = outcome::report(message);
+                        self.try_over(now, at, outcome::ended(status, message), report);
+                    }
+                    LegStage::Cancelled => self.remove_leg(now, key),
+                    _ => {}
+                }
+            }
+            (Method::Bye, LegStage::Releasing) if status >= 200 => {
+                let (ue, pool) = (leg.ue, self.links[place].pool);
+                let (ended, report) = (Ended::Released, outcome::report(message));
+                self.control.tell(now, Told::Ended { ue, pool, ended, finished: true, report });
+                self.remove_leg(now, key);
+            }
+            _ => {}
+        }
+    }
+
+    /// Takes a 200's tag and Contact into the dialog and sends its ACK (13.2.2.4).
+    fn confirm(&mut self, at: LegRef, message: &Message) {
+        let leg = &mut self.legs[at.key];
+        if let Ok(to) = message.to() {
+            leg.to = to.into();
+        }
+        if let Some(contact) = message.header("Contact") {
+            leg.target = address(contact).into();
+        }
+        self.acknowledge(at);
+    }
+
+    fn acknowledge(&mut self, at: LegRef) {
+        let (uri, place) = (self.legs[at.key].target.clone(), self.legs[at.key].link);
+        let ack = self.leg_request(Method::Ack, at, &uri, "a", "1 ACK").finish();
+        self.links[place].queue.push_back(Frame::Other(ack));
+    }
+
+    /// The ACK to an answer other than 2xx belongs to the INVITE's transaction (17.1.1.3).
+    fn refused_by_server(&mut self, at: LegRef, message: &Message) {
+        if let Ok(to) = message.to() {
+            self.legs[at.key].to = to.into();
+        }
+        let (uri, place) = (self.legs[at.key].uri.clone(), self.legs[at.key].link);
+        let ack = self.leg_request(Method::Ack, at, &uri, "i", "1 ACK").finish();
+        self.links[place].queue.push_back(Frame::Other(ack));
+    }
+
+    fn stands(&mut self, now: f64, at: LegRef, message: &Message) {
+        self.confirm(at, message);
+        let leg = &mut self.legs[at.key];
+        leg.stage = LegStage::Standing;
+        let (ue, delay, attach) = (leg.ue, now - leg.sent_at, leg.attach);
+        let pool = self.links[leg.link].pool;
+        let report = outcome::report(message);
+        self.control.tell(now, Told::Heard { pool, probed: false, report });
+        self.control.tell(now, Told::Stands { ue, pool, delay });
+        let Some((key, _)) = attach else { return };
+        self.settled(now, key, Outcome::Stands, 200, delay);
+        self.standing += 1;
+        let attach = &mut self.attaches[key];
+        attach.stage = Stage::Standing;
+        attach.stood_at = now;
+        let kind = message.header("Content-Type").unwrap_or_default();
+        let head = Writer::response(200, &attach.head)
+            .with("Session-ID", &attach.session)
+            .with_args("Contact", format_args!("<sip:{}>", self.params.host));
+        let head = if kind.is_empty() { head } else { head.with("Content-Type", kind) };
+        attach.last = head.finish_with(message.body);
+        // Only a try that is out needs it.
+        attach.body = Box::default();
+        let (source, bytes) = (attach.source, attach.last.clone());
+        self.send_to_caller(source, bytes);
+        self.answered(now, key, true);
+    }
+
+    fn server_request(&mut self, now: f64, place: usize, method: Method, message: &Message) {
+        if method == Method::Ack {
+            return;
+        }
+        let status = match method {
+            Method::Bye => 200,
+            Method::Options => 200,
+            _ => 405,
+        };
+        let leg = message
+            .call_id()
+            .ok()
+            .and_then(|id| self.own_name(id))
+            .map(|(key, serial)| LegRef { key, serial });
+        let leg = leg.filter(|&at| self.leg(at).is_some_and(|l| l.link == place));
+        let status = if method == Method::Bye && leg.is_none() { 481 } else { status };
+        let head = ResponseHead::of(message, &self.tag);
+        let answer = Writer::response(status, &head).finish();
+        self.links[place].queue.push_back(Frame::Other(answer));
+        let (Method::Bye, Some(at)) = (method, leg) else { return };
+        let leg = &self.legs[at.key];
+        if leg.stage != LegStage::Standing {
+            return;
+        }
+        let (ue, pool, attach) = (leg.ue, self.links[place].pool, leg.attach);
+        let (ended, report) = (Ended::Released, outcome::report(message));
+        self.control.tell(now, Told::Ended { ue, pool, ended, finished: true, report });
+        if let Some((key, _)) = attach {
+            self.release(now, key, true, false, false);
+        }
+        self.remove_leg(now, at.key);
+    }
+
+    // ---- probes ----
+
+    pub(crate) fn probe(&mut self, pool: shalespindle_control::interface::PoolName) {
+        let Some(&place) = self.by_pool.get(&pool) else { return };
+        let serial = self.serial();
+        let most = self.params.most_queued;
+        let (tag, host) = (&self.tag, &self.params.host);
+        let link = &mut self.links[place];
+        if link.state != LinkState::Up || !link.takes(most) {
+            return;
+        }
+        let to = link.address;
+        let bytes = Writer::request(Method::Options, &format!("sip:{to}"))
+            .with_args("Via", format_args!("SIP/2.0/TCP {host};branch=z9hG4bK{tag}-{serial:x}-o"))
+            .with("Max-Forwards", "70")
+            .with_args("From", format_args!("<sip:{host}>;tag={tag}"))
+            .with_args("To", format_args!("<sip:{to}>"))
+            .with_args("Call-ID", format_args!("{tag}-p{serial:x}"))
+            .with("CSeq", "1 OPTIONS")
+            .finish();
+        link.probe = Some(serial);
+        link.queue.push_back(Frame::Other(bytes));
+        self.counters.probes += 1;
+    }
+
+    fn probe_answered(&mut self, now: f64, place: usize, name: &str, status: u16, message: &Message) {
+        let serial = name.strip_prefix(self.tag.as_str()).and_then(|n| n.strip_prefix('-'));
+        let serial = serial.and_then(|s| u32::from_str_radix(s, 16).ok());
+        let link = &mut self.links[place];
+        if status < 200 || serial.is_none() || link.probe != serial {
+            return;
+        }
+        link.probe = None;
+        let pool = link.pool;
+        let probed = (200..300).contains(&status);
+        self.control.tell(now, Told::Heard { pool, probed, report: outcome::report(message) });
+    }
+}
--- /dev/null
+++ b/crates/lab/src/scenario.rs
@@ -0,0 +1,293 @@
+//! Scenarios: a fleet, its callers, troubles and the rules' figures, read from TOML.
+
+use serde::Deserialize;
+use shalespindle_control::interface::{ColdStart, Deployment, Procedure};
+use shalespindle_front::Params;
+use shalespindle_standin::callers::{AskSpec, CallerSpec};
+use shalespindle_standin::checker::Figures;
+use shalespindle_standin::processor::{Cold, Work};
+use shalespindle_standin::server::ServerSpec;
+
+/// What can be wrong with a scenario.
+#[derive(Debug, thiserror::Error)]
+pub enum ScenarioError {
+    #[error("{0}")]
+    Toml(#[from] toml::de::Error),
+    #[error("{key}: {why}")]
+    Value { key: String, why: String },
+}
+
+/// One scenario. Times are seconds from its start.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Scenario {
+    pub name: String,
+    /// So long callers ask; then it runs on until all are answered.
+    pub seconds: f64,
+    pub fleet: Fleet,
+    pub servers: Servers,
+    pub callers: Callers,
+    pub rules: Rules,
+    #[serde(default)]
+    pub troubles: Vec<Trouble>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Fleet {
+    pub fronts: usize,
+    pub servers: usize,
+    /// Seconds that the pool list is late.
+    pub list_delay: f64,
+    /// Seconds one way between a front and a server, under virtual time.
+    #[serde(default)]
+    pub link_delay: f64,
+    pub tries: u32,
+    pub probes: bool,
+    pub cancels: bool,
+    /// The longest pause named to a refused caller; 0: none is named.
+    pub longest_pause: f64,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Servers {
+    /// Set-ups a second that a server of speed 1 can do.
+    pub capacity: f64,
+    /// Speeds, dealt to the servers in turn.
+    pub speeds: Vec<f64>,
+    /// Parts of the work of a set-up that its answer and its release take, and of a probe and a rejection.
+    pub answer: f64,
+    pub release: f64,
+    pub probe: f64,
+    pub reject: f64,
+    pub lines: u32,
+    pub full_wait: f64,
+    pub tells_wait: bool,
+    pub report_every: f64,
+    pub answers_first: bool,
+    pub drops_given_up: bool,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Callers {
+    /// Wishes a second over all fronts, as a part of all servers' capacity.
+    pub load: f64,
+    pub procedures: Vec<AskSpec>,
+    pub tenants: Vec<(String, f64)>,
+    pub shift_every: f64,
+    pub patience: (f64, f64),
+    pub redials: u32,
+    pub redial_wait: (f64, f64),
+    pub heeds_retry_after: bool,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Rules {
+    pub answer_slack: f64,
+    pub drain_grace: f64,
+    pub release_guard: f64,
+    pub start_capacity: f64,
+    pub warm_after: f64,
+    pub tip_multiple: f64,
+    pub fall_after: f64,
+}
+
+/// The kinds of trouble; PLAN's names.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum TroubleKind {
+    Crash,
+    Vanish,
+    Hang,
+    Slow,
+    Burst,
+    Deploy,
+    DiscoveryStale,
+    BalancerCrash,
+    BalancerStall,
+    AnswerLost,
+    GiveUp,
+    RetryAbuse,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Trouble {
+    pub kind: TroubleKind,
+    pub from: f64,
+    #[serde(rename = "for")]
+    pub lasts: f64,
+    /// Share of the servers or fronts that it meets, rounded up.
+    #[serde(default = "whole")]
+    pub part: f64,
+    /// How much: times slower, times the rate, share of answers lost, share of patience, seconds late.
+    #[serde(default)]
+    pub size: f64,
+}
+
+fn whole() -> f64 {
+    1.0
+}
+
+impl Scenario {
+    /// Reads and checks a scenario.
+    pub fn read(text: &str) -> Result<Scenario, ScenarioError> {
+        let scenario: Scenario = toml::from_str(text)?;
+        scenario.check()?;
+        Ok(scenario)
+    }
+
+    fn check(&self) -> Result<(), ScenarioError> {
+        let bad = |key: &str, why: &str| Err(ScenarioError::Value { key: key.into(), why: why.into() });
+        if !(1..=1000).contains(&self.fleet.fronts) {
+            return bad("fleet.fronts", "1 to 1000");
+        }
+        if !(1..=200).contains(&self.fleet.servers) {
+            return bad("fleet.servers", "1 to 200");
+        }
+        if !(self.seconds > 0.0 && self.seconds <= 86_400.0) {
+            return bad("seconds", "more than 0, at most 86400");
+        }
+        if self.servers.speeds.is_empty() || self.servers.speeds.iter().any(|s| *s <= 0.0) {
+            return bad("servers.speeds", "one or more, each over 0");
+        }
+        if self.servers.capacity <= 0.0 {
+            return bad("servers.capacity", "over 0");
+        }
+        if self.callers.procedures.is_empty() || self.callers.tenants.is_empty() {
+            return bad("callers", "one procedure and one tenant at least");
+        }
+        if self.callers.load < 0.0 {
+            return bad("callers.load", "0 or more");
+        }
+        for (place, trouble) in self.troubles.iter().enumerate() {
+            let key = format!("troubles[{place}]");
+            if !(0.0..=1.0).contains(&trouble.part) || trouble.lasts < 0.0 || trouble.from < 0.0 {
+                return bad(&key, "part in 0 to 1, from and for 0 or more");
+            }
+            let size_needed = matches!(trouble.kind, TroubleKind::Slow | TroubleKind::Burst);
+            if size_needed && trouble.size <= 0.0 {
+                return bad(&key, "size over 0");
+            }
+            if matches!(trouble.kind, TroubleKind::AnswerLost | TroubleKind::GiveUp)
+                && !(0.0..=1.0).contains(&trouble.size)
+            {
+                return bad(&key, "size in 0 to 1");
+            }
+        }
+        Ok(())
+    }
+
+    pub fn cold(&self) -> Cold {
+        let r = &self.rules;
+        Cold {
+            start_capacity: r.start_capacity,
+            warm_after: r.warm_after,
+            tip_multiple: r.tip_multiple,
+            fall_after: r.fall_after,
+        }
+    }
+
+    pub fn speed(&self, server: usize) -> f64 {
+        self.servers.speeds[server % self.servers.speeds.len()]
+    }
+
+    /// What server number `server` is like.
+    pub fn server(&self, server: usize) -> ServerSpec {
+        let s = &self.servers;
+        let set_up = 1.0 / (s.capacity * self.speed(server) * (1.0 + s.answer + s.release));
+        ServerSpec {
+            work: Work {
+                set_up,
+                answer: set_up * s.answer,
+                release: set_up * s.release,
+                probe: set_up * s.probe,
+                reject: set_up * s.reject,
+            },
+            cold: self.cold(),
+            lines: s.lines,
+            full_wait: s.full_wait,
+            tells_wait: s.tells_wait,
+            report_every: s.report_every,
+            answers_first: s.answers_first,
+            drops_given_up: s.drops_given_up,
+        }
+    }
+
+    /// Wishes a second over all fronts.
+    pub fn rate(&self) -> f64 {
+        let all: f64 = (0..self.fleet.servers).map(|s| self.servers.capacity * self.speed(s)).sum();
+        self.callers.load * all
+    }
+
+    pub fn trunk_group(server: usize) -> String {
+        format!("tg-{server}")
+    }
+
+    pub fn caller(&self) -> CallerSpec {
+        let c = &self.callers;
+        CallerSpec {
+            procedures: c.procedures.clone(),
+            trunk_groups: (0..self.fleet.servers).map(Scenario::trunk_group).collect(),
+            shift_every: c.shift_every,
+            tenants: c.tenants.clone(),
+            patience: c.patience,
+            redials: c.redials,
+            redial_wait: c.redial_wait,
+            heeds_retry_after: c.heeds_retry_after,
+        }
+    }
+
+    /// The rules' figures for the checker; `passing` is what the sockets themselves may take.
+    pub fn figures(&self, passing: f64) -> Figures {
+        Figures {
+            answer_slack: self.rules.answer_slack,
+            drain_grace: self.rules.drain_grace,
+            release_guard: self.rules.release_guard,
+            cold: self.cold(),
+            passing,
+        }
+    }
+
+    /// What a front of this scenario is started with; `margin` is what its messages may take on the way.
+    pub fn params(&self, host: String, margin: f64) -> Params {
+        let pools: Vec<u16> = (0..self.fleet.servers as u16).collect();
+        let procedure = |p: &AskSpec| Procedure {
+            latency_target: p.target,
+            utility: p.utility,
+            late_share: p.late_share,
+            t_timer: p.t_timer,
+            pools: pools.clone(),
+        };
+        let procedures = &self.callers.procedures;
+        Params {
+            deployment: Deployment {
+                procedures: procedures.iter().map(procedure).collect(),
+                may_probe: self.fleet.probes,
+                may_cancel: self.fleet.cancels,
+                max_tries: self.fleet.tries,
+                release_guard: self.rules.release_guard + margin,
+                longest_pause: self.fleet.longest_pause,
+                cold: ColdStart {
+                    start_capacity: self.rules.start_capacity,
+                    warm_after: self.rules.warm_after,
+                    tip_multiple: self.rules.tip_multiple,
+                },
+            },
+            priorities: procedures.iter().enumerate().map(|(i, p)| (p.priority.clone(), i)).collect(),
+            trunk_groups: pools.iter().map(|&p| (Scenario::trunk_group(p.into()), p)).collect(),
+            usual_procedure: 0,
+            host,
+            answer_margin: margin,
+            most_in_hand: 20_000,
+            most_queued: 4096,
+            connect_within: 0.5,
+            reconnect: (0.1, 2.0),
+            drain_grace: self.rules.drain_grace,
+            end_within: 10.0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/sim.rs
@@ -0,0 +1,451 @@
+//! A scenario under virtual time: the same fronts, servers, callers and feed as on sockets, in one thread,
+//! with links that only take time. One seed gives one run.
+
+use crate::plan::{plan, Action};
+use crate::scenario::Scenario;
+use crate::summary::{report, Report};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use shalespindle_front::{Counters, Front, Input, LinkId, Output, Params};
+use shalespindle_signalling::timers::Timers;
+use shalespindle_standin::callers::Callers;
+use shalespindle_standin::checker::check;
+use shalespindle_standin::feed::Feed;
+use shalespindle_standin::server::{Server, ServerOut};
+use shalespindle_standin::trace::{Seen, Trace};
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// What may take on the way under virtual time: nothing but the link's delay, both ways.
+const MARGIN: f64 = 0.05;
+/// A connection's stretch of bytes that the sender may not have read: more makes a socket full.
+const SOCKET: usize = 64 * 1024;
+
+enum Happening {
+    ToFront { front: usize, life: u64, what: FrontNews },
+    ToServer { server: usize, connection: u64, bytes: Vec<u8> },
+    ServerConnect { server: usize, connection: u64 },
+    ServerLost { server: usize, connection: u64 },
+    ToCallers { front: usize, bytes: Vec<u8> },
+    Front(usize),
+    Server(usize),
+    Callers(usize),
+    Feed,
+    Do(usize),
+}
+
+enum FrontNews {
+    Datagram(Vec<u8>),
+    Connected(LinkId),
+    Lost(LinkId),
+    Bytes(LinkId, Vec<u8>),
+    Feed(Vec<u8>),
+    FeedUp,
+}
+
+struct Host {
+    front: Option<Front>,
+    /// Counts its starts; what was meant for an earlier one is lost.
+    life: u64,
+    /// While stopped, what comes is kept with its time.
+    stopped: Option<VecDeque<(f64, FrontNews)>>,
+    wake: f64,
+}
+
+/// What a run gives beside its report.
+pub struct Run {
+    pub report: Report,
+    pub counters: Vec<Counters>,
+    /// Virtual seconds.
+    pub lasted: f64,
+    pub trace: Trace,
+}
+
+/// How a front is made; variants and broken fronts for tests differ here.
+pub type Change<'a> = &'a dyn Fn(Params) -> Params;
+
+struct World<'a> {
+    scenario: &'a Scenario,
+    now: f64,
+    events: Timers<Happening>,
+    hosts: Vec<Host>,
+    servers: Vec<Server>,
+    server_wake: Vec<f64>,
+    callers: Vec<Callers>,
+    caller_wake: Vec<f64>,
+    feed: Feed,
+    feed_wake: f64,
+    trace: Trace,
+    actions: Vec<(f64, Action)>,
+    by_address: HashMap<SocketAddr, usize>,
+    /// Connection number at its server to the front's link, and back.
+    connections: BTreeMap<u64, (usize, u64, LinkId, usize)>,
+    by_link: HashMap<(usize, u64, LinkId), u64>,
+    next_connection: u64,
+    rng: ChaCha8Rng,
+    change: Change<'a>,
+}
+
+/// Runs a scenario under virtual time.
+pub fn run(scenario: &Scenario, seed: u64, change: Change) -> Run {
+    let mut world = World::new(scenario, seed, change);
+    let end = scenario.seconds + 45.0;
+    while world.events.next() <= end {
+        let at = world.events.next();
+        world.now = at.max(world.now);
+        if let Some(happening) = world.events.pop(world.now) {
+            world.happen(happening);
+        }
+    }
+    world.finish(seed)
+}
+
+impl<'a> World<'a> {
+    fn new(scenario: &'a Scenario, seed: u64, change: Change<'a>) -> World<'a> {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let fronts = scenario.fleet.fronts;
+        let names: HashMap<String, usize> = (0..fronts).map(|f| (front_host(f), f)).collect();
+        let names = Arc::new(names);
+        let mut feed = Feed::new(1, fronts, scenario.fleet.list_delay);
+        let mut by_address = HashMap::new();
+        let mut servers = Vec::new();
+        let trace = Trace::default();
+        for s in 0..scenario.fleet.servers {
+            let address = SocketAddr::from(([127, 1, 0, 1], 6000 + s as u16));
+            by_address.insert(address, s);
+            feed.known(s, address, s as u16);
+            let mut server =
+                Server::new(s, address.to_string(), scenario.server(s), names.clone(), rng.random());
+            server.start(0.0, false);
+            servers.push(server);
+        }
+        let rate = scenario.rate() / fronts as f64;
+        let callers = (0..fronts).map(|f| {
+            let host = format!("callers-{f}");
+            Callers::new(f, host, front_host(f), scenario.caller(), rate, rng.random(), 1.0, scenario.seconds)
+        });
+        let callers: Vec<Callers> = callers.collect();
+        let mut world = World {
+            scenario,
+            now: 0.0,
+            events: Timers::default(),
+            hosts: Vec::new(),
+            server_wake: vec![f64::INFINITY; servers.len()],
+            servers,
+            caller_wake: vec![f64::INFINITY; fronts],
+            callers,
+            feed,
+            feed_wake: f64::INFINITY,
+            trace,
+            actions: plan(scenario, seed),
+            by_address,
+            connections: BTreeMap::new(),
+            by_link: HashMap::new(),
+            next_connection: 0,
+            rng,
+            change,
+        };
+        for front in 0..fronts {
+            world.hosts.push(Host { front: None, life: 0, stopped: None, wake: f64::INFINITY });
+            world.front_starts(front);
+        }
+        for place in 0..world.actions.len() {
+            world.events.set(world.actions[place].0, Happening::Do(place));
+        }
+        for front in 0..fronts {
+            world.callers_wake(front);
+        }
+        world
+    }
+
+    fn front_starts(&mut self, front: usize) {
+        let params = (self.change)(self.scenario.params(front_host(front), MARGIN));
+        let made = Front::new(params, self.rng.random(), self.now);
+        let host = &mut self.hosts[front];
+        host.life += 1;
+        host.front = Some(made);
+        host.stopped = None;
+        host.wake = f64::INFINITY;
+        let life = host.life;
+        self.trace.add(self.now, Seen::FrontUp { front });
+        self.events.set(self.now, Happening::ToFront { front, life, what: FrontNews::FeedUp });
+        self.feed.connected(self.now, front);
+        self.feed_out();
+    }
+
+    fn front_killed(&mut self, front: usize) {
+        let life = self.hosts[front].life;
+        self.hosts[front].front = None;
+        self.hosts[front].stopped = None;
+        self.feed.closed(front);
+        self.trace.add(self.now, Seen::FrontKilled { front });
+        let lost: Vec<u64> =
+            self.connections.iter().filter(|(_, c)| c.0 == front && c.1 == life).map(|(k, _)| *k).collect();
+        for connection in lost {
+            self.drop_connection(connection, false);
+        }
+    }
+
+    /// The front's side went first (`server_first` false) or the server's.
+    fn drop_connection(&mut self, connection: u64, server_first: bool) {
+        let Some((front, life, id, server)) = self.connections.remove(&connection) else { return };
+        self.by_link.remove(&(front, life, id));
+        let at = self.now + self.scenario.fleet.link_delay;
+        if server_first {
+            self.events.set(at, Happening::ToFront { front, life, what: FrontNews::Lost(id) });
+        } else {
+            self.events.set(at, Happening::ServerLost { server, connection });
+        }
+    }
+
+    fn happen(&mut self, happening: Happening) {
+        let now = self.now;
+        match happening {
+            Happening::ToFront { front, life, what } => {
+                if self.hosts[front].life != life {
+                    return;
+                }
+                if let Some(kept) = &mut self.hosts[front].stopped {
+                    kept.push_back((now, what));
+                    return;
+                }
+                self.to_front(front, now, &what);
+                self.front_turn(front);
+            }
+            Happening::Front(front) => {
+                if self.hosts[front].wake <= now && self.hosts[front].stopped.is_none() {
+                    self.hosts[front].wake = f64::INFINITY;
+                    self.front_turn(front);
+                }
+            }
+            Happening::ServerConnect { server, connection } => {
+                if self.connections.contains_key(&connection) {
+                    self.servers[server].connected(connection);
+                    self.server_turn(server);
+                }
+            }
+            Happening::ToServer { server, connection, bytes } => {
+                self.servers[server].bytes(now, connection, &bytes);
+                self.server_turn(server);
+            }
+            Happening::ServerLost { server, connection } => {
+                self.servers[server].closed(now, connection);
+                self.server_turn(server);
+            }
+            Happening::Server(server) => {
+                if self.server_wake[server] <= now {
+                    self.server_wake[server] = f64::INFINITY;
+                    self.server_turn(server);
+                }
+            }
+            Happening::ToCallers { front, bytes } => {
+                self.callers[front].datagram(now, &bytes);
+                self.callers_turn(front);
+            }
+            Happening::Callers(front) => {
+                if self.caller_wake[front] <= now {
+                    self.caller_wake[front] = f64::INFINITY;
+                    self.callers_turn(front);
+                }
+            }
+            Happening::Feed => {
+                self.feed_wake = f64::INFINITY;
+                self.feed.tick(now);
+                self.feed_out();
+            }
+            Happening::Do(place) => {
+                let action = self.actions[place].1.clone();
+                self.act(action);
+            }
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        let now = self.now;
+        match action {
+            Action::ServerStops(s) => {
+                self.servers[s].stop(now);
+                self.server_turn(s);
+            }
+            Action::ServerStarts(s) => {
+                self.servers[s].start(now, true);
+                self.server_turn(s);
+            }
+            Action::List { server, state, anew } => {
+                self.feed.change(now, server, state, anew);
+                self.feed_out();
+            }
+            Action::Slow(s, factor) => self.servers[s].slow(factor),
+            Action::Silent(s, on) => self.servers[s].faults.silent = on,
+            Action::Hung(s, on) => self.servers[s].faults.hung = on,
+            Action::AnswersLost(s, share) => self.servers[s].faults.answers_lost = share,
+            Action::ListDelay(delay) => self.feed.delay = delay,
+            Action::FrontKilled(f) => self.front_killed(f),
+            Action::FrontStarts(f) => self.front_starts(f),
+            Action::FrontStops(f) => {
+                self.trace.add(now, Seen::FrontStopped { front: f });
+                self.hosts[f].stopped.get_or_insert_default();
+            }
+            Action::FrontGoesOn(f) => self.goes_on(f),
+            Action::Burst(size) => self.callers.iter_mut().for_each(|c| c.faults.burst = size),
+            Action::GiveUp(size) => self.callers.iter_mut().for_each(|c| c.faults.give_up = size),
+            Action::Abuse(tenant) => self.callers.iter_mut().for_each(|c| c.faults.abuse = tenant),
+        }
+    }
+
+    /// A stopped front reads what came meanwhile, all of it before it decides anything.
+    fn goes_on(&mut self, front: usize) {
+        let Some(kept) = self.hosts[front].stopped.take() else { return };
+        self.trace.add(self.now, Seen::FrontGoesOn { front });
+        for (arrived, what) in kept {
+            self.to_front(front, arrived, &what);
+        }
+        self.front_turn(front);
+    }
+
+    fn to_front(&mut self, front: usize, arrived: f64, what: &FrontNews) {
+        let now = self.now;
+        let Some(made) = &mut self.hosts[front].front else { return };
+        let from = SocketAddr::from(([127, 2, 0, 1], 5060));
+        let input = match what {
+            FrontNews::Datagram(bytes) => Input::Datagram { from, bytes },
+            FrontNews::Connected(id) => Input::Connected { id: *id },
+            FrontNews::Lost(id) => Input::LinkLost { id: *id },
+            FrontNews::Bytes(id, bytes) => Input::LinkBytes { id: *id, bytes },
+            FrontNews::Feed(bytes) => Input::FeedBytes { bytes },
+            FrontNews::FeedUp => Input::FeedConnected,
+        };
+        made.take(now, arrived, input);
+    }
+
+    fn front_turn(&mut self, front: usize) {
+        let now = self.now;
+        let delay = self.scenario.fleet.link_delay;
+        let life = self.hosts[front].life;
+        let Some(mut made) = self.hosts[front].front.take() else { return };
+        made.turn(now);
+        while let Some(output) = made.next_output(now) {
+            match output {
+                Output::Datagram { bytes, .. } => self.events.set(now, Happening::ToCallers { front, bytes }),
+                Output::Connect { id, to } => self.connect(front, life, id, to),
+                Output::ToServer { id, bytes } => {
+                    if let Some(&connection) = self.by_link.get(&(front, life, id)) {
+                        let server = self.connections[&connection].3;
+                        debug_assert!(bytes.len() < SOCKET);
+                        self.events.set(now + delay, Happening::ToServer { server, connection, bytes });
+                    }
+                }
+                Output::CloseLink { id, .. } => {
+                    if let Some(&connection) = self.by_link.get(&(front, life, id)) {
+                        self.drop_connection(connection, false);
+                    }
+                }
+                Output::ToCaller { .. } | Output::CloseCaller { .. } | Output::Event(_) => {}
+            }
+        }
+        let wake = made.wake_at();
+        let host = &mut self.hosts[front];
+        host.front = Some(made);
+        if wake < host.wake {
+            host.wake = wake;
+            self.events.set(wake, Happening::Front(front));
+        }
+    }
+
+    fn connect(&mut self, front: usize, life: u64, id: LinkId, to: SocketAddr) {
+        let delay = self.scenario.fleet.link_delay;
+        let server = self.by_address.get(&to).copied();
+        let running = server.filter(|&s| self.servers[s].is_running());
+        let Some(server) = running else {
+            let what = FrontNews::Lost(id);
+            return self.events.set(self.now + 2.0 * delay, Happening::ToFront { front, life, what });
+        };
+        self.next_connection += 1;
+        let connection = self.next_connection;
+        self.connections.insert(connection, (front, life, id, server));
+        self.by_link.insert((front, life, id), connection);
+        self.events.set(self.now + delay, Happening::ServerConnect { server, connection });
+        let what = FrontNews::Connected(id);
+        self.events.set(self.now + 2.0 * delay, Happening::ToFront { front, life, what });
+    }
+
+    fn server_turn(&mut self, s: usize) {
+        let now = self.now;
+        self.servers[s].tick(now);
+        while let Some(out) = self.servers[s].next_output() {
+            match out {
+                ServerOut::Bytes { connection, bytes } => {
+                    if let Some(&(front, life, id, _)) = self.connections.get(&connection) {
+                        let at = now + self.scenario.fleet.link_delay;
+                        let what = FrontNews::Bytes(id, bytes);
+                        self.events.set(at, Happening::ToFront { front, life, what });
+                    }
+                }
+                ServerOut::Close { connection } => self.drop_connection(connection, true),
+            }
+        }
+        self.trace.extend(self.servers[s].take_seen());
+        let due = self.servers[s].due();
+        if due < self.server_wake[s] {
+            self.server_wake[s] = due;
+            self.events.set(due, Happening::Server(s));
+        }
+    }
+
+    fn callers_turn(&mut self, front: usize) {
+        let now = self.now;
+        self.callers[front].tick(now);
+        while let Some(bytes) = self.callers[front].next_output() {
+            let life = self.hosts[front].life;
+            if self.hosts[front].front.is_some() {
+                self.events.set(now, Happening::ToFront { front, life, what: FrontNews::Datagram(bytes) });
+            }
+        }
+        self.trace.extend(self.callers[front].take_seen());
+        self.callers_wake(front);
+    }
+
+    fn callers_wake(&mut self, front: usize) {
+        let due = self.callers[front].due();
+        if due < self.caller_wake[front] {
+            self.caller_wake[front] = due;
+            self.events.set(due, Happening::Callers(front));
+        }
+    }
+
+    fn feed_out(&mut self) {
+        while let Some(out) = self.feed.next_output() {
+            let front = out.front;
+            if let Some(host) = self.hosts.get(front) {
+                let life = host.life;
+                self.events
+                    .set(self.now, Happening::ToFront { front, life, what: FrontNews::Feed(out.line) });
+            }
+        }
+        self.trace.extend(self.feed.take_seen());
+        let due = self.feed.due();
+        if due < self.feed_wake {
+            self.feed_wake = due;
+            self.events.set(due, Happening::Feed);
+        }
+    }
+
+    fn finish(self, seed: u64) -> Run {
+        let entries = self.trace.sorted();
+        // Under virtual time nothing is held up but by the links themselves.
+        let figures = self.scenario.figures(2.0 * self.scenario.fleet.link_delay + 0.001);
+        let verdict = check(&entries, &figures);
+        let callers: Vec<&Callers> = self.callers.iter().collect();
+        Run {
+            report: report(&self.scenario.name, seed, &callers, verdict),
+            counters: self.hosts.iter().filter_map(|h| h.front.as_ref()).map(Front::counters).collect(),
+            lasted: self.now,
+            trace: self.trace,
+        }
+    }
+}
+
+fn front_host(front: usize) -> String {
+    format!("front-{front}.example.org")
+}
--- /dev/null
+++ b/crates/lab/src/summary.rs
@@ -0,0 +1,114 @@
+//! What a run came to: the summary line and the figures behind it.
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+use shalespindle_standin::callers::{Callers, Dialled};
+use shalespindle_standin::checker::Verdict;
+use std::collections::BTreeMap;
+
+/// The last line of standard output, as JSON; the keys are fixed.
+#[derive(Clone, Debug, Serialize)]
+pub struct Summary {
+    pub scenario: String,
+    pub seed: u64,
+    pub attaches: u64,
+    pub stood: u64,
+    pub refused: u64,
+    pub failed: u64,
+    pub left: u64,
+    pub unanswered: u64,
+    pub rules_broken: BTreeMap<String, u64>,
+    pub within_target_utility: f64,
+    pub p50_ms: f64,
+    pub p99_ms: f64,
+}
+
+/// Utility by procedure or tenant: offered and earned within target.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct Utility {
+    pub offered: f64,
+    pub in_target: f64,
+    pub late: f64,
+    pub cut: f64,
+}
+
+impl Utility {
+    /// Share of what was offered that stood within target and was not cut; 1 where nothing was offered.
+    pub fn share(&self) -> f64 {
+        if self.offered > 0.0 {
+            self.in_target / self.offered
+        } else {
+            1.0
+        }
+    }
+}
+
+/// A run's outcome in full.
+#[derive(Clone, Debug)]
+pub struct Report {
+    pub summary: Summary,
+    pub by_procedure: BTreeMap<String, Utility>,
+    pub by_tenant: BTreeMap<String, Utility>,
+    pub verdict: Verdict,
+}
+
+impl Report {
+    pub fn rules_kept(&self) -> bool {
+        self.summary.rules_broken.values().all(|n| *n == 0)
+    }
+}
+
+/// Puts a run's callers and its verdict together.
+pub fn report(scenario: &str, seed: u64, callers: &[&Callers], verdict: Verdict) -> Report {
+    let mut counts = Dialled::default();
+    let mut whole = Utility::default();
+    let mut by_procedure: BTreeMap<String, Utility> = BTreeMap::new();
+    let mut by_tenant: BTreeMap<String, Utility> = BTreeMap::new();
+    // Three figures over 1 us to 100 s: far more than the callers' own clocks tell apart.
+    let mut delays = Histogram::<u64>::new_with_bounds(1, 100_000_000, 3).ok();
+    for callers in callers {
+        let c = callers.counts();
+        counts.dials += c.dials;
+        counts.stood += c.stood;
+        counts.refused += c.refused;
+        counts.failed += c.failed;
+        counts.left += c.left;
+        for wish in callers.wishes() {
+            let procedure = &callers.spec().procedures[wish.procedure];
+            let tenant = &callers.spec().tenants[wish.tenant].0;
+            let add = |u: &mut Utility| {
+                u.offered += procedure.utility;
+                match wish.stood_after {
+                    Some(_) if wish.cut => u.cut += procedure.utility,
+                    Some(after) if after <= procedure.target => u.in_target += procedure.utility,
+                    Some(_) => u.late += procedure.utility * procedure.late_share,
+                    None => {}
+                }
+            };
+            add(&mut whole);
+            add(by_procedure.entry(procedure.name.clone()).or_default());
+            add(by_tenant.entry(tenant.clone()).or_default());
+        }
+        for after in &callers.stood_after {
+            if let Some(delays) = &mut delays {
+                delays.saturating_record((after * 1e6) as u64);
+            }
+        }
+    }
+    let quantile = |q: f64| delays.as_ref().map_or(0.0, |d| d.value_at_quantile(q) as f64 / 1000.0);
+    let summary = Summary {
+        scenario: scenario.into(),
+        seed,
+        attaches: counts.dials,
+        stood: counts.stood,
+        refused: counts.refused,
+        failed: counts.failed,
+        left: counts.left,
+        unanswered: verdict.unanswered,
+        rules_broken: (1..=5).map(|rule| (rule.to_string(), verdict.count(rule))).collect(),
+        within_target_utility: whole.share(),
+        p50_ms: quantile(0.5),
+        p99_ms: quantile(0.99),
+    };
+    Report { summary, by_procedure, by_tenant, verdict }
+}
--- a/crates/signalling/src/grammar.rs
+++ b/crates/signalling/src/grammar.rs
@@ -54,8 +54,9 @@
 /// The whole head, its empty line included.
 pub(crate) fn head(mut input: &str) -> Result<Head<'_>, ParseError> {
     let input = &mut input;
-    let start =
-        terminated(alt((status_line, request_line)), line_ending).parse_next(input).map_err(|_| ParseError::StartLine)?;
+    let start = terminated(alt((status_line, request_line)), line_ending)
+        .parse_next(input)
+        .map_err(|_| ParseError::StartLine)?;
     let mut headers = SmallVec::new();
     while !matches!(*input, "\r\n" | "") {
         if headers.len() == MOST_HEADERS {
@@ -68,8 +69,14 @@
 
 /// The compact form of a header's name.
 pub(crate) fn compact(name: &str) -> Option<&'static str> {
-    const FORMS: [(&str, &str); 6] =
-        [("Via", "v"), ("From", "f"), ("To", "t"), ("Call-ID", "i"), ("Contact", "m"), ("Content-Length", "l")];
+    const FORMS: [(&str, &str); 6] = [
+        ("Via", "v"),
+        ("From", "f"),
+        ("To", "t"),
+        ("Call-ID", "i"),
+        ("Contact", "m"),
+        ("Content-Length", "l"),
+    ];
     FORMS.iter().find(|(long, _)| long.eq_ignore_ascii_case(name)).map(|f| f.1)
 }
 
@@ -95,9 +102,14 @@
 /// The value of a `;name=value` parameter.
 pub(crate) fn parameter<'a>(text: &'a str, wanted: &str) -> Option<&'a str> {
     fn one<'a>(input: &mut &'a str) -> Out<(&'a str, &'a str)> {
-        let value = alt((preceded('"', terminated(take_till(0.., '"'), '"')), take_till(0.., [';', ' ', ',', '>', '\t'])));
+        let value = alt((
+            preceded('"', terminated(take_till(0.., '"'), '"')),
+            take_till(0.., [';', ' ', ',', '>', '\t']),
+        ));
         let name = preceded((';', space0), token);
-        (name, opt(preceded((space0, '=', space0), value))).map(|(n, v)| (n, v.unwrap_or(""))).parse_next(input)
+        (name, opt(preceded((space0, '=', space0), value)))
+            .map(|(n, v)| (n, v.unwrap_or("")))
+            .parse_next(input)
     }
     let mut rest = text;
     while !rest.is_empty() {
@@ -135,7 +147,8 @@
     use super::*;
     use crate::message::{host, tag, Message};
 
-    const INVITE: &str = "INVITE sip:+919876543210;tgrp=idukki;trunk-context=example.org@127.0.0.1 SIP/2.0\r\n\
+    const INVITE: &str =
+        "INVITE sip:+919876543210;tgrp=idukki;trunk-context=example.org@127.0.0.1 SIP/2.0\r\n\
         v: SIP/2.0/UDP 127.0.0.1:5070;rport;branch=z9hG4bKabc, SIP/2.0/TCP other;branch=z9hG4bKx\r\n\
         From: \"R, 12;tag=no\" <sip:r12@coop.example.org>;tag=a1\r\nTo: <sip:1@h>\r\n\
         i: abc@h\r\nCSeq: 7 INVITE\r\nSubject: folded\r\n over two lines\r\nExpires: 3\r\n\
--- a/crates/signalling/src/lib.rs
+++ b/crates/signalling/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod framer;
 pub mod grammar;
 pub mod message;
+pub mod timers;
 pub mod transaction;
 pub mod write;
 
--- a/crates/signalling/src/transaction.rs
+++ b/crates/signalling/src/transaction.rs
@@ -34,9 +34,15 @@
 enum InviteState {
     Proceeding,
     /// Answered: interval, next retransmission, end.
-    Answered { gap: f64, again: f64, until: f64 },
+    Answered {
+        gap: f64,
+        again: f64,
+        until: f64,
+    },
     /// ACK seen: absorbs what still comes until then.
-    Confirmed { until: f64 },
+    Confirmed {
+        until: f64,
+    },
 }
 
 impl InviteServer {
--- a/crates/signalling/src/write.rs
+++ b/crates/signalling/src/write.rs
@@ -1,9 +1,35 @@
 //! Writes requests and responses. Values come from parsed messages or from the router itself; line breaks
 //! in them are turned into spaces, so that no peer can smuggle a header through another one's message.
 
-use crate::message::{Message, Method};
+use crate::message::{tag, Message, Method};
 use std::fmt::Write;
 
+/// The header lines that every response to one request repeats (RFC 3261 section 8.2.6.2): Via, From, To
+/// with the responder's tag, Call-ID and CSeq. Kept in place of the request.
+#[derive(Clone, Debug)]
+pub struct ResponseHead(Box<str>);
+
+impl ResponseHead {
+    /// `own_tag` is added to a To that has none; empty: none is added.
+    pub fn of(request: &Message, own_tag: &str) -> ResponseHead {
+        let mut out = Writer(String::with_capacity(384));
+        for header in &request.headers {
+            if header.name.eq_ignore_ascii_case("Via") || header.name.eq_ignore_ascii_case("v") {
+                out = out.with("Via", header.value);
+            }
+        }
+        for name in ["From", "To", "Call-ID", "CSeq"] {
+            let Some(value) = request.header(name) else { continue };
+            out = out.with(name, value);
+            if name == "To" && !own_tag.is_empty() && tag(value).is_none() {
+                out.0.truncate(out.0.len() - 2);
+                let _ = write!(out.0, ";tag={own_tag}\r\n");
+            }
+        }
+        ResponseHead(out.0.into_boxed_str())
+    }
+}
+
 /// A message under construction; [`Writer::finish`] adds Content-Length and the empty line.
 pub struct Writer(String);
 
@@ -17,33 +43,13 @@
         Writer(out)
     }
 
-    pub fn status(status: u16) -> Writer {
-        let mut out = String::with_capacity(512);
+    pub fn response(status: u16, head: &ResponseHead) -> Writer {
+        let mut out = String::with_capacity(head.0.len() + 160);
         let _ = write!(out, "SIP/2.0 {status} {}\r\n", reason(status));
+        out.push_str(&head.0);
         Writer(out)
     }
 
-    /// A response to a request: Via lines, From, To, Call-ID and CSeq copied (RFC 3261 section 8.2.6);
-    /// `tag` is added to a To that has none.
-    pub fn response(status: u16, request: &Message, tag: &str) -> Writer {
-        let mut out = Writer::status(status);
-        for header in &request.headers {
-            let name = header.name;
-            if name.eq_ignore_ascii_case("Via") || name.eq_ignore_ascii_case("v") {
-                out = out.with("Via", header.value);
-            }
-        }
-        for name in ["From", "To", "Call-ID", "CSeq"] {
-            let Some(value) = request.header(name) else { continue };
-            if name == "To" && status > 100 && !tag.is_empty() && crate::message::tag(value).is_none() {
-                out = out.with_args(name, format_args!("{value};tag={tag}"));
-            } else {
-                out = out.with(name, value);
-            }
-        }
-        out
-    }
-
     pub fn with(mut self, name: &str, value: &str) -> Writer {
         self.0.push_str(name);
         self.0.push_str(": ");
@@ -62,15 +68,37 @@
         self
     }
 
-    /// Retry-After in whole seconds, rounded up, with our parameter `ms` for what lies between.
+    /// Whole header lines written by another `Writer`.
+    pub fn with_lines(mut self, lines: &str) -> Writer {
+        self.0.push_str(lines);
+        self
+    }
+
+    /// Header lines alone, for [`Writer::with_lines`].
+    pub fn lines() -> Writer {
+        Writer(String::new())
+    }
+
+    pub fn into_lines(self) -> Box<str> {
+        self.0.into_boxed_str()
+    }
+
+    /// Retry-After in whole seconds, rounded up, with our parameter `ms` for what lies between
+    /// (RFC 3261 section 20.33 allows parameters).
     pub fn retry_after(self, seconds: f64) -> Writer {
         let ms = (seconds * 1000.0).ceil().max(0.0) as u64;
         self.with_args("Retry-After", format_args!("{};ms={ms}", ms.div_ceil(1000).max(1)))
     }
 
-    pub fn finish(mut self) -> Vec<u8> {
-        self.0.push_str("Content-Length: 0\r\n\r\n");
-        self.0.into_bytes()
+    pub fn finish(self) -> Vec<u8> {
+        self.finish_with(b"")
+    }
+
+    pub fn finish_with(mut self, body: &[u8]) -> Vec<u8> {
+        let _ = write!(self.0, "Content-Length: {}\r\n\r\n", body.len());
+        let mut bytes = self.0.into_bytes();
+        bytes.extend_from_slice(body);
+        bytes
     }
 }
 
@@ -86,13 +114,30 @@
         408 => "Request Timeout",
         480 => "Temporarily Unavailable",
         481 => "Call/Transaction Does Not Exist",
-        482 => "Loop Detected",
         483 => "Too Many Hops",
         486 => "Busy Here",
         487 => "Request Terminated",
+        488 => "Not Acceptable Here",
         500 => "Server Internal Error",
         503 => "Service Unavailable",
-        505 => "Version Not Supported",
         _ => "Status",
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn no_header_is_smuggled_through_a_folded_value() {
+        let text =
+            "OPTIONS sip:a SIP/2.0\r\nVia: SIP/2.0/UDP h;branch=z9hG4bKb\r\nFrom: <sip:a>\r\n X-Evil: 1\r\n\
+            To: <sip:b>\r\nCall-ID: c\r\nCSeq: 1 OPTIONS\r\n\r\n";
+        let request = Message::parse(text.as_bytes()).unwrap();
+        let bytes = Writer::response(200, &ResponseHead::of(&request, "own")).retry_after(0.3).finish();
+        let answer = Message::parse(&bytes).unwrap();
+        assert_eq!(answer.header("X-Evil"), None);
+        assert_eq!(answer.to(), Ok("<sip:b>;tag=own"));
+        assert_eq!(answer.retry_after(), Some(0.3));
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,11 @@
-//! Scripted servers, callers and pool list with faults, and the checker of the rules
+//! Stand-ins for what surrounds a front, and the checker of the five rules. The cores (`server`, `callers`,
+//! `feed`) hold no I/O and take time as an argument, so that the same ones run on sockets (`net`) and under
+//! virtual time. The checker reads only the trace of what passed on the sockets.
+
+pub mod callers;
+pub mod checker;
+pub mod feed;
+pub mod net;
+pub mod processor;
+pub mod server;
+pub mod trace;
--- /dev/null
+++ b/crates/standin/src/trace.rs
@@ -0,0 +1,122 @@
+//! What passed on the sockets, as each far end saw it, on one monotonic clock.
+
+use std::sync::{Arc, Mutex};
+
+/// A server, by its number in the fleet.
+pub type ServerId = usize;
+/// A front, by its number in the fleet.
+pub type FrontId = usize;
+
+/// One thing that passed, or that the lab did to a front or server.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Seen {
+    /// A caller sent the first copy of its INVITE. `utility` and `target` say what it is worth.
+    Asked {
+        front: FrontId,
+        session: Arc<str>,
+        until: f64,
+    },
+    /// A final answer reached the caller; repeats of it are here too.
+    Answered {
+        session: Arc<str>,
+        status: u16,
+        pause: Option<f64>,
+    },
+    /// The caller sent CANCEL.
+    Withdrawn {
+        session: Arc<str>,
+    },
+    /// An INVITE reached a server. `leg` is its Call-ID.
+    SetUp {
+        server: ServerId,
+        front: FrontId,
+        session: Arc<str>,
+        leg: Arc<str>,
+    },
+    /// A CANCEL reached a server.
+    Cancelled {
+        server: ServerId,
+        leg: Arc<str>,
+    },
+    /// A server sent a final answer to an INVITE.
+    ServerAnswered {
+        server: ServerId,
+        leg: Arc<str>,
+        status: u16,
+    },
+    /// An ACK or a BYE reached a server.
+    Acknowledged {
+        server: ServerId,
+        leg: Arc<str>,
+    },
+    Released {
+        server: ServerId,
+        leg: Arc<str>,
+    },
+    /// A server's connection with that leg's front ended.
+    Lost {
+        server: ServerId,
+        leg: Arc<str>,
+    },
+    Probed {
+        server: ServerId,
+        front: FrontId,
+    },
+    /// A processor started: `capacity` is set-ups a second when warm.
+    Started {
+        server: ServerId,
+        cold: bool,
+        capacity: f64,
+    },
+    /// A processor fell over.
+    Fell {
+        server: ServerId,
+    },
+    /// A processor ended: all it held is lost.
+    Stopped {
+        server: ServerId,
+    },
+    /// The feed wrote to a front that this server is ready (or not).
+    Told {
+        front: FrontId,
+        server: ServerId,
+        ready: bool,
+    },
+    FrontUp {
+        front: FrontId,
+    },
+    FrontKilled {
+        front: FrontId,
+    },
+    /// The lab stopped a front's process, or let it go on.
+    FrontStopped {
+        front: FrontId,
+    },
+    FrontGoesOn {
+        front: FrontId,
+    },
+}
+
+/// A time and what passed then.
+pub type Entry = (f64, Seen);
+
+/// A trace that several coroutines add to.
+#[derive(Clone, Default)]
+pub struct Trace(Arc<Mutex<Vec<Entry>>>);
+
+impl Trace {
+    pub fn add(&self, now: f64, seen: Seen) {
+        self.0.lock().unwrap_or_else(|e| e.into_inner()).push((now, seen));
+    }
+
+    pub fn extend(&self, entries: impl IntoIterator<Item = Entry>) {
+        self.0.lock().unwrap_or_else(|e| e.into_inner()).extend(entries);
+    }
+
+    /// All of it so far, in order of time; entries of equal time keep the order they came in.
+    pub fn sorted(&self) -> Vec<Entry> {
+        let mut entries = self.0.lock().unwrap_or_else(|e| e.into_inner()).clone();
+        entries.sort_by(|a, b| a.0.total_cmp(&b.0));
+        entries
+    }
+}
