--- /dev/null
+++ b/crates/cli/src/commands.rs
@@ -0,0 +1,124 @@
+//! The command line.
+
+use crate::{lab, run};
+use clap::{Args, Parser, Subcommand};
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// Exit code for bad arguments, settings or scenarios.
+pub const BAD_INPUT: u8 = 2;
+
+/// A call router at the edge of a network with central servers.
+#[derive(Parser)]
+#[command(version, about)]
+pub struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// One front in service.
+    Run {
+        #[arg(long)]
+        config: PathBuf,
+    },
+    /// Checks settings and starts nothing.
+    Check {
+        #[arg(long)]
+        config: PathBuf,
+    },
+    /// Prints the JSON schema of the settings.
+    Schema {
+        /// The schema of a line of the pool list's feed instead.
+        #[arg(long)]
+        feed: bool,
+    },
+    /// Scripted servers and a pool list, as a scenario describes them, until a signal ends them.
+    Standin {
+        #[arg(long)]
+        config: PathBuf,
+        /// Where the first front finds the feed of the pool list; further fronts on the ports after it.
+        #[arg(long, default_value = "127.0.0.1:7060")]
+        feed: std::net::SocketAddr,
+    },
+    /// The laboratory.
+    Lab {
+        #[command(subcommand)]
+        command: Lab,
+    },
+}
+
+#[derive(Subcommand)]
+pub enum Lab {
+    /// Fronts, stand-ins and callers on loopback sockets; the rules are checked.
+    Play {
+        scenario: PathBuf,
+        #[command(flatten)]
+        with: RunWith,
+        /// All fronts inside this process instead of one process each; none can be killed or stopped then.
+        #[arg(long)]
+        inside: bool,
+    },
+    /// The same scenario under virtual time.
+    Sim {
+        scenario: PathBuf,
+        #[command(flatten)]
+        with: RunWith,
+        /// A baseline in place of the decision module.
+        #[arg(long, value_enum)]
+        baseline: Option<lab::Baseline>,
+    },
+    /// Two scenarios, or one against a baseline, paired by seed under virtual time.
+    Compare {
+        a: PathBuf,
+        /// The other scenario; the same one where it is left out.
+        b: Option<PathBuf>,
+        /// Seeds, from --seed on.
+        #[arg(long, default_value_t = 20)]
+        pairs: u64,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// B runs with a baseline in place of the decision module.
+        #[arg(long, value_enum)]
+        baseline: Option<lab::Baseline>,
+    },
+    /// The embedded scripted bad day, on sockets.
+    BadDay {
+        #[command(flatten)]
+        with: RunWith,
+    },
+    /// Attaches a second through one front against a bare relay on the same sockets, and what a front adds.
+    Throughput {
+        /// Seconds of each measurement.
+        #[arg(long, default_value_t = 5.0)]
+        seconds: f64,
+        #[arg(long, default_value_t = 3)]
+        rounds: usize,
+    },
+}
+
+#[derive(Args, Clone)]
+pub struct RunWith {
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+    /// Folder for settings, logs and the trace; a temporary one where it is left out.
+    #[arg(long)]
+    pub out: Option<PathBuf>,
+}
+
+impl Cli {
+    pub fn run(self) -> ExitCode {
+        let done = match self.command {
+            Command::Run { config } => run::run(&config),
+            Command::Check { config } => run::check(&config),
+            Command::Schema { feed } => run::schema(feed),
+            Command::Standin { config, feed } => lab::standin(&config, feed),
+            Command::Lab { command } => lab::lab(command),
+        };
+        done.unwrap_or_else(|why| {
+            eprintln!("shalespindle: {why}");
+            ExitCode::FAILURE
+        })
+    }
+}
--- /dev/null
+++ b/crates/cli/src/lab.rs
@@ -0,0 +1,152 @@
+//! The laboratory's commands.
+
+use crate::commands::{Lab, RunWith, BAD_INPUT};
+use clap::ValueEnum;
+use shalespindle_lab::compare::{compare, Variant};
+use shalespindle_lab::play::{play, Fronts};
+use shalespindle_lab::scenario::{Scenario, BAD_DAY};
+use shalespindle_lab::summary::Report;
+use shalespindle_lab::{sim, throughput};
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+/// Routers that only the lab knows.
+#[derive(Clone, Copy, Debug, ValueEnum)]
+pub enum Baseline {
+    /// Any allowed pool in service, at random.
+    Random,
+}
+
+fn scenario(path: &Path) -> Result<Scenario, ExitCode> {
+    let read = std::fs::read_to_string(path).map_err(|e| e.to_string());
+    read.and_then(|text| Scenario::read(&text).map_err(|e| e.to_string())).map_err(|why| {
+        eprintln!("{}: {why}", path.display());
+        ExitCode::from(BAD_INPUT)
+    })
+}
+
+fn variant(baseline: Option<Baseline>) -> Variant {
+    match baseline {
+        None => Variant::Module,
+        Some(Baseline::Random) => Variant::RandomRoute,
+    }
+}
+
+pub fn lab(command: Lab) -> io::Result<ExitCode> {
+    match command {
+        Lab::Play { scenario: path, with, inside } => match scenario(&path) {
+            Ok(scenario) => on_sockets(&scenario, &with, inside),
+            Err(code) => Ok(code),
+        },
+        Lab::BadDay { with } => match Scenario::read(BAD_DAY) {
+            Ok(scenario) => on_sockets(&scenario, &with, false),
+            Err(why) => Err(io::Error::other(why.to_string())),
+        },
+        Lab::Sim { scenario: path, with, baseline } => match scenario(&path) {
+            Ok(scenario) => {
+                let run = sim::run(&scenario, with.seed, &sim::Setup::of(variant(baseline)));
+                if let Some(out) = &with.out {
+                    std::fs::create_dir_all(out)?;
+                    write_trace(out, &run.trace.sorted())?;
+                }
+                Ok(told(&run.report)?)
+            }
+            Err(code) => Ok(code),
+        },
+        Lab::Compare { a, b, pairs, seed, baseline } => {
+            let b = b.unwrap_or_else(|| a.clone());
+            match (scenario(&a), scenario(&b)) {
+                (Ok(first), Ok(second)) => {
+                    let result =
+                        compare((&first, Variant::Module), (&second, variant(baseline)), seed, pairs);
+                    print!("{result}");
+                    Ok(if result.rules_kept { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+                }
+                (Err(code), _) | (_, Err(code)) => Ok(code),
+            }
+        }
+        Lab::Throughput { seconds, rounds } => {
+            print!("{}", throughput::measure(seconds, rounds)?);
+            Ok(ExitCode::SUCCESS)
+        }
+    }
+}
+
+fn on_sockets(scenario: &Scenario, with: &RunWith, inside: bool) -> io::Result<ExitCode> {
+    let temporary = tempfile::tempdir()?;
+    let folder: PathBuf = with.out.clone().unwrap_or_else(|| temporary.path().to_path_buf());
+    std::fs::create_dir_all(&folder)?;
+    let fronts = match inside {
+        true => Fronts::Inside,
+        false => Fronts::Processes { program: std::env::current_exe()?, folder: folder.clone() },
+    };
+    let played = play(scenario, with.seed, &fronts, &mut |line| println!("{line}"))?;
+    if with.out.is_some() {
+        write_trace(&folder, &played.trace)?;
+    }
+    for (front, s) in played.snapshots.iter().enumerate() {
+        println!(
+            "front {front}: lag p50 {:?}, p99 {:?}; held {} attaches, {} legs; {:?}",
+            s.lag_p50, s.lag_p99, s.attaches_held, s.legs_held, s.counters
+        );
+    }
+    told(&played.report)
+}
+
+fn write_trace(folder: &Path, trace: &[shalespindle_standin::trace::Entry]) -> io::Result<()> {
+    use std::io::Write;
+    let mut file = io::BufWriter::new(std::fs::File::create(folder.join("trace.txt"))?);
+    for (at, seen) in trace {
+        writeln!(file, "{at:.6} {seen:?}")?;
+    }
+    file.flush()
+}
+
+/// The table and, last, the summary line.
+fn told(report: &Report) -> io::Result<ExitCode> {
+    let s = &report.summary;
+    println!(
+        "attaches {}: stood {}, refused {}, failed {}, left {}",
+        s.attaches, s.stood, s.refused, s.failed, s.left
+    );
+    println!(
+        "set-ups {}, unanswered {}, front killed meanwhile {}, front stopped meanwhile {}",
+        report.verdict.set_ups, s.unanswered, report.verdict.killed, report.verdict.held_up
+    );
+    let rows = report
+        .by_procedure
+        .iter()
+        .map(|r| ("procedure", r))
+        .chain(report.by_tenant.iter().map(|r| ("tenant", r)));
+    for (kind, (name, u)) in rows {
+        println!(
+            "{kind:10} {name:28} offered {:8.0}  within target {:.3}  late {:.3}  cut {:.3}",
+            u.offered,
+            u.share(),
+            u.late / u.offered.max(1.0),
+            u.cut / u.offered.max(1.0)
+        );
+    }
+    for broken in report.verdict.broken.iter().take(10) {
+        println!("rule {} broken at {:.3}: {}", broken.rule, broken.at, broken.what);
+    }
+    println!("{}", serde_json::to_string(s)?);
+    Ok(if report.rules_kept() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+/// Servers and pool list until a signal ends them.
+pub fn standin(config: &Path, feed: SocketAddr) -> io::Result<ExitCode> {
+    let scenario = match scenario(config) {
+        Ok(scenario) => scenario,
+        Err(code) => return Ok(code),
+    };
+    let standing = shalespindle_lab::standing::Standing::start(&scenario, feed)?;
+    println!("{standing}");
+    let mut signals =
+        signal_hook::iterator::Signals::new([signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT])?;
+    signals.forever().next();
+    drop(standing);
+    Ok(ExitCode::SUCCESS)
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,1 +1,12 @@
-fn main() {}
+//! The binary `shalespindle`: sub-commands, logging, signals; nothing else.
+
+mod commands;
+mod lab;
+mod run;
+
+use clap::Parser;
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    commands::Cli::parse().run()
+}
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -4,9 +4,10 @@
 use crate::links::{Frame, LegRef, Link, LinkState};
 use crate::params::Params;
 use crate::pool_list::{Dropped, Known, PoolList, ServerState};
-use crate::told::{Tapped, Told};
+use crate::told::{Router, Tapped, Told};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use shalespindle_control::control::Control;
 use shalespindle_control::interface::*;
 use shalespindle_signalling::timers::Timers;
 use shalespindle_signalling::transaction::{Client, InviteServer};
@@ -161,7 +162,17 @@
     pub fn new(params: Params, seed: u64, now: f64) -> Front {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         // The module's chance is its own, so that what the front draws never shifts a decision.
-        let control = Tapped::new(rng.random(), params.deployment.clone(), now);
+        let control = Box::new(Control::new(rng.random(), params.deployment.clone(), now));
+        Front::made(params, rng, control)
+    }
+
+    /// A front whose decisions come from something else: baselines and planted faults of the lab.
+    pub fn with_router(params: Params, seed: u64, router: Box<dyn Router>) -> Front {
+        Front::made(params, ChaCha8Rng::seed_from_u64(seed), router)
+    }
+
+    fn made(params: Params, mut rng: ChaCha8Rng, router: Box<dyn Router>) -> Front {
+        let control = Tapped::new(router);
         let tag = format!("{:012x}", rng.random::<u64>() >> 16);
         Front {
             params,
@@ -235,6 +246,9 @@
     /// Takes one report. `arrived` is when its bytes came at the latest known time before they were read:
     /// the same as `now` unless the host was held up, see docs/design-notes/front.md.
     pub fn take(&mut self, now: f64, arrived: f64, input: Input) {
+        // Guards rule 1 where this front was held up: what is overdue counts before what comes late, so that
+        // an answer past its try's time-out is a late one.
+        self.run_due(now);
         match input {
             Input::Datagram { from, bytes } => {
                 self.caller_message(now, arrived, Source::Datagram(from), bytes);
@@ -248,7 +262,9 @@
             Input::Writable { id } => self.with_link(id, |link| link.blocked = false),
             Input::FeedConnected => self.list.connected(),
             Input::FeedBytes { bytes } => self.feed_bytes(now, bytes),
-            Input::FeedLost => {}
+            Input::FeedLost => {
+                self.event(Event::Feed { what: "lost", detail: "the last known list stands".into() });
+            }
             Input::End => self.end(now),
         }
     }
@@ -256,6 +272,11 @@
     /// Handles what is due and pulls decisions until there are none. Call it after reports, and at
     /// [`Front::wake_at`]; then pull outputs.
     pub fn turn(&mut self, now: f64) {
+        self.run_due(now);
+        self.decide(now);
+    }
+
+    fn run_due(&mut self, now: f64) {
         while let Some(due) = self.timers.pop(now) {
             match due {
                 Due::Control => self.control.tell(now, Told::Wake),
@@ -267,7 +288,6 @@
                 Due::End => self.release_all(now),
             }
         }
-        self.decide(now);
     }
 
     /// When [`Front::turn`] must be called at the latest; infinite when nothing is due.
--- a/crates/front/src/pool_list.rs
+++ b/crates/front/src/pool_list.rs
@@ -45,6 +45,11 @@
     pub age_ms: Option<u64>,
 }
 
+/// The JSON schema of a line of the feed.
+pub fn schema() -> serde_json::Value {
+    schemars::schema_for!(Line).to_value()
+}
+
 /// Whether a processor runs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(rename_all = "lowercase")]
--- a/crates/front/src/told.rs
+++ b/crates/front/src/told.rs
@@ -37,15 +37,31 @@
     Pulled(Option<Decision>),
 }
 
+/// What takes calls and gives decisions: the decision module in every front in service; baselines and
+/// planted faults in the lab.
+pub trait Router: Send {
+    fn tell(&mut self, now: f64, told: &Told);
+    fn next_decision(&mut self, now: f64) -> Option<Decision>;
+}
+
+impl Router for Control {
+    fn tell(&mut self, now: f64, told: &Told) {
+        apply(self, now, told);
+    }
+    fn next_decision(&mut self, now: f64) -> Option<Decision> {
+        Control::next_decision(self, now)
+    }
+}
+
 /// The module of one front.
 pub struct Tapped {
-    control: Control,
+    router: Box<dyn Router>,
     tape: Option<Vec<(f64, Told)>>,
 }
 
 impl Tapped {
-    pub fn new(seed: u64, deployment: Deployment, now: f64) -> Tapped {
-        Tapped { control: Control::new(seed, deployment, now), tape: None }
+    pub fn new(router: Box<dyn Router>) -> Tapped {
+        Tapped { router, tape: None }
     }
 
     /// Keeps every call from now on; for tests and short captures, since nothing bounds it.
@@ -59,14 +75,14 @@
 
     /// Makes the call and keeps it.
     pub fn tell(&mut self, now: f64, told: Told) {
-        apply(&mut self.control, now, &told);
+        self.router.tell(now, &told);
         if let Some(tape) = &mut self.tape {
             tape.push((now, told));
         }
     }
 
     pub fn next_decision(&mut self, now: f64) -> Option<Decision> {
-        let decision = self.control.next_decision(now);
+        let decision = self.router.next_decision(now);
         if let Some(tape) = &mut self.tape {
             tape.push((now, Told::Pulled(decision)));
         }
--- /dev/null
+++ b/crates/lab/src/compare.rs
@@ -0,0 +1,124 @@
+//! Two variants of a scenario, paired by seed under virtual time, with the noise.
+
+use crate::scenario::Scenario;
+use crate::sim::{self, Setup};
+use crate::summary::Report;
+use statrs::distribution::{ContinuousCDF, StudentsT};
+use std::collections::BTreeMap;
+use std::fmt;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Mutex;
+
+/// What decides in a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Variant {
+    Module,
+    RandomRoute,
+}
+
+/// A difference between pairs: its mean and half the width of its 95 % interval.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Difference {
+    pub a: f64,
+    pub b: f64,
+    pub mean: f64,
+    pub half: f64,
+}
+
+/// The comparison's outcome.
+#[derive(Clone, Debug)]
+pub struct Comparison {
+    pub pairs: u64,
+    pub rules_kept: bool,
+    /// By figure: all, then each procedure and tenant.
+    pub figures: BTreeMap<String, Difference>,
+    pub broken: [u64; 2],
+}
+
+/// Runs both variants over `pairs` seeds, on all cores, and pairs them.
+pub fn compare(a: (&Scenario, Variant), b: (&Scenario, Variant), first: u64, pairs: u64) -> Comparison {
+    let next = AtomicU64::new(0);
+    let results: Mutex<BTreeMap<u64, [Report; 2]>> = Mutex::new(BTreeMap::new());
+    let cores = std::thread::available_parallelism().map_or(1, usize::from);
+    std::thread::scope(|scope| {
+        for _ in 0..cores {
+            scope.spawn(|| loop {
+                let pair = next.fetch_add(1, Ordering::Relaxed);
+                if pair >= pairs {
+                    return;
+                }
+                let run = |(scenario, variant): (&Scenario, Variant)| {
+                    sim::run(scenario, first + pair, &Setup::of(variant)).report
+                };
+                let both = [run(a), run(b)];
+                results.lock().unwrap_or_else(|e| e.into_inner()).insert(pair, both);
+            });
+        }
+    });
+    let results = results.into_inner().unwrap_or_else(|e| e.into_inner());
+    let mut rows: BTreeMap<String, Vec<(f64, f64)>> = BTreeMap::new();
+    let mut broken = [0, 0];
+    for both in results.values() {
+        let [a, b] = both.each_ref().map(figures);
+        for (name, value) in a {
+            let other = b.get(&name).copied().unwrap_or(value);
+            rows.entry(name).or_default().push((value, other));
+        }
+        for (count, report) in broken.iter_mut().zip(both) {
+            *count += report.summary.rules_broken.values().sum::<u64>();
+        }
+    }
+    let figures = rows.into_iter().map(|(name, pairs)| (name, difference(&pairs))).collect();
+    Comparison { pairs, rules_kept: broken[0] == 0, figures, broken }
+}
+
+fn figures(report: &Report) -> BTreeMap<String, f64> {
+    let mut all = BTreeMap::from([("all".to_string(), report.summary.within_target_utility)]);
+    all.extend(report.by_procedure.iter().map(|(n, u)| (format!("procedure {n}"), u.share())));
+    all.extend(report.by_tenant.iter().map(|(n, u)| (format!("tenant {n}"), u.share())));
+    all
+}
+
+/// Mean of the differences b - a with the half width of Student's 95 % interval.
+pub fn difference(pairs: &[(f64, f64)]) -> Difference {
+    let n = pairs.len() as f64;
+    if pairs.is_empty() {
+        return Difference::default();
+    }
+    let mean_of = |pick: &dyn Fn(&(f64, f64)) -> f64| pairs.iter().map(pick).sum::<f64>() / n;
+    let mean = mean_of(&|p| p.1 - p.0);
+    let half = if pairs.len() < 2 {
+        f64::INFINITY
+    } else {
+        let variance = pairs.iter().map(|p| (p.1 - p.0 - mean).powi(2)).sum::<f64>() / (n - 1.0);
+        let quantile = StudentsT::new(0.0, 1.0, n - 1.0).map_or(f64::INFINITY, |t| t.inverse_cdf(0.975));
+        quantile * (variance / n).sqrt()
+    };
+    Difference { a: mean_of(&|p| p.0), b: mean_of(&|p| p.1), mean, half }
+}
+
+impl fmt::Display for Comparison {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "{} pairs; rules broken: A {}, B {}", self.pairs, self.broken[0], self.broken[1])?;
+        writeln!(f, "{:36} {:>8} {:>8} {:>9}  95 % of B - A", "within-target utility", "A", "B", "B - A")?;
+        for (name, d) in &self.figures {
+            let (low, high) = (d.mean - d.half, d.mean + d.half);
+            writeln!(f, "{name:36} {:8.4} {:8.4} {:+9.4}  {low:+.4} to {high:+.4}", d.a, d.b, d.mean)?;
+        }
+        Ok(())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_interval_is_students() {
+        let d = difference(&[(0.0, 1.0), (0.0, 2.0), (0.0, 3.0), (0.0, 4.0)]);
+        assert_eq!((d.mean, d.b), (2.5, 2.5));
+        // t(0.975, 3) = 3.182; standard error = 1.291 / 2.
+        assert!((d.half - 3.182 * 0.6455).abs() < 0.002, "{}", d.half);
+        assert_eq!(difference(&[(0.5, 0.5)]).half, f64::INFINITY);
+    }
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,7 +1,12 @@
 //! The laboratory: scenarios, their troubles as a plan of actions, played under virtual time (`sim`) or on
 //! loopback sockets (`play`), the rules checked over what passed, and one summary.
 
+pub mod baseline;
+pub mod compare;
 pub mod plan;
+pub mod play;
 pub mod scenario;
 pub mod sim;
+pub mod standing;
 pub mod summary;
+pub mod throughput;
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -1,12 +1,16 @@
 //! Scenarios: a fleet, its callers, troubles and the rules' figures, read from TOML.
 
 use serde::Deserialize;
-use shalespindle_control::interface::{ColdStart, Deployment, Procedure};
-use shalespindle_front::Params;
+use shalespindle_settings::*;
 use shalespindle_standin::callers::{AskSpec, CallerSpec};
 use shalespindle_standin::checker::Figures;
 use shalespindle_standin::processor::{Cold, Work};
 use shalespindle_standin::server::ServerSpec;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// The scenario of `lab bad-day`.
+pub const BAD_DAY: &str = include_str!("../scenarios/bad-day.toml");
 
 /// What can be wrong with a scenario.
 #[derive(Debug, thiserror::Error)]
@@ -252,42 +256,50 @@
         }
     }
 
-    /// What a front of this scenario is started with; `margin` is what its messages may take on the way.
-    pub fn params(&self, host: String, margin: f64) -> Params {
+    /// The settings of a front of this scenario; `margin` is what its messages may take on the way.
+    pub fn settings(&self, listen: SocketAddr, feed: SocketAddr, margin: f64) -> Settings {
+        let span = |seconds: f64| Span(Duration::from_secs_f64(seconds));
         let pools: Vec<u16> = (0..self.fleet.servers as u16).collect();
-        let procedure = |p: &AskSpec| Procedure {
-            latency_target: p.target,
+        let procedure = |p: &AskSpec| ProcedureSettings {
+            name: p.name.clone(),
+            priorities: vec![p.priority.clone()],
+            latency_target: span(p.target),
+            t_timer: span(p.t_timer),
             utility: p.utility,
             late_share: p.late_share,
-            t_timer: p.t_timer,
             pools: pools.clone(),
         };
-        let procedures = &self.callers.procedures;
-        Params {
-            deployment: Deployment {
-                procedures: procedures.iter().map(procedure).collect(),
-                may_probe: self.fleet.probes,
-                may_cancel: self.fleet.cancels,
-                max_tries: self.fleet.tries,
-                release_guard: self.rules.release_guard + margin,
-                longest_pause: self.fleet.longest_pause,
-                cold: ColdStart {
+        let group = |p: &u16| TrunkGroup { name: Scenario::trunk_group((*p).into()), first_choice: *p };
+        Settings {
+            front: FrontSettings {
+                listen,
+                host: None,
+                seed: None,
+                answer_margin: span(margin),
+                wire_margin: span(margin / 2.0),
+                end_within: span(10.0),
+            },
+            pool_list: PoolListSettings { feed, reconnect_longest: span(1.0) },
+            procedures: self.callers.procedures.iter().map(procedure).collect(),
+            trunk_groups: pools.iter().map(group).collect(),
+            rules: RulesSettings {
+                drain_grace: span(self.rules.drain_grace),
+                release_guard: span(self.rules.release_guard),
+                cold: ColdSettings {
                     start_capacity: self.rules.start_capacity,
-                    warm_after: self.rules.warm_after,
+                    warm_after: span(self.rules.warm_after),
                     tip_multiple: self.rules.tip_multiple,
                 },
             },
-            priorities: procedures.iter().enumerate().map(|(i, p)| (p.priority.clone(), i)).collect(),
-            trunk_groups: pools.iter().map(|&p| (Scenario::trunk_group(p.into()), p)).collect(),
-            usual_procedure: 0,
-            host,
-            answer_margin: margin,
-            most_in_hand: 20_000,
-            most_queued: 4096,
-            connect_within: 0.5,
-            reconnect: (0.1, 2.0),
-            drain_grace: self.rules.drain_grace,
-            end_within: 10.0,
+            limits: LimitSettings {
+                tries: self.fleet.tries,
+                probes: self.fleet.probes,
+                cancels: self.fleet.cancels,
+                longest_pause: span(self.fleet.longest_pause),
+                ..LimitSettings::default()
+            },
+            links: LinkSettings::default(),
+            log: LogSettings::default(),
         }
     }
 }
--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -1,12 +1,14 @@
 //! A scenario under virtual time: the same fronts, servers, callers and feed as on sockets, in one thread,
 //! with links that only take time. One seed gives one run.
 
+use crate::baseline::RandomRoute;
+use crate::compare::Variant;
 use crate::plan::{plan, Action};
 use crate::scenario::Scenario;
 use crate::summary::{report, Report};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use shalespindle_front::{Counters, Front, Input, LinkId, Output, Params};
+use shalespindle_front::{Counters, Front, Input, LinkId, Output};
 use shalespindle_signalling::timers::Timers;
 use shalespindle_standin::callers::Callers;
 use shalespindle_standin::checker::check;
@@ -19,8 +21,6 @@
 
 /// What may take on the way under virtual time: nothing but the link's delay, both ways.
 const MARGIN: f64 = 0.05;
-/// A connection's stretch of bytes that the sender may not have read: more makes a socket full.
-const SOCKET: usize = 64 * 1024;
 
 enum Happening {
     ToFront { front: usize, life: u64, what: FrontNews },
@@ -62,8 +62,35 @@
     pub trace: Trace,
 }
 
-/// How a front is made; variants and broken fronts for tests differ here.
-pub type Change<'a> = &'a dyn Fn(Params) -> Params;
+/// A fault planted into every front of a run, to see the checker find it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Planted {
+    /// Rule 1: a second final answer follows the first.
+    SecondAnswer,
+    /// Rule 1: no answer but 200 is ever sent.
+    NoRefusal,
+    /// Rule 2: every set-up goes to two servers.
+    TwoTries,
+    /// Rule 3: news of a drain is read as 'ready'.
+    DeafToDrains,
+    /// Rule 4: starts are taken for long ago, and servers for idle.
+    BlindToCold,
+    /// Rule 5: no guard.
+    NoGuard,
+}
+
+/// How the fronts of a run are made.
+#[derive(Clone, Copy, Debug)]
+pub struct Setup {
+    pub variant: Variant,
+    pub planted: Option<Planted>,
+}
+
+impl Setup {
+    pub fn of(variant: Variant) -> Setup {
+        Setup { variant, planted: None }
+    }
+}
 
 struct World<'a> {
     scenario: &'a Scenario,
@@ -84,12 +111,12 @@
     by_link: HashMap<(usize, u64, LinkId), u64>,
     next_connection: u64,
     rng: ChaCha8Rng,
-    change: Change<'a>,
+    setup: Setup,
 }
 
 /// Runs a scenario under virtual time.
-pub fn run(scenario: &Scenario, seed: u64, change: Change) -> Run {
-    let mut world = World::new(scenario, seed, change);
+pub fn run(scenario: &Scenario, seed: u64, setup: &Setup) -> Run {
+    let mut world = World::new(scenario, seed, *setup);
     let end = scenario.seconds + 45.0;
     while world.events.next() <= end {
         let at = world.events.next();
@@ -102,7 +129,7 @@
 }
 
 impl<'a> World<'a> {
-    fn new(scenario: &'a Scenario, seed: u64, change: Change<'a>) -> World<'a> {
+    fn new(scenario: &'a Scenario, seed: u64, setup: Setup) -> World<'a> {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let fronts = scenario.fleet.fronts;
         let names: HashMap<String, usize> = (0..fronts).map(|f| (front_host(f), f)).collect();
@@ -144,7 +171,7 @@
             by_link: HashMap::new(),
             next_connection: 0,
             rng,
-            change,
+            setup,
         };
         for front in 0..fronts {
             world.hosts.push(Host { front: None, life: 0, stopped: None, wake: f64::INFINITY });
@@ -160,8 +187,20 @@
     }
 
     fn front_starts(&mut self, front: usize) {
-        let params = (self.change)(self.scenario.params(front_host(front), MARGIN));
-        let made = Front::new(params, self.rng.random(), self.now);
+        let nowhere = SocketAddr::from(([127, 0, 0, 1], 1));
+        let mut params = self.scenario.settings(nowhere, nowhere, MARGIN).params();
+        params.host = front_host(front);
+        let planted = self.setup.planted;
+        if planted == Some(Planted::NoGuard) {
+            params.deployment.release_guard = 0.0;
+        }
+        let seed = self.rng.random();
+        let made = if self.setup.variant == Variant::RandomRoute || planted == Some(Planted::BlindToCold) {
+            let router = RandomRoute::new(seed, params.deployment.clone());
+            Front::with_router(params, seed, Box::new(router))
+        } else {
+            Front::new(params, seed, self.now)
+        };
         let host = &mut self.hosts[front];
         host.life += 1;
         host.front = Some(made);
@@ -308,11 +347,16 @@
         let now = self.now;
         let Some(made) = &mut self.hosts[front].front else { return };
         let from = SocketAddr::from(([127, 2, 0, 1], 5060));
+        let deaf;
         let input = match what {
             FrontNews::Datagram(bytes) => Input::Datagram { from, bytes },
             FrontNews::Connected(id) => Input::Connected { id: *id },
             FrontNews::Lost(id) => Input::LinkLost { id: *id },
             FrontNews::Bytes(id, bytes) => Input::LinkBytes { id: *id, bytes },
+            FrontNews::Feed(bytes) if self.setup.planted == Some(Planted::DeafToDrains) => {
+                deaf = String::from_utf8_lossy(bytes).replace("draining", "ready").replace("gone", "ready");
+                Input::FeedBytes { bytes: deaf.as_bytes() }
+            }
             FrontNews::Feed(bytes) => Input::FeedBytes { bytes },
             FrontNews::FeedUp => Input::FeedConnected,
         };
@@ -327,12 +371,12 @@
         made.turn(now);
         while let Some(output) = made.next_output(now) {
             match output {
-                Output::Datagram { bytes, .. } => self.events.set(now, Happening::ToCallers { front, bytes }),
+                Output::Datagram { bytes, .. } => self.datagram_out(front, bytes),
                 Output::Connect { id, to } => self.connect(front, life, id, to),
                 Output::ToServer { id, bytes } => {
                     if let Some(&connection) = self.by_link.get(&(front, life, id)) {
                         let server = self.connections[&connection].3;
-                        debug_assert!(bytes.len() < SOCKET);
+                        self.second_try(front, life, connection, &bytes);
                         self.events.set(now + delay, Happening::ToServer { server, connection, bytes });
                     }
                 }
@@ -353,6 +397,35 @@
         }
     }
 
+    /// A front's datagram to its callers, or what a planted fault makes of it.
+    fn datagram_out(&mut self, front: usize, bytes: Vec<u8>) {
+        let now = self.now;
+        let refusal = bytes.starts_with(b"SIP/2.0 503");
+        match self.setup.planted {
+            Some(Planted::NoRefusal) if refusal => return,
+            Some(Planted::SecondAnswer) if refusal => {
+                let text = String::from_utf8_lossy(&bytes).replace("SIP/2.0 503", "SIP/2.0 480");
+                self.events.set(now, Happening::ToCallers { front, bytes: text.into_bytes() });
+            }
+            _ => {}
+        }
+        self.events.set(now, Happening::ToCallers { front, bytes });
+    }
+
+    /// The planted fault of rule 2: the same set-up, under another name, to another server as well.
+    fn second_try(&mut self, front: usize, life: u64, connection: u64, bytes: &[u8]) {
+        if self.setup.planted != Some(Planted::TwoTries) || !bytes.starts_with(b"INVITE") {
+            return;
+        }
+        let other =
+            self.connections.iter().find(|(c, to)| **c != connection && to.0 == front && to.1 == life);
+        if let Some((&connection, &(_, _, _, server))) = other {
+            let text = String::from_utf8_lossy(bytes).replace("Call-ID: ", "Call-ID: x");
+            let bytes = text.into_bytes();
+            self.events.set(self.now, Happening::ToServer { server, connection, bytes });
+        }
+    }
+
     fn connect(&mut self, front: usize, life: u64, id: LinkId, to: SocketAddr) {
         let delay = self.scenario.fleet.link_delay;
         let server = self.by_address.get(&to).copied();
--- /dev/null
+++ b/crates/lab/src/throughput.rs
@@ -0,0 +1,359 @@
+//! How many attaches a second go through one front, against a bare relay on the same sockets that decides
+//! nothing: a stateless proxy (RFC 3261 section 16.11) that adds a Via on the way there and takes it off on
+//! the way back. And what time a front adds at half of that rate.
+
+use crate::scenario::{Scenario, BAD_DAY};
+use hdrhistogram::Histogram;
+use may::net::{TcpListener, TcpStream, UdpSocket};
+use shalespindle_signalling::message::{Message, Method};
+use shalespindle_signalling::write::Writer;
+use shalespindle_signalling::{Framer, Start};
+use shalespindle_sockets::{end, start, Ground, Handle, Outgoing, LARGE_STACK, READ, SMALL_STACK};
+use shalespindle_standin::feed::Feed;
+use shalespindle_standin::net::{feed, Hosted, HostedServer};
+use shalespindle_standin::server::Server;
+use shalespindle_standin::trace::Trace;
+use shalespindle_transport::Service;
+use std::collections::HashMap;
+use std::fmt;
+use std::io::{self, Read};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+const SERVERS: usize = 8;
+/// Attaches in flight in the closed loop.
+const WINDOW: usize = 128;
+
+/// One measurement.
+#[derive(Clone, Debug)]
+pub struct Measured {
+    pub per_second: f64,
+    pub lost: u64,
+    pub p50_us: u64,
+    pub p99_us: u64,
+}
+
+/// All rounds.
+#[derive(Clone, Debug, Default)]
+pub struct Throughput {
+    /// Relay and front, closed loop, then both at half of the front's rate.
+    pub rounds: Vec<[Measured; 4]>,
+    /// Bytes of resident memory that each attach in hand adds.
+    pub bytes_an_attach: f64,
+}
+
+enum Pace {
+    Closed(usize),
+    Open(f64),
+}
+
+struct Servers {
+    hosted: Vec<HostedServer>,
+    addresses: Vec<SocketAddr>,
+    feed: SocketAddr,
+    list: Hosted<Feed>,
+}
+
+/// Servers whose work takes next to no time; `never` makes them take set-ups and not answer.
+fn servers(scenario: &Scenario, ground: &Ground, never: bool) -> io::Result<Servers> {
+    let trace = Trace::default();
+    let mut list = Feed::new(1, 1, 0.0);
+    let (mut hosted, mut addresses) = (Vec::new(), Vec::new());
+    for s in 0..SERVERS {
+        let address = std::net::TcpListener::bind("127.0.0.1:0")?.local_addr()?;
+        list.known(s, address, s as u16);
+        let core =
+            Server::new(s, address.to_string(), scenario.server(s), Arc::new(HashMap::new()), s as u64);
+        let server = HostedServer::start(core, address, ground.clone(), trace.clone())?;
+        server.core.act(move |core, _| core.faults.hung = never);
+        hosted.push(server);
+        addresses.push(address);
+    }
+    let listener = TcpListener::bind("127.0.0.1:0")?;
+    let address = listener.local_addr()?;
+    let list = feed(list, vec![listener], ground.clone(), trace)?;
+    Ok(Servers { hosted, addresses, feed: address, list })
+}
+
+fn scenario() -> io::Result<Scenario> {
+    let mut scenario = Scenario::read(BAD_DAY).map_err(io::Error::other)?;
+    scenario.fleet.servers = SERVERS;
+    scenario.fleet.fronts = 1;
+    scenario.servers.capacity = 1e6;
+    scenario.servers.lines = 10_000_000;
+    scenario.servers.speeds = vec![1.0];
+    Ok(scenario)
+}
+
+/// Measures `rounds` pairs of `seconds` each.
+pub fn measure(seconds: f64, rounds: usize) -> io::Result<Throughput> {
+    let scenario = scenario()?;
+    let ground = Ground::new();
+    let servers = servers(&scenario, &ground, false)?;
+    let relay = Relay::start(&servers.addresses)?;
+    let settings = scenario.settings(SocketAddr::from(([127, 0, 0, 1], 0)), servers.feed, 0.05);
+    let service = Service::start(&settings, 1, ground.clone())?;
+    let front = service.address();
+    std::thread::sleep(Duration::from_millis(500));
+    let mut out = Throughput::default();
+    for _ in 0..rounds {
+        let bare = drive(relay.address, Pace::Closed(WINDOW), seconds)?;
+        let ours = drive(front, Pace::Closed(WINDOW), seconds)?;
+        let half = Pace::Open(ours.per_second / 2.0);
+        let bare_half = drive(relay.address, Pace::Open(ours.per_second / 2.0), seconds)?;
+        let ours_half = drive(front, half, seconds)?;
+        out.rounds.push([bare, ours, bare_half, ours_half]);
+    }
+    drop(service);
+    for server in servers.hosted {
+        server.finish();
+    }
+    servers.list.finish();
+    out.bytes_an_attach = memory()?;
+    Ok(out)
+}
+
+/// Resident bytes that an attach in hand adds: thousands are asked of servers that never answer.
+fn memory() -> io::Result<f64> {
+    let scenario = scenario()?;
+    let ground = Ground::new();
+    let servers = servers(&scenario, &ground, true)?;
+    let settings = scenario.settings(SocketAddr::from(([127, 0, 0, 1], 0)), servers.feed, 0.05);
+    let service = Service::start(&settings, 1, ground)?;
+    std::thread::sleep(Duration::from_millis(500));
+    let socket = std::net::UdpSocket::bind("127.0.0.1:0")?;
+    let host = socket.local_addr()?.to_string();
+    let before = resident()?;
+    let count = 4000;
+    for call in 0..count {
+        socket.send_to(&invite(&host, service.address(), call), service.address())?;
+        if call % 50 == 0 {
+            std::thread::sleep(Duration::from_millis(2));
+        }
+    }
+    std::thread::sleep(Duration::from_millis(300));
+    let held = service.snapshot().map_or(0, |s| s.in_hand.max(s.attaches_held));
+    let grown = resident()?.saturating_sub(before);
+    Ok(grown as f64 / (held.max(1) as f64))
+}
+
+fn resident() -> io::Result<u64> {
+    let text = std::fs::read_to_string("/proc/self/statm")?;
+    let pages = text.split_whitespace().nth(1).and_then(|p| p.parse::<u64>().ok());
+    Ok(pages.ok_or_else(|| io::Error::other("statm"))? * 4096)
+}
+
+fn invite(host: &str, to: SocketAddr, call: u64) -> Vec<u8> {
+    Writer::request(
+        Method::Invite,
+        &format!("sip:+91{call:09};tgrp=tg-{};trunk-context=x@{to}", call % SERVERS as u64),
+    )
+    .with_args("Via", format_args!("SIP/2.0/UDP {host};rport;branch=z9hG4bKi{call}"))
+    .with("Max-Forwards", "70")
+    .with_args("From", format_args!("<sip:r@example.org>;tag=g{call}"))
+    .with_args("To", format_args!("<sip:+91{call:09}@{to}>"))
+    .with_args("Call-ID", format_args!("{call}@{host}"))
+    .with("CSeq", "1 INVITE")
+    .with_args("Contact", format_args!("<sip:{host}>"))
+    .with_args("Session-ID", format_args!("{call:032x}"))
+    .with("Resource-Priority", "wps.4")
+    .with("Expires", "9")
+    .finish()
+}
+
+fn within(host: &str, to: SocketAddr, call: u64, tag: &str, method: Method) -> Vec<u8> {
+    let cseq = if method == Method::Ack { 1 } else { 2 };
+    Writer::request(method, &format!("sip:+91{call:09}@{to}"))
+        .with_args("Via", format_args!("SIP/2.0/UDP {host};rport;branch=z9hG4bK{method}{call}"))
+        .with("Max-Forwards", "70")
+        .with_args("From", format_args!("<sip:r@example.org>;tag=g{call}"))
+        .with("To", tag)
+        .with_args("Call-ID", format_args!("{call}@{host}"))
+        .with_args("CSeq", format_args!("{cseq} {method}"))
+        .finish()
+}
+
+/// Sets calls up and releases them at once, from one thread of its own.
+fn drive(to: SocketAddr, pace: Pace, seconds: f64) -> io::Result<Measured> {
+    let socket = std::net::UdpSocket::bind("127.0.0.1:0")?;
+    socket.set_read_timeout(Some(Duration::from_micros(200)))?;
+    let host = socket.local_addr()?.to_string();
+    let mut delays = Histogram::<u64>::new_with_bounds(1, 60_000_000, 3).map_err(io::Error::other)?;
+    // When each call that is out was due to be sent: the open loop's delays count from there, so that a
+    // slow answer does not hide the calls that waited behind it.
+    let mut out: HashMap<u64, Instant> = HashMap::new();
+    let (mut next, mut done, mut lost) = (0u64, 0u64, 0u64);
+    let begin = Instant::now();
+    let length = Duration::from_secs_f64(seconds);
+    let mut buffer = vec![0; 65_536];
+    let mut swept = begin;
+    loop {
+        let now = Instant::now();
+        if now - begin > length {
+            break;
+        }
+        loop {
+            let due = match pace {
+                Pace::Closed(window) if out.len() < window => now,
+                Pace::Closed(_) => break,
+                Pace::Open(rate) => {
+                    let due = begin + Duration::from_secs_f64(next as f64 / rate);
+                    if due > now {
+                        break;
+                    }
+                    due
+                }
+            };
+            let call = next + 1_000_000 * u64::from(to.port());
+            socket.send_to(&invite(&host, to, call), to)?;
+            out.insert(call, due);
+            next += 1;
+        }
+        if now - swept > Duration::from_millis(500) {
+            swept = now;
+            let before = out.len();
+            out.retain(|_, sent| now - *sent < Duration::from_secs(2));
+            lost += (before - out.len()) as u64;
+        }
+        let Ok((size, _)) = socket.recv_from(&mut buffer) else { continue };
+        let Ok(message) = Message::parse(&buffer[..size]) else { continue };
+        let Start::Response { status, .. } = message.start else { continue };
+        let (Ok((_, method)), Ok(id)) = (message.cseq(), message.call_id()) else { continue };
+        let Some(call) = id.split('@').next().and_then(|c| c.parse::<u64>().ok()) else { continue };
+        if method == Method::Invite && status == 200 {
+            if let Some(sent) = out.remove(&call) {
+                delays.saturating_record(sent.elapsed().as_micros() as u64);
+                done += 1;
+                let tag = message.to().unwrap_or_default().to_string();
+                socket.send_to(&within(&host, to, call, &tag, Method::Ack), to)?;
+                socket.send_to(&within(&host, to, call, &tag, Method::Bye), to)?;
+            }
+        } else if method == Method::Invite && status > 200 {
+            lost += u64::from(out.remove(&call).is_some());
+        }
+    }
+    Ok(Measured {
+        per_second: done as f64 / seconds,
+        lost,
+        p50_us: delays.value_at_quantile(0.5),
+        p99_us: delays.value_at_quantile(0.99),
+    })
+}
+
+/// The bare relay.
+struct Relay {
+    address: SocketAddr,
+    handles: Vec<Handle>,
+}
+
+impl Relay {
+    fn start(servers: &[SocketAddr]) -> io::Result<Relay> {
+        let udp = UdpSocket::bind("127.0.0.1:0")?;
+        let address = udp.local_addr()?;
+        let writer = Arc::new(udp.try_clone()?);
+        let mut handles = Vec::new();
+        let mut links: Vec<Arc<Mutex<Outgoing>>> = Vec::new();
+        for server in servers {
+            let mut stream = TcpStream::connect(server)?;
+            stream.set_nodelay(true)?;
+            links.push(Arc::new(Mutex::new(Outgoing::beside(&stream)?)));
+            let writer = writer.clone();
+            handles.push(start(SMALL_STACK, move || {
+                let mut buffer = vec![0; READ];
+                let mut framer = Framer::default();
+                while let Ok(size) = stream.read(&mut buffer) {
+                    if size == 0 {
+                        return;
+                    }
+                    framer.push(&buffer[..size]);
+                    while let Ok(Some(frame)) = framer.next_frame() {
+                        back(frame, &writer);
+                    }
+                }
+            })?);
+        }
+        handles.push(start(LARGE_STACK, move || {
+            let mut buffer = vec![0; 65_536];
+            loop {
+                let Ok((size, from)) = udp.recv_from(&mut buffer) else { continue };
+                there(&buffer[..size], from, address, &links);
+            }
+        })?);
+        Ok(Relay { address, handles })
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        self.handles.drain(..).for_each(end);
+    }
+}
+
+/// One request on its way: a Via on top, by turns of the call's own number.
+fn there(bytes: &[u8], from: SocketAddr, own: SocketAddr, links: &[Arc<Mutex<Outgoing>>]) {
+    let Ok(message) = Message::parse(bytes) else { return };
+    let (Ok(via), Ok(id)) = (message.via(), message.call_id()) else { return };
+    let number: u64 = id.split('@').next().and_then(|c| c.parse().ok()).unwrap_or(0);
+    let Some(line) = bytes.windows(2).position(|w| w == b"\r\n") else { return };
+    let top = format!("Via: SIP/2.0/TCP {own};from={from};branch={}-r\r\n", via.branch);
+    let mut out = Vec::with_capacity(bytes.len() + top.len());
+    out.extend_from_slice(&bytes[..line + 2]);
+    out.extend_from_slice(top.as_bytes());
+    out.extend_from_slice(&bytes[line + 2..]);
+    let link = &links[number as usize % links.len()];
+    link.lock().unwrap_or_else(|e| e.into_inner()).write(&out, || {});
+}
+
+/// One response on its way back: the topmost Via off.
+fn back(frame: &[u8], udp: &UdpSocket) {
+    let Ok(message) = Message::parse(frame) else { return };
+    let Some(via) = message.header("Via") else { return };
+    let from = via
+        .split(";from=")
+        .nth(1)
+        .and_then(|r| r.split(';').next())
+        .and_then(|a| a.parse::<SocketAddr>().ok());
+    let (Some(from), Ok(text)) = (from, std::str::from_utf8(frame)) else { return };
+    let Some(at) = text.find("Via: ") else { return };
+    let Some(length) = text[at..].find("\r\n") else { return };
+    let mut out = Vec::with_capacity(frame.len());
+    out.extend_from_slice(&frame[..at]);
+    out.extend_from_slice(&frame[at + length + 2..]);
+    // A datagram that is lost counts as a lost attach.
+    let _ = udp.inner().send_to(&out, from);
+}
+
+impl fmt::Display for Throughput {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "closed loop of {WINDOW}; then open loop at half of the front's rate")?;
+        for [bare, ours, bare_half, ours_half] in &self.rounds {
+            writeln!(
+                f,
+                "attaches/s: relay {:.0}, front {:.0}, ratio {:.2}; lost {} and {}",
+                bare.per_second,
+                ours.per_second,
+                ours.per_second / bare.per_second,
+                bare.lost,
+                ours.lost
+            )?;
+            writeln!(
+                f,
+                "  at half: relay p50 {} us p99 {} us, front p50 {} us p99 {} us, added p50 {} us p99 {} us; lost {} and {}",
+                bare_half.p50_us,
+                bare_half.p99_us,
+                ours_half.p50_us,
+                ours_half.p99_us,
+                ours_half.p50_us as i64 - bare_half.p50_us as i64,
+                ours_half.p99_us as i64 - bare_half.p99_us as i64,
+                bare_half.lost,
+                ours_half.lost
+            )?;
+        }
+        writeln!(
+            f,
+            "resident bytes an attach in hand (front and stand-in servers together): {:.0}",
+            self.bytes_an_attach
+        )
+    }
+}
--- a/crates/lab/tests/sim.rs
+++ b/crates/lab/tests/sim.rs
@@ -1,7 +1,8 @@
 //! The bad day under virtual time.
 
+use shalespindle_lab::compare::{compare, Variant};
 use shalespindle_lab::scenario::Scenario;
-use shalespindle_lab::sim;
+use shalespindle_lab::sim::{self, Planted, Setup};
 
 fn bad_day() -> Scenario {
     Scenario::read(include_str!("../scenarios/bad-day.toml")).unwrap()
@@ -10,10 +11,8 @@
 #[test]
 fn the_bad_day_keeps_the_rules_and_is_the_same_each_time() {
     for seed in 0..6 {
-        let run = sim::run(&bad_day(), seed, &|p| p);
+        let run = sim::run(&bad_day(), seed, &Setup::of(Variant::Module));
         let summary = &run.report.summary;
-        println!("{}", serde_json::to_string(summary).unwrap());
-        println!("{:?}", run.counters);
         assert!(
             run.report.rules_kept(),
             "seed {seed}: {:?}",
@@ -21,7 +20,35 @@
         );
         assert_eq!(summary.unanswered, 0);
         assert!(summary.attaches > 2000 && summary.within_target_utility > 0.5, "{summary:?}");
-        let again = sim::run(&bad_day(), seed, &|p| p);
+        let again = sim::run(&bad_day(), seed, &Setup::of(Variant::Module));
         assert_eq!(run.trace.sorted(), again.trace.sorted(), "seed {seed} is one run");
     }
 }
+
+/// Each checker fails on the fault that is planted for it, and names the rule.
+#[test]
+fn planted_faults_are_found() {
+    let faults = [
+        (Planted::SecondAnswer, 1),
+        (Planted::NoRefusal, 1),
+        (Planted::TwoTries, 2),
+        (Planted::DeafToDrains, 3),
+        (Planted::BlindToCold, 4),
+        (Planted::NoGuard, 5),
+    ];
+    for (planted, rule) in faults {
+        let setup = Setup { variant: Variant::Module, planted: Some(planted) };
+        let broken = sim::run(&bad_day(), 3, &setup).report.summary.rules_broken;
+        println!("{planted:?}: {broken:?}");
+        assert!(broken[&rule.to_string()] > 0, "{planted:?} must break rule {rule}: {broken:?}");
+    }
+}
+
+#[test]
+fn the_module_beats_any_route_at_random() {
+    let day = bad_day();
+    let result = compare((&day, Variant::Module), (&day, Variant::RandomRoute), 1, 4);
+    println!("{result}");
+    let all = result.figures["all"];
+    assert!(result.rules_kept && all.mean + all.half < 0.0, "{result}");
+}
--- /dev/null
+++ b/crates/settings/src/model.rs
@@ -0,0 +1,318 @@
+//! The settings of a front, as their file writes them.
+
+use crate::Span;
+use garde::Validate;
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use shalespindle_control::interface::{ColdStart, Deployment, Procedure as ToldProcedure};
+use shalespindle_front::Params;
+use std::collections::HashSet;
+use std::net::SocketAddr;
+
+fn over_zero(span: &Span, _: &()) -> garde::Result {
+    if span.0.is_zero() {
+        return Err(garde::Error::new("must be longer than 0"));
+    }
+    Ok(())
+}
+
+/// A settings file.
+#[derive(Clone, Debug, Serialize, Deserialize, Validate, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    #[garde(dive)]
+    pub front: FrontSettings,
+    #[garde(dive)]
+    pub pool_list: PoolListSettings,
+    /// What an attach can be; the first one is meant where an INVITE names none.
+    #[garde(length(min = 1, max = 256), dive)]
+    pub procedures: Vec<ProcedureSettings>,
+    /// Trunk groups (RFC 4904) and the pool that is the first choice of each.
+    #[serde(default)]
+    #[garde(length(max = 10_000), dive)]
+    pub trunk_groups: Vec<TrunkGroup>,
+    #[garde(dive)]
+    pub rules: RulesSettings,
+    #[serde(default)]
+    #[garde(dive)]
+    pub limits: LimitSettings,
+    #[serde(default)]
+    #[garde(dive)]
+    pub links: LinkSettings,
+    #[serde(default)]
+    #[garde(skip)]
+    pub log: LogSettings,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize, Validate, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct FrontSettings {
+    /// Where callers reach it, over UDP and TCP.
+    #[schemars(with = "String")]
+    #[garde(skip)]
+    pub listen: SocketAddr,
+    /// Its name in Via and Contact; the listening address where it is left out.
+    #[serde(default)]
+    #[garde(inner(length(min = 1, max = 255)))]
+    pub host: Option<String>,
+    /// Starts its chance; drawn anew at each start where it is left out.
+    #[serde(default)]
+    #[garde(skip)]
+    pub seed: Option<u64>,
+    /// So long before a caller's time is up its answer is sent.
+    #[serde(default = "answer_margin")]
+    #[garde(skip)]
+    pub answer_margin: Span,
+    /// Added to the release guard, so that it holds as seen from the servers too.
+    #[serde(default = "wire_margin")]
+    #[garde(skip)]
+    pub wire_margin: Span,
+    /// How long standing attaches may hold up an orderly end.
+    #[serde(default = "end_within")]
+    #[garde(skip)]
+    pub end_within: Span,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize, Validate, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct PoolListSettings {
+    /// The feed of the pool list, over TCP.
+    #[schemars(with = "String")]
+    #[garde(skip)]
+    pub feed: SocketAddr,
+    /// Longest pause before a lost feed is tried again.
+    #[serde(default = "feed_reconnect")]
+    #[garde(custom(over_zero))]
+    pub reconnect_longest: Span,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize, Validate, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct ProcedureSettings {
+    #[garde(length(min = 1, max = 64))]
+    pub name: String,
+    /// Resource-Priority values (RFC 4412) that mean it.
+    #[serde(default)]
+    #[garde(skip)]
+    pub priorities: Vec<String>,
+    #[garde(custom(over_zero))]
+    pub latency_target: Span,
+    #[garde(custom(over_zero))]
+    pub t_timer: Span,
+    #[garde(range(min = 0.0, max = 1e6))]
+    pub utility: f64,
+    /// Share of the utility that is left past the latency target.
+    #[garde(range(min = 0.0, max = 1.0))]
+    pub late_share: f64,
+    /// Numbers of the pools that can take it.
+    #[garde(length(min = 1))]
+    pub pools: Vec<u16>,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize, Validate, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct TrunkGroup {
+    #[garde(length(min = 1, max = 64))]
+    pub name: String,
+    #[garde(skip)]
+    pub first_choice: u16,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize, Validate, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct RulesSettings {
+    /// Rule 3: nothing new so long after the news of a drain.
+    #[garde(custom(over_zero))]
+    pub drain_grace: Span,
+    /// Rule 5: no resend within this after a try that timed out, was reset or cancelled.
+    #[garde(skip)]
+    pub release_guard: Span,
+    /// Rule 4.
+    #[garde(dive)]
+    pub cold: ColdSettings,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize, Validate, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct ColdSettings {
+    /// Least share of its capacity that a processor starts with.
+    #[garde(range(min = 0.01, max = 1.0))]
+    pub start_capacity: f64,
+    #[garde(custom(over_zero))]
+    pub warm_after: Span,
+    /// Multiple of what it can do at which it falls over.
+    #[garde(range(min = 1.0, max = 100.0))]
+    pub tip_multiple: f64,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize, Validate, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct LimitSettings {
+    /// Setup tries of an attach.
+    #[garde(range(min = 1, max = 32))]
+    pub tries: u32,
+    #[garde(skip)]
+    pub probes: bool,
+    #[garde(skip)]
+    pub cancels: bool,
+    /// Longest pause named to a refused caller; `0s`: none is named.
+    #[garde(skip)]
+    pub longest_pause: Span,
+    #[garde(range(min = 1, max = 1_000_000))]
+    pub attaches_in_hand: usize,
+    #[garde(range(min = 1, max = 1_000_000))]
+    pub caller_connections: usize,
+}
+
+impl Default for LimitSettings {
+    fn default() -> LimitSettings {
+        LimitSettings {
+            tries: 4,
+            probes: true,
+            cancels: true,
+            longest_pause: Span::from_millis(2000),
+            attaches_in_hand: 20_000,
+            caller_connections: 10_000,
+        }
+    }
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize, Validate, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct LinkSettings {
+    #[garde(custom(over_zero))]
+    pub connect_within: Span,
+    #[garde(custom(over_zero))]
+    pub reconnect_least: Span,
+    #[garde(custom(over_zero))]
+    pub reconnect_longest: Span,
+    /// Frames that may wait for one server's socket.
+    #[garde(range(min = 1, max = 1_000_000))]
+    pub frames_queued: usize,
+}
+
+impl Default for LinkSettings {
+    fn default() -> LinkSettings {
+        LinkSettings {
+            connect_within: Span::from_millis(500),
+            reconnect_least: Span::from_millis(100),
+            reconnect_longest: Span::from_millis(2000),
+            frames_queued: 4096,
+        }
+    }
+}
+
+/// How the log is written.
+#[derive(Clone, Debug, Default, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct LogSettings {
+    pub form: LogForm,
+    /// A filter such as `info` or `shalespindle=debug`.
+    pub filter: Option<String>,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "lowercase")]
+pub enum LogForm {
+    #[default]
+    Text,
+    Json,
+}
+
+fn answer_margin() -> Span {
+    Span::from_millis(50)
+}
+fn wire_margin() -> Span {
+    Span::from_millis(25)
+}
+fn end_within() -> Span {
+    Span::from_millis(10_000)
+}
+fn feed_reconnect() -> Span {
+    Span::from_millis(2000)
+}
+
+impl Settings {
+    /// What no single value shows: each fault with its key.
+    pub(crate) fn cross_checks(&self) -> Vec<(String, String)> {
+        let mut faults = Vec::new();
+        let mut priorities = HashSet::new();
+        for (place, p) in self.procedures.iter().enumerate() {
+            if p.t_timer < p.latency_target {
+                faults.push((
+                    format!("procedures[{place}].t_timer"),
+                    "must not be shorter than its latency_target".into(),
+                ));
+            }
+            for priority in &p.priorities {
+                if !priorities.insert(priority) {
+                    faults.push((
+                        format!("procedures[{place}].priorities"),
+                        format!("{priority:?} already means another procedure"),
+                    ));
+                }
+            }
+        }
+        let mut names = HashSet::new();
+        for (place, group) in self.trunk_groups.iter().enumerate() {
+            if !names.insert(&group.name) {
+                faults.push((
+                    format!("trunk_groups[{place}].name"),
+                    "a trunk group of this name is there".into(),
+                ));
+            }
+            if !self.procedures.iter().any(|p| p.pools.contains(&group.first_choice)) {
+                faults.push((
+                    format!("trunk_groups[{place}].first_choice"),
+                    format!("no procedure may go to pool {}", group.first_choice),
+                ));
+            }
+        }
+        if self.links.reconnect_longest < self.links.reconnect_least {
+            faults
+                .push(("links.reconnect_longest".into(), "must not be shorter than reconnect_least".into()));
+        }
+        faults
+    }
+
+    /// What the front is started with.
+    pub fn params(&self) -> Params {
+        let procedure = |p: &ProcedureSettings| ToldProcedure {
+            latency_target: p.latency_target.seconds(),
+            utility: p.utility,
+            late_share: p.late_share,
+            t_timer: p.t_timer.seconds(),
+            pools: p.pools.clone(),
+        };
+        let named = |(place, p): (usize, &ProcedureSettings)| -> Vec<(String, usize)> {
+            p.priorities.iter().map(|name| (name.clone(), place)).collect()
+        };
+        let cold = &self.rules.cold;
+        Params {
+            deployment: Deployment {
+                procedures: self.procedures.iter().map(procedure).collect(),
+                may_probe: self.limits.probes,
+                may_cancel: self.limits.cancels,
+                max_tries: self.limits.tries,
+                release_guard: self.rules.release_guard.seconds() + self.front.wire_margin.seconds(),
+                longest_pause: self.limits.longest_pause.seconds(),
+                cold: ColdStart {
+                    start_capacity: cold.start_capacity,
+                    warm_after: cold.warm_after.seconds(),
+                    tip_multiple: cold.tip_multiple,
+                },
+            },
+            priorities: self.procedures.iter().enumerate().flat_map(named).collect(),
+            trunk_groups: self.trunk_groups.iter().map(|g| (g.name.clone(), g.first_choice)).collect(),
+            usual_procedure: 0,
+            host: self.front.host.clone().unwrap_or_else(|| self.front.listen.to_string()),
+            answer_margin: self.front.answer_margin.seconds(),
+            most_in_hand: self.limits.attaches_in_hand,
+            most_queued: self.links.frames_queued,
+            connect_within: self.links.connect_within.seconds(),
+            reconnect: (self.links.reconnect_least.seconds(), self.links.reconnect_longest.seconds()),
+            drain_grace: self.rules.drain_grace.seconds(),
+            end_within: self.front.end_within.seconds(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/settings/tests/faults.rs
@@ -0,0 +1,81 @@
+//! Each bad settings file is named with its line, key and what is allowed.
+
+use shalespindle_settings::{parse, schema};
+
+const GOOD: &str = include_str!("../../../deploy/front.toml");
+
+#[test]
+fn the_shipped_file_is_good() {
+    let settings = parse("front.toml", GOOD).unwrap();
+    let params = settings.params();
+    assert_eq!(params.deployment.release_guard, 0.525);
+    assert_eq!((params.priorities["wps.0"], params.trunk_groups["wayanad"]), (1, 1));
+}
+
+#[test]
+fn faults_are_named_with_line_and_key() {
+    // What is replaced, by what, then the line, the key and a part of the reason.
+    let rows: [(&str, &str, usize, &str, &str); 14] = [
+        (
+            "release_guard = \"500ms\"",
+            "release_guard = 500",
+            37,
+            "rules.release_guard",
+            "a duration with its unit",
+        ),
+        (
+            "release_guard = \"500ms\"",
+            "release_guard = \"500\"",
+            37,
+            "rules.release_guard",
+            "a duration with its unit",
+        ),
+        ("drain_grace = \"250ms\"", "drain_grace = \"0s\"", 36, "rules.drain_grace", "longer than 0"),
+        ("tries = 4", "tries = 0", 45, "limits.tries", "lower than 1"),
+        ("tries = 4", "tries = \"four\"", 45, "limits.tries", "expected u32"),
+        ("tries = 4", "tires = 4", 45, "limits.tires", "unknown field"),
+        ("start_capacity = 0.29", "start_capacity = 29", 40, "rules.cold.start_capacity", "greater than 1"),
+        (
+            "latency_target = \"1500ms\"",
+            "latency_target = \"10s\"",
+            22,
+            "procedures[1].t_timer",
+            "latency_target",
+        ),
+        (
+            "priorities = [\"wps.1\", \"wps.0\"]",
+            "priorities = [\"wps.4\"]",
+            20,
+            "procedures[1].priorities",
+            "already",
+        ),
+        ("name = \"wayanad\"", "name = \"idukki\"", 32, "trunk_groups[1].name", "is there"),
+        ("first_choice = 1", "first_choice = 9", 33, "trunk_groups[1].first_choice", "no procedure"),
+        ("late_share = 0.25", "late_share = -1.0", 15, "procedures[0].late_share", "lower than 0"),
+        ("listen = \"127.0.0.1:5060\"", "listen = \"localhost\"", 4, "front.listen", "socket address"),
+        ("[rules.cold]", "[rules.cold", 39, "", ""),
+    ];
+    for (from, to, line, key, why) in rows {
+        assert!(GOOD.contains(from), "{from}");
+        let faults = parse("f.toml", &GOOD.replace(from, to)).unwrap_err();
+        let fault = &faults[0];
+        assert_eq!((fault.line, fault.key.as_str()), (line, key), "{to}: {fault}");
+        assert!(fault.why.contains(why), "{to}: {fault}");
+        assert!(fault.to_string().starts_with(&format!("f.toml:{line}: ")));
+    }
+}
+
+#[test]
+fn all_faults_come_together() {
+    let text = GOOD.replace("tries = 4", "tries = 0").replace("utility = 3.0", "utility = -3.0");
+    let faults = parse("f.toml", &text).unwrap_err();
+    assert_eq!(faults.iter().map(|f| f.line).collect::<Vec<_>>(), [23, 45]);
+}
+
+#[test]
+fn the_schema_names_every_table() {
+    let text = schema().to_string();
+    for key in ["front", "pool_list", "procedures", "trunk_groups", "rules", "limits", "links", "log"] {
+        assert!(text.contains(&format!("\"{key}\"")), "{key}");
+    }
+}
--- /dev/null
+++ b/crates/sockets/src/lib.rs
@@ -0,0 +1,33 @@
+//! What coroutines share on sockets: a bounded mailbox, streams that never block their writer, and a clock
+//! that knows when its process stood still. Nothing here knows SIP or decides anything.
+
+pub mod ground;
+pub mod mailbox;
+pub mod stream;
+
+pub use ground::Ground;
+pub use mailbox::{mailbox, Gone, Mail, Mailbox};
+pub use stream::{Outgoing, Sent};
+
+/// Stack of a coroutine that only carries bytes, in machine words.
+pub const SMALL_STACK: usize = 8 * 1024;
+/// Stack of a coroutine that owns a core, in machine words.
+pub const LARGE_STACK: usize = 64 * 1024;
+/// Bytes read at once; on the heap.
+pub const READ: usize = 16 * 1024;
+
+/// A handle on a coroutine.
+pub type Handle = may::coroutine::JoinHandle<()>;
+
+/// Starts a coroutine with a stack of that many words.
+pub fn start(stack: usize, run: impl FnOnce() + Send + 'static) -> std::io::Result<Handle> {
+    may::go_with!(stack, run)
+}
+
+/// Ends a coroutine that waits on a socket or a timer, and waits until it has ended.
+pub fn end(handle: Handle) {
+    // SAFETY: only for coroutines that hold sockets, buffers and mailboxes, all safe to drop at any wait.
+    unsafe { handle.coroutine().cancel() };
+    // Cancelling is reported as a panic of the coroutine; there is nothing else to learn from it.
+    let _ = handle.join();
+}
--- /dev/null
+++ b/crates/sockets/src/mailbox.rs
@@ -0,0 +1,124 @@
+//! A bounded channel between coroutines: senders wait while it is full, so that a slow owner slows its
+//! readers and, through them, the peers' own sockets.
+
+use may::sync::{mpsc, Semphore};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The receiving side has gone.
+#[derive(Debug)]
+pub struct Gone;
+
+struct Room {
+    free: Semphore,
+    closed: AtomicBool,
+}
+
+/// The sending side; clones share its room.
+pub struct Mailbox<T> {
+    tx: mpsc::Sender<T>,
+    room: Arc<Room>,
+}
+
+impl<T> Clone for Mailbox<T> {
+    fn clone(&self) -> Mailbox<T> {
+        Mailbox { tx: self.tx.clone(), room: self.room.clone() }
+    }
+}
+
+/// The receiving side; dropping it lets every waiting sender go.
+pub struct Mail<T> {
+    rx: mpsc::Receiver<T>,
+    room: Arc<Room>,
+}
+
+/// A mailbox for at most `room` letters.
+pub fn mailbox<T>(room: usize) -> (Mailbox<T>, Mail<T>) {
+    let (tx, rx) = mpsc::channel();
+    let room = Arc::new(Room { free: Semphore::new(room), closed: AtomicBool::new(false) });
+    (Mailbox { tx, room: room.clone() }, Mail { rx, room })
+}
+
+impl<T> Mailbox<T> {
+    /// Waits for room, then sends.
+    pub fn send(&self, letter: T) -> Result<(), Gone> {
+        self.room.free.wait();
+        if self.room.closed.load(Ordering::Acquire) {
+            // Passes the place on to the next sender that waits.
+            self.room.free.post();
+            return Err(Gone);
+        }
+        self.tx.send(letter).map_err(|_| Gone)
+    }
+
+    /// Sends past the bound: for the few letters of the owner's own making, never for what peers send.
+    pub fn send_urgent(&self, letter: T) -> Result<(), Gone> {
+        self.room.free.post();
+        self.send(letter)
+    }
+}
+
+impl<T> Mail<T> {
+    pub fn try_next(&self) -> Option<T> {
+        let letter = self.rx.try_recv().ok()?;
+        self.room.free.post();
+        Some(letter)
+    }
+
+    /// The next letter, if one comes in that time.
+    pub fn next_within(&self, time: Duration) -> Option<T> {
+        if time.is_zero() {
+            return self.try_next();
+        }
+        // Guards against waits without end: `may` keeps time-outs in whole milliseconds, cuts the rest off,
+        // takes 0 for 'for ever', and begins the whole wait anew when it wakes short of the deadline.
+        let whole = Duration::from_millis(time.as_micros().div_ceil(1000) as u64);
+        let letter = self.rx.recv_timeout(whole).ok()?;
+        self.room.free.post();
+        Some(letter)
+    }
+}
+
+impl<T> Drop for Mail<T> {
+    fn drop(&mut self) {
+        self.room.closed.store(true, Ordering::Release);
+        self.room.free.post();
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::time::Instant;
+
+    /// A wait far shorter than a millisecond must end by itself; with the crate's own rounding it never did.
+    #[test]
+    fn the_shortest_wait_ends() {
+        let (mailbox, mail) = mailbox::<u32>(4);
+        let waiter = crate::start(crate::SMALL_STACK, move || {
+            for micros in [1, 10, 999, 1001, 2500] {
+                let begin = Instant::now();
+                assert!(mail.next_within(Duration::from_micros(micros)).is_none());
+                assert!(begin.elapsed() >= Duration::from_micros(micros));
+            }
+        });
+        assert!(waiter.unwrap().join().is_ok());
+        drop(mailbox);
+    }
+
+    #[test]
+    fn a_full_mailbox_holds_its_senders_and_lets_them_go_when_its_owner_leaves() {
+        let (mailbox, mail) = mailbox::<u32>(2);
+        let sender = crate::start(crate::SMALL_STACK, move || {
+            let sent = (0..10).take_while(|n| mailbox.send(*n).is_ok()).count();
+            assert!((2..10).contains(&sent), "{sent} sent past a bound of 2 and an owner that left");
+        });
+        let sender = sender.unwrap();
+        while mail.room.free.get_value() > 0 {
+            std::thread::yield_now();
+        }
+        drop(mail);
+        assert!(sender.join().is_ok());
+    }
+}
--- /dev/null
+++ b/crates/transport/src/log.rs
@@ -0,0 +1,43 @@
+//! One structured log event for each thing that a front tells; docs/operators/front.md explains them.
+
+use shalespindle_front::{Event, Outcome};
+use tracing::{debug, info, warn};
+
+/// Writes an event to the log; `front` names the front.
+pub fn log_event(front: &str, event: &Event) {
+    match event {
+        Event::Final(a) => {
+            let pool = a.pool.map(|p| p.to_string()).unwrap_or_default();
+            let (after_ms, set_up_ms) = (a.after * 1000.0, a.set_up * 1000.0);
+            let outcome = a.outcome.name();
+            match a.outcome {
+                Outcome::Stands | Outcome::Left | Outcome::Refused => info!(
+                    target: "shalespindle::attach", front, session = &*a.session, number = &*a.number, outcome,
+                    status = a.status, pool, tries = a.tries, after_ms, set_up_ms, "final answer"
+                ),
+                Outcome::Fails => warn!(
+                    target: "shalespindle::attach", front, session = &*a.session, number = &*a.number, outcome,
+                    status = a.status, pool, tries = a.tries, after_ms, set_up_ms, "final answer"
+                ),
+            }
+        }
+        Event::Released { session, cut, stood_for } => info!(
+            target: "shalespindle::attach", front, session = &**session, cut, stood_for_s = stood_for, "released"
+        ),
+        Event::Pool { server, number, state, age } => info!(
+            target: "shalespindle::list", front, %server, pool = number, state, age_s = age, "server listed"
+        ),
+        Event::LinkUp { server } => info!(target: "shalespindle::link", front, %server, "connected"),
+        Event::LinkLost { server, cut, retry_after } => warn!(
+            target: "shalespindle::link", front, %server, cut, retry_after_s = retry_after, "connection lost"
+        ),
+        Event::TakenBack { server, count } => {
+            info!(target: "shalespindle::link", front, %server, count, "set-ups taken back")
+        }
+        Event::Feed { what, detail } => warn!(target: "shalespindle::list", front, what, detail, "feed"),
+        Event::BadInput { from, why } => debug!(target: "shalespindle::input", front, from, why, "bad input"),
+        Event::Ending { in_hand, standing } => {
+            info!(target: "shalespindle::front", front, in_hand, standing, "ending")
+        }
+    }
+}
--- /dev/null
+++ b/crates/transport/src/owner.rs
@@ -0,0 +1,281 @@
+//! The coroutine that owns a front: letters in, turns, outputs out.
+
+use crate::readers;
+use crate::service::Snapshot;
+use hdrhistogram::Histogram;
+use may::net::UdpSocket;
+use shalespindle_front::{Event, Front, Input, LinkId, Output};
+use shalespindle_sockets::{Ground, Mail, Mailbox, Outgoing, Sent};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{mpsc, Arc};
+use std::time::Duration;
+
+/// Letters handled before the front decides.
+const BATCH: usize = 256;
+/// Bytes that may wait for a caller that does not read.
+const CALLER_BACKLOG: usize = 256 * 1024;
+/// What readers get to read what came while the process stood still.
+const SETTLE: Duration = Duration::from_millis(10);
+
+/// What reaches the owner.
+pub(crate) enum Letter {
+    Datagram { arrived: f64, from: SocketAddr, bytes: Vec<u8> },
+    Caller { stream: u64, outgoing: Outgoing },
+    CallerBytes { arrived: f64, stream: u64, bytes: Vec<u8> },
+    CallerClosed { stream: u64 },
+    CallerThrough { stream: u64 },
+    Connected { id: LinkId, outgoing: Outgoing },
+    LinkLost { id: LinkId },
+    LinkBytes { arrived: f64, id: LinkId, bytes: Vec<u8> },
+    Through { id: LinkId },
+    FeedConnected,
+    FeedBytes { bytes: Vec<u8> },
+    FeedLost,
+    Snapshot(mpsc::Sender<Snapshot>),
+    End,
+    Stop,
+}
+
+struct Caller {
+    outgoing: Outgoing,
+    /// Bytes that wait while the rest of an earlier write is under way.
+    waiting: Vec<u8>,
+    busy: bool,
+}
+
+/// A hook for each event, beside the log.
+pub(crate) type Hook = Box<dyn FnMut(&Event) + Send>;
+
+pub(crate) struct Owner {
+    pub front: Front,
+    pub ground: Ground,
+    pub udp: UdpSocket,
+    pub mailbox: Mailbox<Letter>,
+    pub mail: Mail<Letter>,
+    pub hook: Hook,
+    pub connect_within: Duration,
+    pub connections: Arc<AtomicUsize>,
+    callers: HashMap<u64, Caller>,
+    links: HashMap<LinkId, Outgoing>,
+    /// Asked for and not yet there.
+    connecting: HashMap<LinkId, ()>,
+    /// How late the owner was, microseconds.
+    lag: Histogram<u64>,
+    dropped: u64,
+}
+
+impl Owner {
+    #[allow(clippy::too_many_arguments)]
+    pub fn new(
+        front: Front,
+        ground: Ground,
+        udp: UdpSocket,
+        mailbox: Mailbox<Letter>,
+        mail: Mail<Letter>,
+        hook: Hook,
+        connect_within: Duration,
+        connections: Arc<AtomicUsize>,
+    ) -> Option<Owner> {
+        // 1 us to 100 s, two figures: enough to tell a millisecond from two.
+        let lag = Histogram::new_with_bounds(1, 100_000_000, 2).ok()?;
+        Some(Owner {
+            front,
+            ground,
+            udp,
+            mailbox,
+            mail,
+            hook,
+            connect_within,
+            connections,
+            callers: HashMap::new(),
+            links: HashMap::new(),
+            connecting: HashMap::new(),
+            lag,
+            dropped: 0,
+        })
+    }
+
+    /// Runs until it is stopped, or until it was asked to end and nothing is left.
+    pub fn run(mut self) {
+        loop {
+            let due = self.front.wake_at();
+            let first = self.mail.next_within(self.ground.until(due));
+            if self.ground.just_went_on() {
+                // Guards rule 3 and callers' patience: all that came meanwhile is known before it decides.
+                may::coroutine::sleep(SETTLE);
+            }
+            let now = self.ground.now();
+            if first.is_none() && due.is_finite() && now > due {
+                self.late(now - due);
+            }
+            let mut next = first;
+            let mut taken = 0;
+            while let Some(letter) = next {
+                if !self.take(letter) {
+                    return;
+                }
+                taken += 1;
+                next = if taken < BATCH { self.mail.try_next() } else { None };
+            }
+            let now = self.ground.now();
+            self.front.turn(now);
+            self.carry(now);
+            if self.front.is_done() {
+                return;
+            }
+        }
+    }
+
+    fn late(&mut self, seconds: f64) {
+        self.lag.saturating_record((seconds * 1e6) as u64);
+    }
+
+    fn take(&mut self, letter: Letter) -> bool {
+        let now = self.ground.now();
+        let front = &mut self.front;
+        match letter {
+            Letter::Datagram { arrived, from, bytes } => {
+                self.lag.saturating_record(((now - arrived) * 1e6) as u64);
+                front.take(now, arrived, Input::Datagram { from, bytes: &bytes });
+            }
+            Letter::Caller { stream, outgoing } => {
+                self.callers.insert(stream, Caller { outgoing, waiting: Vec::new(), busy: false });
+            }
+            Letter::CallerBytes { arrived, stream, bytes } => {
+                front.take(now, arrived, Input::CallerBytes { stream, bytes: &bytes });
+            }
+            Letter::CallerClosed { stream } => {
+                self.callers.remove(&stream);
+                front.take(now, now, Input::CallerClosed { stream });
+            }
+            Letter::CallerThrough { stream } => {
+                if let Some(caller) = self.callers.get_mut(&stream) {
+                    caller.busy = false;
+                    let waiting = std::mem::take(&mut caller.waiting);
+                    self.write_caller(stream, waiting);
+                }
+            }
+            Letter::Connected { id, outgoing } => {
+                if self.connecting.remove(&id).is_none() {
+                    outgoing.close(false);
+                    return true;
+                }
+                self.links.insert(id, outgoing);
+                front.take(now, now, Input::Connected { id });
+            }
+            Letter::LinkLost { id } => {
+                self.connecting.remove(&id);
+                self.links.remove(&id);
+                front.take(now, now, Input::LinkLost { id });
+            }
+            Letter::LinkBytes { arrived, id, bytes } => {
+                self.lag.saturating_record(((now - arrived) * 1e6) as u64);
+                front.take(now, arrived, Input::LinkBytes { id, bytes: &bytes });
+            }
+            Letter::Through { id } => front.take(now, now, Input::Writable { id }),
+            Letter::FeedConnected => front.take(now, now, Input::FeedConnected),
+            Letter::FeedBytes { bytes } => front.take(now, now, Input::FeedBytes { bytes: &bytes }),
+            Letter::FeedLost => front.take(now, now, Input::FeedLost),
+            Letter::Snapshot(to) => {
+                let quantile = |q| Duration::from_micros(self.lag.value_at_quantile(q));
+                let (attaches, legs) = front.held();
+                let snapshot = Snapshot {
+                    counters: front.counters(),
+                    in_hand: front.in_hand(),
+                    standing: front.standing(),
+                    attaches_held: attaches,
+                    legs_held: legs,
+                    datagrams_dropped: self.dropped,
+                    lag_p50: quantile(0.5),
+                    lag_p99: quantile(0.99),
+                };
+                // Whoever asked may have gone; there is nobody to tell then.
+                let _ = to.send(snapshot);
+            }
+            Letter::End => front.take(now, now, Input::End),
+            Letter::Stop => return false,
+        }
+        true
+    }
+
+    fn carry(&mut self, now: f64) {
+        while let Some(output) = self.front.next_output(now) {
+            match output {
+                // A datagram that does not fit is lost like any other; its sender repeats it.
+                Output::Datagram { to, bytes } => {
+                    if self.udp.inner().send_to(&bytes, to).is_err() {
+                        self.dropped += 1;
+                    }
+                }
+                Output::ToCaller { stream, bytes } => self.write_caller(stream, bytes),
+                Output::CloseCaller { stream } => {
+                    if let Some(caller) = self.callers.remove(&stream) {
+                        caller.outgoing.close(false);
+                    }
+                }
+                Output::Connect { id, to } => {
+                    self.connecting.insert(id, ());
+                    readers::connect(id, to, self.connect_within, self.mailbox.clone(), self.ground.clone());
+                }
+                Output::ToServer { id, bytes } => {
+                    let mailbox = self.mailbox.clone();
+                    let Some(outgoing) = self.links.get_mut(&id) else { continue };
+                    let through = move || {
+                        let _ = mailbox.send_urgent(Letter::Through { id });
+                    };
+                    match outgoing.write(&bytes, through) {
+                        Sent::Whole => {}
+                        Sent::Partly => self.front.take(now, now, Input::Blocked { id }),
+                        // The reader reports the loss; until then nothing more is tried.
+                        Sent::Lost => self.front.take(now, now, Input::Blocked { id }),
+                    }
+                }
+                Output::CloseLink { id, reset } => {
+                    self.connecting.remove(&id);
+                    if let Some(outgoing) = self.links.remove(&id) {
+                        outgoing.close(reset);
+                    }
+                }
+                Output::Event(event) => (self.hook)(&event),
+            }
+        }
+    }
+
+    fn write_caller(&mut self, stream: u64, bytes: Vec<u8>) {
+        let Some(caller) = self.callers.get_mut(&stream) else { return };
+        if bytes.is_empty() {
+            return;
+        }
+        if caller.busy {
+            caller.waiting.extend_from_slice(&bytes);
+            if caller.waiting.len() > CALLER_BACKLOG {
+                // Guards memory against callers that ask and never read.
+                caller.outgoing.close(true);
+            }
+            return;
+        }
+        let mailbox = self.mailbox.clone();
+        let through = move || {
+            let _ = mailbox.send_urgent(Letter::CallerThrough { stream });
+        };
+        match caller.outgoing.write(&bytes, through) {
+            Sent::Whole => {}
+            Sent::Partly => caller.busy = true,
+            Sent::Lost => caller.outgoing.close(false),
+        }
+    }
+}
+
+impl Drop for Owner {
+    fn drop(&mut self) {
+        for outgoing in self.links.values() {
+            outgoing.close(false);
+        }
+        for caller in self.callers.values() {
+            caller.outgoing.close(false);
+        }
+        self.connections.store(0, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/transport/src/service.rs
@@ -0,0 +1,136 @@
+//! A front in service: its sockets, its coroutines, and the handle that ends them.
+
+use crate::log::log_event;
+use crate::owner::{Hook, Letter, Owner};
+use crate::readers;
+use may::net::{TcpListener, UdpSocket};
+use shalespindle_front::{Counters, Event, Front};
+use shalespindle_settings::Settings;
+use shalespindle_sockets::{end, mailbox, start, Ground, Handle, Mailbox, LARGE_STACK};
+use socket2::SockRef;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::AtomicUsize;
+use std::sync::{mpsc, Arc};
+use std::time::Duration;
+
+/// Letters that may wait for a front.
+const ROOM: usize = 8192;
+/// Asked of the kernel for each front's datagrams: what comes while the process stands still.
+const DATAGRAM_BUFFER: usize = 4 << 20;
+
+/// A front's state at one moment.
+#[derive(Clone, Debug)]
+pub struct Snapshot {
+    pub counters: Counters,
+    pub in_hand: usize,
+    pub standing: usize,
+    pub attaches_held: usize,
+    pub legs_held: usize,
+    pub datagrams_dropped: u64,
+    /// How late the owner handled what came and what was due.
+    pub lag_p50: Duration,
+    pub lag_p99: Duration,
+}
+
+/// A front in service. Dropping it stops the front at once and leaves nothing running.
+pub struct Service {
+    address: SocketAddr,
+    mailbox: Mailbox<Letter>,
+    readers: Vec<Handle>,
+    owner: Option<Handle>,
+    feed: Option<Handle>,
+}
+
+impl Service {
+    /// Opens the sockets and starts the coroutines; the port may be 0 for any free one. Events go to the log.
+    pub fn start(settings: &Settings, seed: u64, ground: Ground) -> io::Result<Service> {
+        Service::start_with(settings, seed, ground, |_| {})
+    }
+
+    /// The same, with a hook for each event beside the log.
+    pub fn start_with(
+        settings: &Settings,
+        seed: u64,
+        ground: Ground,
+        mut hook: impl FnMut(&Event) + Send + 'static,
+    ) -> io::Result<Service> {
+        let (udp, listener) = bind(settings.front.listen)?;
+        let address = listener.local_addr()?;
+        // A refusal costs only room for datagrams while the process stands still.
+        let _ = SockRef::from(udp.inner()).set_recv_buffer_size(DATAGRAM_BUFFER);
+        let mut params = settings.params();
+        if settings.front.host.is_none() {
+            params.host = address.to_string();
+        }
+        let connect_within = Duration::from_secs_f64(params.connect_within);
+        let name = params.host.clone();
+        let front = Front::new(params, seed, ground.now());
+        let (outgoing, mail) = mailbox(ROOM);
+        let open = Arc::new(AtomicUsize::new(0));
+        let writer = udp.try_clone()?;
+        let most = settings.limits.caller_connections;
+        let readers = vec![
+            readers::datagrams(udp, outgoing.clone(), ground.clone())?,
+            readers::callers(listener, outgoing.clone(), ground.clone(), most, open.clone())?,
+        ];
+        let longest = settings.pool_list.reconnect_longest.0;
+        let feed = readers::feed(settings.pool_list.feed, connect_within, longest, outgoing.clone())?;
+        let hook: Hook = Box::new(move |event| {
+            log_event(&name, event);
+            hook(event);
+        });
+        let owner = Owner::new(front, ground, writer, outgoing.clone(), mail, hook, connect_within, open)
+            .ok_or_else(|| io::Error::other("no histogram of that range"))?;
+        let owner = start(LARGE_STACK, move || owner.run())?;
+        Ok(Service { address, mailbox: outgoing, readers, owner: Some(owner), feed: Some(feed) })
+    }
+
+    /// Where callers reach it.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Its state now; none once it has ended.
+    pub fn snapshot(&self) -> Option<Snapshot> {
+        let (to, from) = mpsc::channel();
+        self.mailbox.send_urgent(Letter::Snapshot(to)).ok()?;
+        from.recv_timeout(Duration::from_secs(5)).ok()
+    }
+
+    /// Asks for an orderly end: no new attaches, those in hand answered, standing ones waited for.
+    pub fn end(&self) {
+        let _ = self.mailbox.send_urgent(Letter::End);
+    }
+
+    /// Whether it has ended.
+    pub fn is_over(&self) -> bool {
+        self.owner.as_ref().is_none_or(|o| o.is_done())
+    }
+}
+
+impl Drop for Service {
+    fn drop(&mut self) {
+        let _ = self.mailbox.send_urgent(Letter::Stop);
+        if let Some(owner) = self.owner.take() {
+            // A panic in the owner has been reported by its own message.
+            let _ = owner.join();
+        }
+        for reader in self.readers.drain(..).chain(self.feed.take()) {
+            end(reader);
+        }
+    }
+}
+
+/// Datagrams and streams on one port; with port 0, tries until one is free for both.
+fn bind(address: SocketAddr) -> io::Result<(UdpSocket, TcpListener)> {
+    let mut tries = 0;
+    loop {
+        let listener = TcpListener::bind(address)?;
+        match UdpSocket::bind(listener.local_addr()?) {
+            Ok(udp) => return Ok((udp, listener)),
+            Err(why) if address.port() != 0 || tries == 20 => return Err(why),
+            Err(_) => tries += 1,
+        }
+    }
+}
