Fuzz seeds wait for the 100 that now comes after 200 ms

Cause: since a 100 is sent only after 200 ms the fuzz run found no answer to build its in-dialog seeds from and failed.

--- a/crates/front/tests/attaches.rs
+++ b/crates/front/tests/attaches.rs
@@ -17,15 +17,15 @@
     assert_eq!(m.session(), Some(format!("{:0>32}", 1).as_str()));
     assert_eq!(m.header("Max-Forwards"), Some("69"));
     b.pass(0.1);
-    b.from_server(1, &reply(&set_up, 200, "Contact: <sip:x@10.0.0.1>\r\nContent-Type: application/sdp\r\n"));
+    b.server_sends(1, &reply(&set_up, 200, "Contact: <sip:x@10.0.0.1>\r\nContent-Type: application/sdp\r\n"));
     assert_eq!((b.finals(), b.count("ACK sip:x@10.0.0.1")), (vec![200], 1));
     let ok = b.answers.last().unwrap().clone();
-    b.from_caller(&within(&ok, "ACK", "a"));
-    b.from_caller(&within(&ok, "BYE", "b"));
+    b.caller_sends(&within(&ok, "ACK", "a"));
+    b.caller_sends(&within(&ok, "BYE", "b"));
     assert!(b.answers.last().unwrap().starts_with("SIP/2.0 200"));
     let bye = b.frames.last().unwrap().1.clone();
     assert!(bye.starts_with("BYE sip:x@10.0.0.1"));
-    b.from_server(1, &reply(&bye, 200, ""));
+    b.server_sends(1, &reply(&bye, 200, ""));
     assert_eq!(b.front.standing(), 0);
     b.pass(40.0);
     assert_eq!(b.front.held(), (0, 0), "nothing is kept");
@@ -51,7 +51,7 @@
     let mut b = Bench::new(1);
     b.invite("1", "tg-0", 3000);
     let (_, set_up) = b.last_set_up();
-    b.from_server(0, &reply(&set_up, 200, ""));
+    b.server_sends(0, &reply(&set_up, 200, ""));
     let m = Message::parse(set_up.as_bytes()).unwrap();
     let bye = format!(
         "BYE sip:front SIP/2.0\r\nVia: SIP/2.0/TCP s;branch=z9hG4bKq\r\nFrom: {};tag=s\r\nTo: {}\r\n\
@@ -60,23 +60,23 @@
         m.from().unwrap(),
         m.call_id().unwrap()
     );
-    b.from_server(0, &bye);
+    b.server_sends(0, &bye);
     assert!(b.frames.last().unwrap().1.starts_with("SIP/2.0 200"));
     assert!(b.answers.last().unwrap().starts_with("BYE sip:r@127.0.0.1:5070"));
     let repeats = b.answers.len();
     b.pass(1.0);
     assert!(b.answers.len() > repeats, "over datagrams our BYE is repeated until it is answered");
     let bye = b.answers.last().unwrap().clone();
-    b.from_caller(&reply(&bye, 200, ""));
+    b.caller_sends(&reply(&bye, 200, ""));
     let repeats = b.answers.len();
     b.pass(40.0);
     assert_eq!((b.answers.len(), b.front.held()), (repeats, (0, 0)));
     // Another server cannot end a call that is not its own.
     b.invite("2", "tg-0", 3000);
     let (_, set_up) = b.last_set_up();
-    b.from_server(0, &reply(&set_up, 200, ""));
+    b.server_sends(0, &reply(&set_up, 200, ""));
     let id = Message::parse(set_up.as_bytes()).unwrap().call_id().unwrap().to_string();
-    b.from_server(1, &bye.replace("Call-ID: 1", &format!("Call-ID: {id}")));
+    b.server_sends(1, &bye.replace("Call-ID: 1", &format!("Call-ID: {id}")));
     assert_eq!(b.front.standing(), 1);
 }
 
@@ -88,19 +88,19 @@
     }
     assert_eq!((b.set_ups(), b.front.counters().offered, b.front.counters().repeats), (1, 1, 2));
     let (_, set_up) = b.last_set_up();
-    b.from_server(0, &reply(&set_up, 200, ""));
+    b.server_sends(0, &reply(&set_up, 200, ""));
     let before = b.finals().len();
     b.pass(1.6);
     assert_eq!(b.finals().len(), before + 2, "at 0.5 and 1.5 s");
     let ok = b.answers.last().unwrap().clone();
-    b.from_caller(&within(&ok, "ACK", "a"));
+    b.caller_sends(&within(&ok, "ACK", "a"));
     let before = b.finals().len();
     b.pass(20.0);
     assert_eq!(b.finals().len(), before);
     // Never confirmed: ended on both sides after 64 T1 (RFC 3261 section 13.3.1.4).
     b.invite("2", "tg-0", 3000);
     let (_, set_up) = b.last_set_up();
-    b.from_server(0, &reply(&set_up, 200, ""));
+    b.server_sends(0, &reply(&set_up, 200, ""));
     b.pass(33.0);
     assert!(b.answers.iter().any(|a| a.starts_with("BYE")) && b.count("BYE") == 1);
 }
@@ -110,11 +110,11 @@
     let mut b = Bench::new(1);
     b.invite("1", "tg-0", 3000);
     let (_, set_up) = b.last_set_up();
-    b.from_caller(
+    b.caller_sends(
         &invite("1", "tg-0", 3000).replace("INVITE sip", "CANCEL sip").replace("1 INVITE", "1 CANCEL"),
     );
     assert_eq!((b.finals(), b.count("CANCEL")), (vec![487], 1));
-    b.from_server(0, &reply(&set_up, 200, ""));
+    b.server_sends(0, &reply(&set_up, 200, ""));
     assert_eq!((b.count("ACK"), b.count("BYE")), (1, 1), "a late 200 is met with ACK and BYE");
     assert_eq!(b.finals(), [487]);
     assert_eq!(b.front.counters().late_answers, 1);
@@ -142,7 +142,7 @@
     let mut b = Bench::new(1);
     b.invite("1", "tg-0", 8000);
     let (_, set_up) = b.last_set_up();
-    b.from_server(0, &reply(&set_up, 200, ""));
+    b.server_sends(0, &reply(&set_up, 200, ""));
     b.invite("2", "tg-0", 8000);
     assert_eq!(b.set_ups(), 2);
     let id = b.links[&server(0)];
@@ -188,7 +188,7 @@
             "time-out" => b.pass(2.1),
             _ => {
                 let cancel = invite("2", "tg-0", 8000).replace("INVITE sip", "CANCEL sip");
-                b.from_caller(&cancel.replace("1 INVITE", "1 CANCEL"));
+                b.caller_sends(&cancel.replace("1 INVITE", "1 CANCEL"));
             }
         }
         b.full.clear();
@@ -228,7 +228,7 @@
     b.invite("2", "tg-1", 1500);
     let (to, set_up) = b.last_set_up();
     b.now += 3.0;
-    b.from_server(to.port() - 6000, &reply(&set_up, 200, ""));
+    b.server_sends(to.port() - 6000, &reply(&set_up, 200, ""));
     assert!(b.finals().iter().all(|s| *s == 480), "repeated until an ACK comes, but never changed");
     assert_eq!((b.front.standing(), b.front.counters().late_answers), (0, 1));
 }
@@ -250,7 +250,7 @@
     ];
     for (text, status) in rows {
         b.answers.clear();
-        b.from_caller(&text);
+        b.caller_sends(&text);
         assert_eq!(b.answers.len(), 1, "{text}");
         assert!(b.answers[0].starts_with(&format!("SIP/2.0 {status} ")), "{text}\n{}", b.answers[0]);
     }
@@ -305,7 +305,7 @@
     assert_eq!(b.finals(), [503]);
     assert!(b.answers.last().unwrap().contains("Retry-After: "));
     assert!(!b.front.is_done());
-    b.from_server(0, &reply(&set_up, 200, ""));
+    b.server_sends(0, &reply(&set_up, 200, ""));
     assert!(!b.front.is_done(), "it stands");
     b.pass(10.1);
     assert!(b.front.is_done() && b.count("BYE") == 1, "standing ones are released in the end");
@@ -324,7 +324,7 @@
             b.pass(0.02);
             let (to, set_up) = b.last_set_up();
             if call % 3 == 0 {
-                b.from_server(to.port() - 6000, &reply(&set_up, 200, "Processor-Wait-Ms: 5\r\n"));
+                b.server_sends(to.port() - 6000, &reply(&set_up, 200, "Processor-Wait-Ms: 5\r\n"));
             }
         }
         (b.answers, b.frames)
@@ -343,10 +343,10 @@
         let (to, set_up) = b.last_set_up();
         let n = to.port() - 6000;
         match call % 7 {
-            0 | 3 | 5 | 6 => b.from_server(n, &reply(&set_up, 200, "Processor-Wait-Ms: 4\r\nLines: 50\r\n")),
-            1 => b.from_server(n, &reply(&set_up, 503, "Retry-After: 1;ms=20\r\n")),
+            0 | 3 | 5 | 6 => b.server_sends(n, &reply(&set_up, 200, "Processor-Wait-Ms: 4\r\nLines: 50\r\n")),
+            1 => b.server_sends(n, &reply(&set_up, 503, "Retry-After: 1;ms=20\r\n")),
             2 if call % 70 == 2 => {
-                b.from_server(n, &reply(&set_up, 480, "Reason: Q.850;cause=34\r\nFree-Lines: 0\r\n"))
+                b.server_sends(n, &reply(&set_up, 480, "Reason: Q.850;cause=34\r\nFree-Lines: 0\r\n"))
             }
             4 if call % 100 == 4 => b.list(false, &[(n, "draining")]),
             1 if call % 50 == 8 || call % 50 == 15 => {
--- a/crates/front/tests/common/mod.rs
+++ b/crates/front/tests/common/mod.rs
@@ -164,14 +164,14 @@
 
     pub fn invite(&mut self, call: &str, group: &str, patience_ms: u32) {
         let text = invite(call, group, patience_ms);
-        self.from_caller(&text);
+        self.caller_sends(&text);
     }
 
-    pub fn from_caller(&mut self, text: &str) {
+    pub fn caller_sends(&mut self, text: &str) {
         self.take(Input::Datagram { from: caller(), bytes: text.as_bytes() });
     }
 
-    pub fn from_server(&mut self, n: u16, text: &str) {
+    pub fn server_sends(&mut self, n: u16, text: &str) {
         let id = self.links[&server(n)];
         self.take(Input::LinkBytes { id, bytes: text.as_bytes() });
     }
--- a/crates/front/tests/fuzz.rs
+++ b/crates/front/tests/fuzz.rs
@@ -43,7 +43,9 @@
     let mut all = Vec::new();
     for call in 0..8 {
         let text = invite(&format!("{call}"), "tg-0", 8000);
-        b.from_caller(&text);
+        b.caller_sends(&text);
+        // Its 100 comes after 200 ms and names the dialog.
+        b.pass(0.25);
         let (_, set_up) = b.last_set_up();
         for status in [100, 180, 200, 480, 486, 487, 503] {
             all.push(reply(
