--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -55,12 +55,12 @@
             }
             Err(code) => Ok(code),
         },
-        Lab::Compare { a, b, pairs, seed, baseline } => {
+        Lab::Compare { a, b, pairs, seed, levels, baseline } => {
+            let with = if levels { Variant::WithLevels } else { variant(baseline) };
             let b = b.unwrap_or_else(|| a.clone());
             match (scenario(&a), scenario(&b)) {
                 (Ok(first), Ok(second)) => {
-                    let result =
-                        compare((&first, Variant::Module), (&second, variant(baseline)), seed, pairs);
+                    let result = compare((&first, Variant::Module), (&second, with), seed, pairs);
                     print!("{result}");
                     Ok(if result.rules_kept { ExitCode::SUCCESS } else { ExitCode::FAILURE })
                 }
--- a/crates/front/src/callers.rs
+++ b/crates/front/src/callers.rs
@@ -6,7 +6,8 @@
 use crate::told::Told;
 use rand::Rng;
 use shalespindle_control::interface::NewAttach;
-use shalespindle_signalling::message::{address, tag, Message, Method, ParseError};
+use shalespindle_levels::{Ask, Door};
+use shalespindle_signalling::message::{address, host, tag, Message, Method, ParseError};
 use shalespindle_signalling::transaction::{oldest_copy, Client, InviteServer, Todo, LONG, T4};
 use shalespindle_signalling::write::{ResponseHead, Writer};
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -199,6 +200,7 @@
             last: Vec::new(),
             bye: None,
             remove_at: f64::INFINITY,
+            ticket: None,
             transaction: transaction.clone().into_boxed_str(),
         });
         self.by_transaction.insert(transaction.into_boxed_str(), key);
@@ -210,13 +212,43 @@
             let pause = self.params.deployment.longest_pause;
             return self.final_answer(now, key, Outcome::Refused, 503, Some(pause).filter(|p| *p > 0.0));
         }
+        let number = number_called(called.number);
+        if let Some(pause) = self.refused_by_level(now, key, procedure, number) {
+            return self.final_answer(now, key, Outcome::Refused, 503, Some(pause).filter(|p| *p > 0.0));
+        }
         // RFC 3261 section 17.2.1: a 100 unless an answer follows within 200 ms, which it mostly does.
         self.timers.set(now + TRYING, Due::Caller { key, serial });
-        let number = number_called(called.number);
         let new = NewAttach { ue, procedure, first_choice, number, gives_up_at };
         self.control.tell(now, Told::Arrived(new));
     }
 
+    /// What the level of reduced service says of an attach; the pause where it refuses.
+    fn refused_by_level(&mut self, now: f64, key: usize, procedure: usize, number: u64) -> Option<f64> {
+        let levels = self.levels.as_mut()?;
+        let procedures = &self.params.deployment.procedures;
+        let told = procedures.get(procedure)?;
+        let highest = procedures.iter().fold(0.0, |top: f64, p| top.max(p.utility));
+        let attach = &mut self.attaches[key];
+        let tenant = host(&attach.caller).and_then(|h| self.params.tenants.get(h).copied());
+        let ask = Ask {
+            number,
+            worth: told.utility / highest,
+            late_share: told.late_share,
+            latency_target: told.latency_target,
+            tenant,
+        };
+        match levels.ask(now, &ask) {
+            Door::Take(ticket) => {
+                attach.ticket = Some(ticket);
+                None
+            }
+            Door::Refuse { pause } => {
+                self.counters.level_refused += 1;
+                Some(pause)
+            }
+        }
+    }
+
     fn procedure(&mut self, message: &Message) -> usize {
         let Some(value) = message.header("Resource-Priority") else { return self.params.usual_procedure };
         let known = value.split(',').find_map(|v| self.params.priorities.get(v.trim()).copied());
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -9,6 +9,7 @@
 use rand_chacha::ChaCha8Rng;
 use shalespindle_control::control::Control;
 use shalespindle_control::interface::*;
+use shalespindle_levels::{Levels, Status, Ticket};
 use shalespindle_signalling::timers::Timers;
 use shalespindle_signalling::transaction::{Client, InviteServer};
 use shalespindle_signalling::write::ResponseHead;
@@ -20,9 +21,16 @@
 /// Bytes from which no further frame joins a write: well under what an idle socket takes.
 const TOGETHER: usize = 8 * 1024;
 
+/// Least time between two looks at the levels for time's sake, seconds.
+const LEVELS_APART: f64 = 0.01;
+/// Lateness from which this front itself, not its servers, was slow, seconds.
+const STOOD_STILL: f64 = 0.25;
+
 /// What falls due.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Due {
+    /// The level of reduced service may move by time alone.
+    Level,
     /// The decision module asked to be woken.
     Control,
     /// The time-out of the leg with that key and serial number.
@@ -95,6 +103,8 @@
     /// Our BYE to the caller.
     pub bye: Option<(Client, Vec<u8>)>,
     pub remove_at: f64,
+    /// By which the levels judge how it ended.
+    pub ticket: Option<Ticket>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -140,6 +150,8 @@
     pub(crate) params: Params,
     pub(crate) started: f64,
     pub(crate) control: Tapped,
+    pub(crate) levels: Option<Levels>,
+    level_wake: f64,
     pub(crate) rng: ChaCha8Rng,
     /// Tells this front's names of dialogs and transactions from another's.
     pub(crate) tag: String,
@@ -178,9 +190,12 @@
     fn made(params: Params, mut rng: ChaCha8Rng, router: Box<dyn Router>, now: f64) -> Front {
         let control = Tapped::new(router);
         let tag = format!("{:012x}", rng.random::<u64>() >> 16);
+        let levels = params.levels.clone().map(|params| Levels::new(rng.random(), params, now));
         Front {
             params,
             started: now,
+            levels,
+            level_wake: f64::INFINITY,
             control,
             rng,
             tag,
@@ -253,6 +268,12 @@
     pub fn take(&mut self, now: f64, arrived: f64, input: Input) {
         // Guards rule 1 where this front was held up: what is overdue counts before what comes late, so that
         // an answer past its try's time-out is a late one.
+        let overdue = now - self.timers.next();
+        if overdue > STOOD_STILL || now - arrived > STOOD_STILL {
+            if let Some(levels) = &mut self.levels {
+                levels.stood_still(now);
+            }
+        }
         self.run_due(now);
         match input {
             Input::Datagram { from, bytes } => {
@@ -279,6 +300,7 @@
     pub fn turn(&mut self, now: f64) {
         self.run_due(now);
         self.decide(now);
+        self.heed_levels(now);
     }
 
     fn run_due(&mut self, now: f64) {
@@ -290,11 +312,52 @@
                 Due::Release { key, serial } => self.bye_due(now, key, serial),
                 Due::Drained { link, connection } => self.drain_due(now, link, connection),
                 Due::Link { link, connection } => self.link_due(now, link, connection),
+                Due::Level => {
+                    self.level_wake = f64::INFINITY;
+                    if let Some(levels) = &mut self.levels {
+                        levels.tick(now);
+                    }
+                }
                 Due::End => self.release_all(now),
             }
         }
     }
 
+    /// What the levels have to say since the last turn, and when they want to be asked again.
+    fn heed_levels(&mut self, now: f64) {
+        let Some(levels) = &mut self.levels else { return };
+        while let Some(change) = levels.next_change() {
+            let takes = levels.takes_in_words(change.to);
+            let event = Event::Level { from: change.from, to: change.to, why: change.why, takes };
+            self.outputs.push_back(Output::Event(event));
+        }
+        let due = levels.due();
+        if due < self.level_wake {
+            self.level_wake = due;
+            // Never at once again: a turn must come to an end whatever the levels ask for.
+            self.timers.set(due.max(now + LEVELS_APART), Due::Level);
+        }
+    }
+
+    /// Level of reduced service now, with its reason; none where levels are off.
+    pub fn level(&mut self, now: f64) -> Option<(Status, String)> {
+        let levels = self.levels.as_mut()?;
+        let status = levels.status(now);
+        Some((status, levels.takes_in_words(status.level)))
+    }
+
+    /// Holds a level for a time, or with `None` ends a pin; false where there is no such level.
+    pub fn pin_level(&mut self, now: f64, pin: Option<(usize, f64)>) -> bool {
+        let Some(levels) = &mut self.levels else { return false };
+        match pin {
+            Some((level, seconds)) => levels.pin(now, level, now + seconds),
+            None => {
+                levels.unpin(now);
+                true
+            }
+        }
+    }
+
     /// When [`Front::turn`] must be called at the latest; infinite when nothing is due.
     pub fn wake_at(&self) -> f64 {
         self.timers.next()
@@ -474,6 +537,14 @@
             set_up,
         };
         self.in_hand -= 1;
+        if let (Some(levels), Some(ticket)) = (&mut self.levels, &self.attaches[key].ticket) {
+            let ended = match outcome {
+                Outcome::Stands => shalespindle_levels::Outcome::Stood,
+                Outcome::Refused | Outcome::Fails => shalespindle_levels::Outcome::Lost,
+                Outcome::Left => shalespindle_levels::Outcome::Left,
+            };
+            levels.ended(now, ticket, ended);
+        }
         match outcome {
             Outcome::Stands => self.counters.stands += 1,
             Outcome::Refused => self.counters.refused += 1,
--- a/crates/front/src/io.rs
+++ b/crates/front/src/io.rs
@@ -1,5 +1,6 @@
 //! What goes into a front and what comes out of it.
 
+use shalespindle_levels::Why;
 use std::net::SocketAddr;
 
 /// Where a caller's message came from, and where its answers go.
@@ -161,6 +162,13 @@
         what: &'static str,
         detail: String,
     },
+    /// The level of reduced service changed.
+    Level {
+        from: usize,
+        to: usize,
+        why: Why,
+        takes: String,
+    },
     BadInput {
         from: &'static str,
         why: String,
@@ -194,4 +202,6 @@
     pub unknown_trunk_group: u64,
     /// Refused at the door: too many in hand, or the front is ending.
     pub door_refused: u64,
+    /// Refused by the level of reduced service.
+    pub level_refused: u64,
 }
--- a/crates/front/src/params.rs
+++ b/crates/front/src/params.rs
@@ -1,6 +1,7 @@
 //! What a front must know at start.
 
 use shalespindle_control::interface::Deployment;
+use shalespindle_levels::LevelParams;
 use std::collections::HashMap;
 
 /// Start-up values of one front. Times are seconds.
@@ -12,6 +13,10 @@
     pub priorities: HashMap<String, usize>,
     /// Trunk group (RFC 4904) to the number of the pool that is its first choice.
     pub trunk_groups: HashMap<String, u16>,
+    /// Tenants by the host of a caller's address, to their places in `levels.tenant_shares`.
+    pub tenants: HashMap<String, usize>,
+    /// Levels of reduced service; none: full service always.
+    pub levels: Option<LevelParams>,
     /// Procedure of an INVITE without Resource-Priority, or with one that no procedure names.
     pub usual_procedure: usize,
     /// The front's host as it names itself in Via and Contact.
--- a/crates/front/tests/common/mod.rs
+++ b/crates/front/tests/common/mod.rs
@@ -30,6 +30,8 @@
         priorities: [("wps.1".to_string(), 0)].into(),
         trunk_groups: [("tg-0".to_string(), 0), ("tg-1".to_string(), 1), ("tg-2".to_string(), 2)].into(),
         usual_procedure: 0,
+        tenants: Default::default(),
+        levels: None,
         host: "front.example.org".into(),
         answer_margin: 0.05,
         most_in_hand: 200,
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -33,6 +33,8 @@
     pub callers: Callers,
     pub rules: Rules,
     #[serde(default)]
+    pub levels: LevelSettings,
+    #[serde(default)]
     pub troubles: Vec<Trouble>,
 }
 
@@ -302,6 +304,13 @@
                 ..LimitSettings::default()
             },
             links: LinkSettings::default(),
+            tenants: self
+                .callers
+                .tenants
+                .iter()
+                .map(|(name, share)| TenantSettings { name: name.clone(), share: *share })
+                .collect(),
+            levels: self.levels.clone(),
             log: LogSettings::default(),
         }
     }
--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -8,7 +8,7 @@
 use crate::summary::{report, Report};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use shalespindle_front::{Counters, Front, Input, LinkId, Output};
+use shalespindle_front::{Counters, Event, Front, Input, LinkId, Output};
 use shalespindle_signalling::timers::Timers;
 use shalespindle_standin::callers::Callers;
 use shalespindle_standin::checker::check;
@@ -57,6 +57,8 @@
 pub struct Run {
     pub report: Report,
     pub counters: Vec<Counters>,
+    /// Changes of level: when, of which front, from, to.
+    pub levels: Vec<(f64, usize, usize, usize)>,
     /// Virtual seconds.
     pub lasted: f64,
     pub trace: Trace,
@@ -112,6 +114,7 @@
     next_connection: u64,
     rng: ChaCha8Rng,
     setup: Setup,
+    levels: Vec<(f64, usize, usize, usize)>,
 }
 
 /// Runs a scenario under virtual time.
@@ -172,6 +175,7 @@
             next_connection: 0,
             rng,
             setup,
+            levels: Vec::new(),
         };
         for front in 0..fronts {
             world.hosts.push(Host { front: None, life: 0, stopped: None, wake: f64::INFINITY });
@@ -188,7 +192,9 @@
 
     fn front_starts(&mut self, front: usize) {
         let nowhere = SocketAddr::from(([127, 0, 0, 1], 1));
-        let mut params = self.scenario.settings(nowhere, nowhere, MARGIN).params();
+        let mut settings = self.scenario.settings(nowhere, nowhere, MARGIN);
+        settings.levels.on |= self.setup.variant == Variant::WithLevels;
+        let mut params = settings.params();
         params.host = front_host(front);
         let planted = self.setup.planted;
         if planted == Some(Planted::NoGuard) {
@@ -385,6 +391,7 @@
                         self.drop_connection(connection, false);
                     }
                 }
+                Output::Event(Event::Level { from, to, .. }) => self.levels.push((now, front, from, to)),
                 Output::ToCaller { .. } | Output::CloseCaller { .. } | Output::Event(_) => {}
             }
         }
@@ -513,6 +520,7 @@
         Run {
             report: report(&self.scenario.name, seed, &callers, verdict),
             counters: self.hosts.iter().filter_map(|h| h.front.as_ref()).map(Front::counters).collect(),
+            levels: self.levels,
             lasted: self.now,
             trace: self.trace,
         }
--- /dev/null
+++ b/crates/levels/src/lib.rs
@@ -0,0 +1,97 @@
+//! Levels of reduced service: a decision module without I/O, at a front's door.
+//!
+//! Each level takes less than the one before, by what an attach can still earn. The figure that moves it is
+//! *pressure*: of the utility that the present level takes, the share that did not stand within its latency
+//! target. The module may refuse an attach before the router is asked; it never chooses a route. It is told
+//! what the front sees, takes time as an argument, draws chance from its seed, and gives the same levels for
+//! the same history. docs/design-notes/levels.md has the ways weighed.
+
+mod gauge;
+mod machine;
+mod redials;
+mod shares;
+
+pub use machine::{Change, Levels, Pin, Status, Why};
+
+/// One step of reduced service. The first one, full service, is not listed.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Step {
+    /// It is entered at this pressure of the level before it,
+    pub enter: f64,
+    /// and left when its own is down to this.
+    pub exit: f64,
+    /// It takes whatever earns this part of the highest utility, or more,
+    pub floor: f64,
+    /// and of what earns less (not counting late redials) this share.
+    pub below: f64,
+    /// Of what the floor takes, this share is taken: under 1 only in the last step, a trickle that measures.
+    pub above: f64,
+}
+
+/// What the levels are started with. Times are seconds.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LevelParams {
+    pub steps: Vec<Step>,
+    /// No two changes of level are nearer than this.
+    pub least_stay: f64,
+    /// Outcomes are forgotten over this time.
+    pub window: f64,
+    /// Attaches within the window below which nothing is judged.
+    pub evidence: f64,
+    /// From this pressure on, a level that would be entered next but one is entered at once.
+    pub leap: f64,
+    /// Thresholds and stays of each front differ by up to this part, so that fronts do not step as one.
+    pub spread: f64,
+    /// The pause named at the first level; it doubles with each further one.
+    pub pause: f64,
+    pub longest_pause: f64,
+    /// How long a caller who went unserved is known by its number.
+    pub remember: f64,
+    /// Shares of the tenants, by their index; empty where none are set.
+    pub tenant_shares: Vec<f64>,
+}
+
+/// An attach at the door.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Ask {
+    /// The number called; 0 where none is told.
+    pub number: u64,
+    /// Its utility as a part of the highest.
+    pub worth: f64,
+    /// Part of that which is left past the latency target.
+    pub late_share: f64,
+    pub latency_target: f64,
+    pub tenant: Option<usize>,
+}
+
+/// What the door says.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Door {
+    /// Taken: the router is asked. `ticket` goes with its outcome.
+    Take(Ticket),
+    /// Refused here; its caller may come back after `pause` seconds (0: none is named).
+    Refuse { pause: f64 },
+}
+
+/// What an outcome is judged by.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Ticket {
+    /// When its caller first asked, as far as is known.
+    pub asked_at: f64,
+    pub arrived: f64,
+    pub latency_target: f64,
+    pub worth: f64,
+    pub number: u64,
+    /// The level that took it.
+    pub level: usize,
+}
+
+/// How a taken attach ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    Stood,
+    /// Refused by the router, throttled to the end, timed out, aborted.
+    Lost,
+    /// Its caller went away by its own choice: says nothing of the servers.
+    Left,
+}
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 use shalespindle_control::interface::{ColdStart, Deployment, Procedure as ToldProcedure};
 use shalespindle_front::Params;
+use shalespindle_levels::{LevelParams, Step};
 use std::collections::HashSet;
 use std::net::SocketAddr;
 
@@ -39,11 +40,97 @@
     #[serde(default)]
     #[garde(dive)]
     pub links: LinkSettings,
+    /// Who shares the service; its name is the host of its callers' addresses.
+    #[serde(default)]
+    #[garde(length(max = 10_000), dive)]
+    pub tenants: Vec<TenantSettings>,
+    #[serde(default)]
+    #[garde(dive)]
+    pub levels: LevelSettings,
     #[serde(default)]
     #[garde(skip)]
     pub log: LogSettings,
 }
 
+#[derive(Clone, Debug, Serialize, Deserialize, Validate, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct TenantSettings {
+    #[garde(length(min = 1, max = 255))]
+    pub name: String,
+    /// Part of the service that is its own.
+    #[garde(range(min = 0.0, max = 1.0))]
+    pub share: f64,
+}
+
+/// Levels of reduced service; docs/operators/levels.md.
+#[derive(Clone, Debug, Serialize, Deserialize, Validate, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct LevelSettings {
+    #[garde(skip)]
+    pub on: bool,
+    /// No two changes are nearer than this.
+    #[garde(custom(over_zero))]
+    pub least_stay: Span,
+    /// Outcomes are forgotten over so many of the shortest latency target.
+    #[garde(range(min = 0.1, max = 100.0))]
+    pub window: f64,
+    /// Attaches within the window below which nothing is judged.
+    #[garde(range(min = 1.0, max = 1000.0))]
+    pub evidence: f64,
+    /// Pressure from which a level is skipped on the way up.
+    #[garde(range(min = 0.0, max = 1.0))]
+    pub leap: f64,
+    /// Part by which fronts differ.
+    #[garde(range(min = 0.0, max = 0.9))]
+    pub spread: f64,
+    /// Pause named at the first level, in shortest latency targets; doubles with each further one.
+    #[garde(range(min = 0.0, max = 10.0))]
+    pub pause: f64,
+    #[garde(length(min = 1, max = 16), dive)]
+    pub steps: Vec<StepSettings>,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize, Validate, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct StepSettings {
+    /// Pressure of the level before at which it is entered.
+    #[garde(range(min = 0.001, max = 1.0))]
+    pub enter: f64,
+    /// Its own pressure at which it is left.
+    #[garde(range(min = 0.0, max = 1.0))]
+    pub exit: f64,
+    /// Part of the highest utility that it takes in any case.
+    #[garde(range(min = 0.0, max = 1.0))]
+    pub floor: f64,
+    /// Share taken of what earns less.
+    #[garde(range(min = 0.0, max = 1.0))]
+    pub below: f64,
+    /// Share taken of the rest.
+    #[garde(range(min = 0.001, max = 1.0))]
+    pub above: f64,
+}
+
+impl Default for LevelSettings {
+    fn default() -> LevelSettings {
+        let step = |enter, exit, floor, below, above| StepSettings { enter, exit, floor, below, above };
+        LevelSettings {
+            on: false,
+            least_stay: Span::from_millis(2000),
+            window: 2.0,
+            evidence: 6.0,
+            leap: 0.6,
+            spread: 0.2,
+            pause: 0.25,
+            steps: vec![
+                step(0.15, 0.05, 0.0, 1.0, 1.0),
+                step(0.2, 0.07, 0.5, 0.5, 1.0),
+                step(0.25, 0.08, 0.5, 0.0, 1.0),
+                step(0.8, 0.3, 0.5, 0.0, 0.2),
+            ],
+        }
+    }
+}
+
 #[derive(Clone, Debug, Serialize, Deserialize, Validate, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct FrontSettings {
@@ -268,6 +355,22 @@
                 ));
             }
         }
+        for (place, step) in self.levels.steps.iter().enumerate() {
+            if step.exit >= step.enter {
+                faults.push((format!("levels.steps[{place}].exit"), "must be less than its enter".into()));
+            }
+            let before = place.checked_sub(1).map_or(0.0, |p| self.levels.steps[p].floor);
+            if step.floor < before {
+                faults.push((
+                    format!("levels.steps[{place}].floor"),
+                    "must not take what the step before refuses".into(),
+                ));
+            }
+        }
+        let shares: f64 = self.tenants.iter().map(|t| t.share).sum();
+        if shares > 1.0 + 1e-9 {
+            faults.push(("tenants".into(), format!("shares add up to {shares}, over 1")));
+        }
         if self.links.reconnect_longest < self.links.reconnect_least {
             faults
                 .push(("links.reconnect_longest".into(), "must not be shorter than reconnect_least".into()));
@@ -288,7 +391,32 @@
             p.priorities.iter().map(|name| (name.clone(), place)).collect()
         };
         let cold = &self.rules.cold;
+        let shortest =
+            self.procedures.iter().map(|p| p.latency_target.seconds()).fold(f64::INFINITY, f64::min);
+        let longest = self.procedures.iter().map(|p| p.t_timer.seconds()).fold(0.0, f64::max);
+        let l = &self.levels;
+        let step = |s: &StepSettings| Step {
+            enter: s.enter,
+            exit: s.exit,
+            floor: s.floor,
+            below: s.below,
+            above: s.above,
+        };
+        let levels = LevelParams {
+            steps: l.steps.iter().map(step).collect(),
+            least_stay: l.least_stay.seconds(),
+            window: l.window * shortest,
+            evidence: l.evidence,
+            leap: l.leap,
+            spread: l.spread,
+            pause: l.pause * shortest,
+            longest_pause: self.limits.longest_pause.seconds(),
+            remember: longest,
+            tenant_shares: self.tenants.iter().map(|t| t.share).collect(),
+        };
         Params {
+            tenants: self.tenants.iter().enumerate().map(|(i, t)| (t.name.clone(), i)).collect(),
+            levels: l.on.then_some(levels),
             deployment: Deployment {
                 procedures: self.procedures.iter().map(procedure).collect(),
                 may_probe: self.limits.probes,
--- a/crates/transport/src/log.rs
+++ b/crates/transport/src/log.rs
@@ -35,6 +35,9 @@
             info!(target: "shalespindle::link", front, %server, count, "set-ups taken back")
         }
         Event::Feed { what, detail } => warn!(target: "shalespindle::list", front, what, detail, "feed"),
+        Event::Level { from, to, why, takes } => {
+            warn!(target: "shalespindle::level", front, from, to, ?why, takes, "level of reduced service")
+        }
         Event::BadInput { from, why } => debug!(target: "shalespindle::input", front, from, why, "bad input"),
         Event::Ending { in_hand, standing } => {
             info!(target: "shalespindle::front", front, in_hand, standing, "ending")
