--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -79,9 +79,9 @@
         pairs: u64,
         #[arg(long, default_value_t = 1)]
         seed: u64,
-        /// B runs with levels of reduced service on.
+        /// B runs without levels of reduced service.
         #[arg(long, conflicts_with = "baseline")]
-        levels: bool,
+        without_levels: bool,
         /// B runs with a baseline in place of the decision module.
         #[arg(long, value_enum)]
         baseline: Option<lab::Baseline>,
--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -55,8 +55,8 @@
             }
             Err(code) => Ok(code),
         },
-        Lab::Compare { a, b, pairs, seed, levels, baseline } => {
-            let with = if levels { Variant::WithLevels } else { variant(baseline) };
+        Lab::Compare { a, b, pairs, seed, without_levels, baseline } => {
+            let with = if without_levels { Variant::WithoutLevels } else { variant(baseline) };
             let b = b.unwrap_or_else(|| a.clone());
             match (scenario(&a), scenario(&b)) {
                 (Ok(first), Ok(second)) => {
--- a/crates/lab/src/compare.rs
+++ b/crates/lab/src/compare.rs
@@ -13,8 +13,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Variant {
     Module,
-    /// The module with levels of reduced service at the door, whatever the scenario says.
-    WithLevels,
+    /// The module without levels of reduced service at the door, whatever the scenario says.
+    WithoutLevels,
     RandomRoute,
 }
 
--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -193,7 +193,7 @@
     fn front_starts(&mut self, front: usize) {
         let nowhere = SocketAddr::from(([127, 0, 0, 1], 1));
         let mut settings = self.scenario.settings(nowhere, nowhere, MARGIN);
-        settings.levels.on |= self.setup.variant == Variant::WithLevels;
+        settings.levels.on &= self.setup.variant != Variant::WithoutLevels;
         let mut params = settings.params();
         params.host = front_host(front);
         let planted = self.setup.planted;
--- a/crates/lab/tests/sim.rs
+++ b/crates/lab/tests/sim.rs
@@ -52,3 +52,19 @@
     let all = result.figures["all"];
     assert!(result.rules_kept && all.mean + all.half < 0.0, "{result}");
 }
+
+/// Servers that swing: the levels earn more than they refuse, and change no faster than they may.
+#[test]
+fn levels_gain_where_servers_swing_and_keep_their_stay() {
+    let swing = Scenario::read(include_str!("../scenarios/swing.toml")).unwrap();
+    let result = compare((&swing, Variant::WithoutLevels), (&swing, Variant::Module), 1, 4);
+    println!("{result}");
+    assert!(result.figures["all"].mean > 0.01 && result.rules_kept, "{result}");
+    let run = sim::run(&swing, 1, &Setup::of(Variant::Module));
+    assert!(!run.levels.is_empty());
+    for front in 0..swing.fleet.fronts {
+        let times: Vec<f64> = run.levels.iter().filter(|l| l.1 == front).map(|l| l.0).collect();
+        let stay = swing.levels.least_stay.seconds();
+        assert!(times.windows(2).all(|w| w[1] - w[0] >= stay - 1e-6), "front {front}: {times:?}");
+    }
+}
--- a/crates/levels/benches/ask.rs
+++ b/crates/levels/benches/ask.rs
@@ -11,6 +11,8 @@
         least_stay: 2.0,
         window: 3.0,
         evidence: 8.0,
+        judge_from: 0.0,
+        reach: 1.0,
         leap: 0.6,
         spread: 0.2,
         pause: 0.5,
--- a/crates/levels/src/lib.rs
+++ b/crates/levels/src/lib.rs
@@ -1,8 +1,8 @@
 //! Levels of reduced service: a decision module without I/O, at a front's door.
 //!
 //! Each level takes less than the one before, by what an attach can still earn. The figure that moves it is
-//! *pressure*: of the utility that the present level takes, the share that did not stand within its latency
-//! target. The module may refuse an attach before the router is asked; it never chooses a route. It is told
+//! *pressure*: of the utility that the levels protect and the present one takes, the share that did not stand
+//! within its latency target. The module may refuse an attach before the router is asked; it never chooses a route. It is told
 //! what the front sees, takes time as an argument, draws chance from its seed, and gives the same levels for
 //! the same history. docs/design-notes/levels.md has the ways weighed.
 
@@ -38,6 +38,11 @@
     pub window: f64,
     /// Attaches within the window below which nothing is judged.
     pub evidence: f64,
+    /// Pressure is read from attaches that earn this part of the highest utility or more: what the last
+    /// levels protect. The router refuses some of the rest on every busy day.
+    pub judge_from: f64,
+    /// A redial counts as late from this part of its latency target on.
+    pub reach: f64,
     /// From this pressure on, a level that would be entered next but one is entered at once.
     pub leap: f64,
     /// Thresholds and stays of each front differ by up to this part, so that fronts do not step as one.
--- a/crates/levels/src/machine.rs
+++ b/crates/levels/src/machine.rs
@@ -115,7 +115,8 @@
     pub fn ask(&mut self, now: f64, ask: &Ask) -> Door {
         self.tick(now);
         let asked_at = self.redials.asked_at(now, ask.number, self.params.remember);
-        let late = now - asked_at > ask.latency_target;
+        // What is left of its target must do for a set-up: else it earns the late share at best.
+        let late = now - asked_at > self.params.reach * ask.latency_target;
         let over = self.shares.ask(now, self.params.window, ask.tenant, self.params.evidence);
         let redial = asked_at < now;
         let worth = if late { ask.worth * ask.late_share } else { ask.worth };
@@ -165,8 +166,9 @@
         // Guards against a pause of this front that would be read as slow servers, against late redials, which
         // are lost whatever the servers do, and against outcomes of a level long left.
         let fresh = ticket.arrived - ticket.asked_at <= ticket.latency_target;
+        let protected = ticket.worth + 1e-9 >= self.params.judge_from;
         let told = ticket.level == self.level || now - self.since > STALE * self.params.window;
-        if outcome == Outcome::Left || ticket.arrived < self.judge_from || !fresh || !told {
+        if outcome == Outcome::Left || ticket.arrived < self.judge_from || !fresh || !told || !protected {
             return self.tick(now);
         }
         self.gauge.add(now, self.params.window, ticket.worth, in_time);
--- a/crates/levels/tests/histories.rs
+++ b/crates/levels/tests/histories.rs
@@ -15,6 +15,8 @@
         least_stay: 2.0,
         window: 3.0,
         evidence: 8.0,
+        judge_from: 0.0,
+        reach: 1.0,
         leap: 0.6,
         spread: 0.2,
         pause: 0.5,
@@ -40,7 +42,7 @@
     while *now < end {
         *now += 1.0 / rate;
         let number = (*now * 1000.0) as u64;
-        let worth = if number % 4 == 0 { 1.0 } else { 1.0 / 3.0 };
+        let worth = if number.is_multiple_of(4) { 1.0 } else { 1.0 / 3.0 };
         if let Door::Take(ticket) = levels.ask(*now, &ask(number, worth, (number % 3) as usize)) {
             let outcome = if lost(*now, number) { Outcome::Lost } else { Outcome::Stood };
             levels.ended(*now, &ticket, outcome);
@@ -80,7 +82,8 @@
 fn a_server_that_alternates_changes_no_faster_than_the_least_stay() {
     for period in [0.5, 1.0, 3.0, 5.0, 10.0, 30.0] {
         let (mut levels, mut now) = (Levels::new(3, params(), 0.0), 0.0);
-        let changes = drive(&mut levels, &mut now, 300.0, 30.0, |t, _| (t / period) as u64 % 2 == 0);
+        let changes =
+            drive(&mut levels, &mut now, 300.0, 30.0, |t, _| ((t / period) as u64).is_multiple_of(2));
         assert!(apart(&changes, 2.0), "{period}: {changes:?}");
     }
 }
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -77,6 +77,12 @@
     /// Attaches within the window below which nothing is judged.
     #[garde(range(min = 1.0, max = 1000.0))]
     pub evidence: f64,
+    /// Pressure is read from what earns this part of the highest utility or more.
+    #[garde(range(min = 0.0, max = 1.0))]
+    pub judge_from: f64,
+    /// A redial counts as late from this part of its latency target on: what is left must do for a set-up.
+    #[garde(range(min = 0.1, max = 1.0))]
+    pub reach: f64,
     /// Pressure from which a level is skipped on the way up.
     #[garde(range(min = 0.0, max = 1.0))]
     pub leap: f64,
@@ -114,18 +120,20 @@
     fn default() -> LevelSettings {
         let step = |enter, exit, floor, below, above| StepSettings { enter, exit, floor, below, above };
         LevelSettings {
-            on: false,
+            on: true,
             least_stay: Span::from_millis(2000),
             window: 2.0,
             evidence: 6.0,
-            leap: 0.6,
+            judge_from: 0.0,
+            reach: 1.0,
+            leap: 0.99,
             spread: 0.2,
             pause: 0.25,
             steps: vec![
-                step(0.15, 0.05, 0.0, 1.0, 1.0),
-                step(0.2, 0.07, 0.5, 0.5, 1.0),
-                step(0.25, 0.08, 0.5, 0.0, 1.0),
-                step(0.8, 0.3, 0.5, 0.0, 0.2),
+                step(0.05, 0.02, 0.0, 1.0, 1.0),
+                step(0.85, 0.6, 0.5, 0.8, 1.0),
+                step(0.9, 0.65, 0.5, 0.5, 1.0),
+                step(0.97, 0.8, 0.5, 0.0, 0.3),
             ],
         }
     }
@@ -407,6 +415,8 @@
             least_stay: l.least_stay.seconds(),
             window: l.window * shortest,
             evidence: l.evidence,
+            judge_from: l.judge_from,
+            reach: l.reach,
             leap: l.leap,
             spread: l.spread,
             pause: l.pause * shortest,
