--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -51,7 +51,17 @@
                     std::fs::create_dir_all(out)?;
                     write_trace(out, &run.trace.sorted())?;
                 }
-                Ok(told(&run.report)?)
+                if !run.levels.is_empty() {
+                    let near =
+                        |t: f64| run.levels.iter().filter(|l| (l.0 - t).abs() < 0.5 && l.3 > l.2).count();
+                    let most = run.levels.iter().map(|l| near(l.0)).max().unwrap_or(0);
+                    println!(
+                        "changes of level {} over {} fronts; {most} steps up within one second at most",
+                        run.levels.len(),
+                        scenario.fleet.fronts
+                    );
+                }
+                told(&run.report)
             }
             Err(code) => Ok(code),
         },
