--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -2,6 +2,7 @@
 
 use shalespindle_settings::parse;
 use shalespindle_signalling::message::{Message, Method};
+use shalespindle_signalling::write::{ResponseHead, Writer};
 use shalespindle_signalling::{Framer, Start};
 use shalespindle_sockets::Ground;
 use shalespindle_transport::Service;
@@ -316,15 +317,8 @@
 
 /// An answer to a request with more lines.
 pub fn reply(request: &str, status: u16, more: &str) -> String {
-    let m = Message::parse(request.as_bytes()).unwrap();
-    format!(
-        "SIP/2.0 {status} x\r\nVia: {}\r\nFrom: {}\r\nTo: {};tag=s\r\nCall-ID: {}\r\nCSeq: {}\r\n{more}Content-Length: 0\r\n\r\n",
-        m.header("Via").unwrap(),
-        m.from().unwrap(),
-        m.to().unwrap(),
-        m.call_id().unwrap(),
-        m.header("CSeq").unwrap()
-    )
+    let head = ResponseHead::of(&Message::parse(request.as_bytes()).unwrap(), "s");
+    String::from_utf8(Writer::response(status, &head).with_lines(more).finish()).unwrap()
 }
 
 /// A request in the dialog that the answer made.
--- a/crates/front/src/pool_list.rs
+++ b/crates/front/src/pool_list.rs
@@ -114,11 +114,6 @@
         self.servers.values()
     }
 
-    /// When the list was last told to this front, epoch and sequence.
-    pub fn position(&self) -> Option<(u64, u64)> {
-        self.last
-    }
-
     /// A new connection begins at the start of a line.
     pub fn connected(&mut self) {
         self.bytes.clear();
--- a/crates/front/tests/common/mod.rs
+++ b/crates/front/tests/common/mod.rs
@@ -4,6 +4,7 @@
 use shalespindle_control::interface::{ColdStart, Deployment, Procedure};
 use shalespindle_front::{Event, Front, Input, LinkId, Output, Params};
 use shalespindle_signalling::message::Message;
+use shalespindle_signalling::write::{ResponseHead, Writer};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -222,15 +223,8 @@
 
 /// An answer to a request: its Via, From, To, Call-ID and CSeq back, with more lines.
 pub fn reply(request: &str, status: u16, more: &str) -> String {
-    let m = Message::parse(request.as_bytes()).unwrap();
-    format!(
-        "SIP/2.0 {status} x\r\nVia: {}\r\nFrom: {}\r\nTo: {};tag=s\r\nCall-ID: {}\r\nCSeq: {}\r\n{more}Content-Length: 0\r\n\r\n",
-        m.header("Via").unwrap(),
-        m.from().unwrap(),
-        m.to().unwrap(),
-        m.call_id().unwrap(),
-        m.header("CSeq").unwrap()
-    )
+    let head = ResponseHead::of(&Message::parse(request.as_bytes()).unwrap(), "s");
+    String::from_utf8(Writer::response(status, &head).with_lines(more).finish()).unwrap()
 }
 
 /// A caller's request inside its transaction or dialog, after the answer `answer`.
--- a/crates/signalling/src/transaction.rs
+++ b/crates/signalling/src/transaction.rs
@@ -86,10 +86,6 @@
         }
     }
 
-    pub fn is_answered(&self) -> bool {
-        self.state != InviteState::Proceeding
-    }
-
     /// What is due now; ask again at [`InviteServer::due`].
     pub fn tick(&mut self, now: f64) -> Todo {
         match &mut self.state {
--- a/crates/sockets/src/ground.rs
+++ b/crates/sockets/src/ground.rs
@@ -1,6 +1,6 @@
 //! The clock of one process, and when it stood still.
 
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -19,7 +19,6 @@
     tick: AtomicU64,
     from: AtomicU64,
     until: AtomicU64,
-    over: AtomicBool,
 }
 
 /// A monotonic clock in seconds with a watch over it. A process that was stopped for a while (by its
@@ -51,15 +50,11 @@
             tick: cell(BEGIN),
             from: cell(0.0),
             until: cell(0.0),
-            over: AtomicBool::new(false),
         }));
         let watched = Arc::downgrade(&ground.0);
         std::thread::spawn(move || loop {
             std::thread::sleep(TICK);
             let Some(inner) = watched.upgrade() else { return };
-            if inner.over.load(Ordering::Relaxed) {
-                return;
-            }
             Ground(inner).ticked();
         });
         ground
@@ -70,11 +65,6 @@
         BEGIN + self.0.base.elapsed().as_secs_f64()
     }
 
-    /// The same moment as an `Instant`.
-    pub fn instant(&self, at: f64) -> Instant {
-        self.0.base + Duration::from_secs_f64((at - BEGIN).max(0.0))
-    }
-
     fn ticked(&self) {
         let (now, last) = (self.now(), load(&self.0.tick));
         if now - last > STILL {
--- a/crates/standin/src/callers.rs
+++ b/crates/standin/src/callers.rs
@@ -515,11 +515,6 @@
         }
         self.timers.set(now + lasts, Due::Release(key));
     }
-
-    /// Dials whose patience ended unanswered, by the caller's own clock; for tests.
-    pub fn left_waiting(&self, now: f64) -> usize {
-        self.dials.values().filter(|d| d.state == State::Asking && now > d.until + 0.1).count()
-    }
 }
 
 /// The place in `shares` that a draw in 0..1 falls on.
--- a/crates/transport/src/owner.rs
+++ b/crates/transport/src/owner.rs
@@ -229,9 +229,8 @@
                     };
                     match outgoing.write(&bytes, through) {
                         Sent::Whole => {}
-                        Sent::Partly => self.front.take(now, now, Input::Blocked { id }),
-                        // The reader reports the loss; until then nothing more is tried.
-                        Sent::Lost => self.front.take(now, now, Input::Blocked { id }),
+                        // Of a loss the reader reports; until then nothing more is tried.
+                        Sent::Partly | Sent::Lost => self.front.take(now, now, Input::Blocked { id }),
                     }
                 }
                 Output::CloseLink { id, reset } => {
