--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -1,7 +1,8 @@
 //! The command line.
 
-use crate::{lab, run};
+use crate::{console, lab, run};
 use clap::{Args, Parser, Subcommand};
+use shalespindle_console::Ask;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -28,6 +29,28 @@
         #[arg(long)]
         config: PathBuf,
     },
+    /// What a running front is at: level of reduced service, attaches, counters.
+    Status {
+        #[command(flatten)]
+        front: console::Which,
+        #[arg(long)]
+        json: bool,
+    },
+    /// Holds a level of reduced service of a running front for a time; it falls back by itself.
+    Pin {
+        /// 0 is full service.
+        level: usize,
+        /// With its unit, such as 5m.
+        #[arg(long = "for")]
+        lasts: humantime::Duration,
+        #[command(flatten)]
+        front: console::Which,
+    },
+    /// Ends a pin before its time.
+    Unpin {
+        #[command(flatten)]
+        front: console::Which,
+    },
     /// Prints the JSON schema of the settings.
     Schema {
         /// The schema of a line of the pool list's feed instead.
@@ -59,6 +82,9 @@
         /// All fronts inside this process instead of one process each; none can be killed or stopped then.
         #[arg(long)]
         inside: bool,
+        /// Fronts without levels of reduced service.
+        #[arg(long)]
+        without_levels: bool,
     },
     /// The same scenario under virtual time.
     Sim {
@@ -115,6 +141,12 @@
         let done = match self.command {
             Command::Run { config } => run::run(&config),
             Command::Check { config } => run::check(&config),
+            Command::Status { front, json } => console::ask(&front, &Ask::Status, json),
+            Command::Pin { level, lasts, front } => {
+                let seconds = lasts.as_secs_f64();
+                console::ask(&front, &Ask::PinLevel { level, seconds }, false)
+            }
+            Command::Unpin { front } => console::ask(&front, &Ask::UnpinLevel, false),
             Command::Schema { feed } => run::schema(feed),
             Command::Standin { config, feed } => lab::standin(&config, feed),
             Command::Lab { command } => lab::lab(command),
--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -36,8 +36,11 @@
 
 pub fn lab(command: Lab) -> io::Result<ExitCode> {
     match command {
-        Lab::Play { scenario: path, with, inside } => match scenario(&path) {
-            Ok(scenario) => on_sockets(&scenario, &with, inside),
+        Lab::Play { scenario: path, with, inside, without_levels } => match scenario(&path) {
+            Ok(mut scenario) => {
+                scenario.levels.on &= !without_levels;
+                on_sockets(&scenario, &with, inside)
+            }
             Err(code) => Ok(code),
         },
         Lab::BadDay { with } => match Scenario::read(BAD_DAY) {
@@ -98,8 +101,8 @@
     }
     for (front, s) in played.snapshots.iter().enumerate() {
         println!(
-            "front {front}: lag p50 {:?}, p99 {:?}; held {} attaches, {} legs; {:?}",
-            s.lag_p50, s.lag_p99, s.attaches_held, s.legs_held, s.counters
+            "front {front}: lag p50 {:.2} ms, p99 {:.2} ms; held {} attaches, {} legs; {:?}",
+            s.lag_p50_ms, s.lag_p99_ms, s.attaches_held, s.legs_held, s.counters
         );
     }
     told(&played.report)
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,6 +1,7 @@
 //! The binary `shalespindle`: sub-commands, logging, signals; nothing else.
 
 mod commands;
+mod console;
 mod lab;
 mod run;
 
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -13,7 +13,7 @@
 use tracing_subscriber::EnvFilter;
 
 /// Reads settings; each fault goes to standard error.
-fn settings(config: &Path) -> Result<Settings, ExitCode> {
+pub fn settings(config: &Path) -> Result<Settings, ExitCode> {
     read(config).map_err(|faults| {
         for fault in faults {
             eprintln!("{fault}");
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -58,3 +58,69 @@
     assert_eq!((summary["seed"].as_u64(), summary["unanswered"].as_u64()), (Some(5), Some(0)));
     assert!((1..=5).all(|rule| summary["rules_broken"][rule.to_string()] == 0), "{summary}");
 }
+
+/// A front in service, killed when the test leaves it.
+struct Front(std::process::Child);
+
+impl Drop for Front {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+#[test]
+fn a_running_front_tells_its_level_and_holds_another() {
+    let folder = tempfile::tempdir().unwrap();
+    let (config, log) = (folder.path().join("front.toml"), folder.path().join("front.log"));
+    let socket = folder.path().join("front.sock");
+    let text = include_str!("../../../deploy/front.toml").replace("127.0.0.1:5060", "127.0.0.1:0");
+    std::fs::write(&config, format!("{text}\n[console]\nsocket = {socket:?}\n")).unwrap();
+    let config = config.to_str().unwrap();
+    let unreachable = shalespindle(&["status", "--config", config]);
+    assert_eq!(unreachable.status.code(), Some(1));
+    let front = Command::new(env!("CARGO_BIN_EXE_shalespindle"))
+        .args(["run", "--config", config])
+        .stderr(std::fs::File::create(&log).unwrap())
+        .spawn()
+        .unwrap();
+    let front = Front(front);
+    let told = |args: &[&str]| {
+        let out = shalespindle(args);
+        (out.status.code(), String::from_utf8(out.stdout).unwrap())
+    };
+    let status = || -> serde_json::Value {
+        let (code, text) = told(&["status", "--config", config, "--json"]);
+        if code == Some(0) {
+            serde_json::from_str(&text).unwrap()
+        } else {
+            serde_json::Value::Null
+        }
+    };
+    until(|| status()["level"]["level"] == 0);
+    let (code, words) = told(&["pin", "2", "--for", "1h", "--config", config]);
+    assert_eq!((code, words.trim()), (Some(0), "level 2 is held for 3600 s"));
+    let level = &status()["level"];
+    assert_eq!((&level["level"], &level["why"]), (&2.into(), &"pinned by an operator".into()), "{level}");
+    assert!(level["pinned_for"].as_f64().is_some_and(|left| left > 3000.0 && left <= 3600.0), "{level}");
+    assert!(told(&["status", "--config", config]).1.contains("level 2 of 4 for"));
+    assert_eq!(told(&["pin", "9", "--for", "1h", "--config", config]).0, Some(1));
+    assert_eq!(told(&["pin", "1", "--for", "2days", "--config", config]).0, Some(1));
+    // It falls back by itself.
+    assert_eq!(told(&["pin", "3", "--for", "50ms", "--config", config]).0, Some(0));
+    until(|| status()["level"]["why"] == "a pin has ended");
+    assert_eq!(status()["level"]["level"], 0);
+    assert_eq!(told(&["unpin", "--config", config]).0, Some(1));
+    drop(front);
+    let log = std::fs::read_to_string(log).unwrap();
+    assert!(log.contains("level pinned by an operator") && log.contains("a pin has ended"), "{log}");
+}
+
+/// Waits for what must come true; the bound only ends a test that has failed.
+fn until(mut done: impl FnMut() -> bool) {
+    let begin = std::time::Instant::now();
+    while !done() {
+        assert!(begin.elapsed().as_secs() < 60, "did not come true");
+        std::thread::yield_now();
+    }
+}
--- /dev/null
+++ b/crates/console/src/words.rs
@@ -0,0 +1,57 @@
+//! Answers as operators read them.
+
+use crate::{LevelState, Reply, Snapshot};
+use std::fmt;
+
+impl fmt::Display for Reply {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Reply::Status(snapshot) => snapshot.fmt(f),
+            Reply::Done { what } => f.write_str(what),
+            Reply::Bad { why } => write!(f, "not done: {why}"),
+        }
+    }
+}
+
+impl fmt::Display for Snapshot {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let state = if self.ending { "ending" } else { "in service" };
+        writeln!(f, "front {}: {state} for {:.0} s", self.front, self.seconds_in_service)?;
+        match &self.level {
+            Some(level) => level.fmt(f)?,
+            None => writeln!(f, "levels of reduced service are off")?,
+        }
+        writeln!(
+            f,
+            "attaches: {} in hand, {} standing; held {} and {} legs",
+            self.in_hand, self.standing, self.attaches_held, self.legs_held
+        )?;
+        writeln!(
+            f,
+            "late by p50 {:.2} ms, p99 {:.2} ms; {} datagrams dropped",
+            self.lag_p50_ms, self.lag_p99_ms, self.datagrams_dropped
+        )?;
+        // Every counter under its own name, whatever there will be.
+        let counters = serde_json::to_value(self.counters).map_err(|_| fmt::Error)?;
+        for (name, count) in counters.as_object().into_iter().flatten() {
+            writeln!(f, "  {name:20} {count}")?;
+        }
+        Ok(())
+    }
+}
+
+impl fmt::Display for LevelState {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "level {} of {} for {:.1} s: {}", self.level, self.deepest, self.seconds, self.why)?;
+        writeln!(f, "  takes {}", self.takes)?;
+        match self.pressure {
+            Some(pressure) => write!(f, "  pressure now {pressure:.3}")?,
+            None => write!(f, "  too little to judge by now")?,
+        }
+        writeln!(f, "; taken {}, refused {}, changes {}", self.taken, self.refused, self.changes)?;
+        if let Some(left) = self.pinned_for {
+            writeln!(f, "  pinned for another {left:.0} s")?;
+        }
+        Ok(())
+    }
+}
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -236,6 +236,15 @@
         self.counters
     }
 
+    /// Its name in Via and Contact.
+    pub fn host(&self) -> &str {
+        &self.params.host
+    }
+
+    pub fn started(&self) -> f64 {
+        self.started
+    }
+
     /// Attaches without a final answer.
     pub fn in_hand(&self) -> usize {
         self.in_hand
@@ -259,7 +268,7 @@
         self.ending.is_some() && self.in_hand == 0 && self.standing == 0
     }
 
-    pub(crate) fn is_ending(&self) -> bool {
+    pub fn is_ending(&self) -> bool {
         self.ending.is_some()
     }
 
@@ -346,16 +355,24 @@
         Some((status, levels.takes_in_words(status.level)))
     }
 
-    /// Holds a level for a time, or with `None` ends a pin; false where there is no such level.
+    /// Holds a level for so many seconds, or with `None` ends a pin; false where there is no such level.
+    /// Call [`Front::turn`] after it.
     pub fn pin_level(&mut self, now: f64, pin: Option<(usize, f64)>) -> bool {
         let Some(levels) = &mut self.levels else { return false };
-        match pin {
+        let held = match pin {
             Some((level, seconds)) => levels.pin(now, level, now + seconds),
-            None => {
-                levels.unpin(now);
-                true
-            }
+            None => levels.unpin(now),
+        };
+        if held {
+            let (level, seconds) = pin.map_or((None, 0.0), |(level, seconds)| (Some(level), seconds));
+            self.event(Event::Pinned { level, seconds });
         }
+        held
+    }
+
+    /// How many levels there are beside full service.
+    pub fn deepest_level(&self) -> usize {
+        self.params.levels.as_ref().map_or(0, |levels| levels.steps.len())
     }
 
     /// When [`Front::turn`] must be called at the latest; infinite when nothing is due.
--- a/crates/front/src/io.rs
+++ b/crates/front/src/io.rs
@@ -1,5 +1,6 @@
 //! What goes into a front and what comes out of it.
 
+use serde::{Deserialize, Serialize};
 use shalespindle_levels::Why;
 use std::net::SocketAddr;
 
@@ -169,6 +170,11 @@
         why: Why,
         takes: String,
     },
+    /// An operator holds a level for so many seconds, or lets it go.
+    Pinned {
+        level: Option<usize>,
+        seconds: f64,
+    },
     BadInput {
         from: &'static str,
         why: String,
@@ -180,7 +186,7 @@
 }
 
 /// Counts since the front was made.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Counters {
     pub offered: u64,
     pub stands: u64,
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -311,6 +311,7 @@
                 .map(|(name, share)| TenantSettings { name: name.clone(), share: *share })
                 .collect(),
             levels: self.levels.clone(),
+            console: ConsoleSettings::default(),
             log: LogSettings::default(),
         }
     }
--- a/crates/lab/src/throughput.rs
+++ b/crates/lab/src/throughput.rs
@@ -364,7 +364,11 @@
             )?;
         }
         if let Some(s) = &self.snapshot {
-            writeln!(f, "front: lag p50 {:?}, p99 {:?}, {:?}", s.lag_p50, s.lag_p99, s.counters)?;
+            writeln!(
+                f,
+                "front: lag p50 {:.2} ms, p99 {:.2} ms, {:?}",
+                s.lag_p50_ms, s.lag_p99_ms, s.counters
+            )?;
         }
         writeln!(
             f,
--- a/crates/levels/benches/ask.rs
+++ b/crates/levels/benches/ask.rs
@@ -15,6 +15,7 @@
         reach: 1.0,
         leap: 0.6,
         spread: 0.2,
+        patience: 4.0,
         pause: 0.5,
         longest_pause: 2.0,
         remember: 9.0,
--- a/crates/levels/src/lib.rs
+++ b/crates/levels/src/lib.rs
@@ -47,6 +47,9 @@
     pub leap: f64,
     /// Thresholds and stays of each front differ by up to this part, so that fronts do not step as one.
     pub spread: f64,
+    /// A crossed threshold must stay crossed for a time drawn anew for each step, up to this: fronts that see
+    /// the same trouble step at different moments, and the later ones see what the earlier ones' steps did.
+    pub patience: f64,
     /// The pause named at the first level; it doubles with each further one.
     pub pause: f64,
     pub longest_pause: f64,
--- a/crates/levels/src/machine.rs
+++ b/crates/levels/src/machine.rs
@@ -7,6 +7,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::VecDeque;
+use std::fmt;
 
 /// A level left and soon entered again is stayed in twice as long each time, up to so many least stays.
 const LONGEST_STAY: f64 = 8.0;
@@ -34,6 +35,23 @@
     Start,
 }
 
+impl fmt::Display for Why {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Why::Pressure { pressure, threshold } if pressure >= threshold => {
+                write!(f, "pressure {pressure:.3} reached {threshold:.3}")
+            }
+            Why::Pressure { pressure, threshold } => {
+                write!(f, "pressure {pressure:.3} came down to {threshold:.3}")
+            }
+            Why::Silence => f.write_str("too few attaches to judge by for two windows"),
+            Why::Pinned => f.write_str("pinned by an operator"),
+            Why::Unpinned => f.write_str("a pin has ended"),
+            Why::Start => f.write_str("since the start"),
+        }
+    }
+}
+
 /// One change of level.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Change {
@@ -76,6 +94,10 @@
     /// This front's own factor on thresholds: guards against hundreds of fronts that step as one.
     lean: f64,
     stay: f64,
+    /// How long a threshold must stay crossed before the next step up.
+    patience: f64,
+    /// Since when it is.
+    over_since: Option<f64>,
     left_at: f64,
     /// When there was last evidence enough to judge by.
     last_judged: f64,
@@ -90,6 +112,7 @@
     pub fn new(seed: u64, params: LevelParams, now: f64) -> Levels {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let lean = 1.0 + params.spread * (2.0 * rng.random::<f64>() - 1.0);
+        let patience = params.patience * rng.random::<f64>();
         Levels {
             rng,
             level: 0,
@@ -100,6 +123,8 @@
             shares: Shares::new(&params.tenant_shares, now),
             lean,
             stay: params.least_stay,
+            patience,
+            over_since: None,
             left_at: f64::NEG_INFINITY,
             last_judged: now,
             pin: None,
@@ -195,17 +220,21 @@
         if pressure.is_some() {
             self.last_judged = now;
         }
+        let steps = &self.params.steps;
+        let threshold =
+            steps.get(self.level).map_or(f64::INFINITY, |next| (next.enter * self.lean).min(0.99));
+        let over_since = pressure.filter(|p| *p >= threshold).map(|_| self.over_since.unwrap_or(now));
+        self.over_since = over_since;
         if now - self.since < self.stay {
             return;
         }
-        let steps = &self.params.steps;
-        if let (Some(pressure), Some(next)) = (pressure, steps.get(self.level)) {
-            let threshold = (next.enter * self.lean).min(0.99);
-            if pressure >= threshold {
+        if let (Some(pressure), Some(over_since)) = (pressure, over_since) {
+            if now - over_since >= self.patience {
                 let leap = pressure >= self.params.leap && self.level + 1 < steps.len();
                 let to = self.level + if leap { 2 } else { 1 };
                 return self.go(now, to, Why::Pressure { pressure, threshold });
             }
+            return;
         }
         let Some(step) = self.level.checked_sub(1).and_then(|l| steps.get(l)) else { return };
         let threshold = step.exit * self.lean;
@@ -238,6 +267,8 @@
             self.stay = longer.min(LONGEST_STAY * self.params.least_stay) * spread;
         }
         self.stay = self.stay.max(self.params.least_stay);
+        self.patience = self.params.patience * self.rng.random::<f64>();
+        self.over_since = None;
         self.level = to;
         self.since = now;
         self.why = why;
@@ -262,12 +293,12 @@
         true
     }
 
-    /// Ends a pin before its time.
-    pub fn unpin(&mut self, now: f64) {
-        if let Some(pin) = &mut self.pin {
-            pin.until = now;
-            self.tick(now);
-        }
+    /// Ends a pin before its time; false where there is none.
+    pub fn unpin(&mut self, now: f64) -> bool {
+        let Some(pin) = &mut self.pin else { return false };
+        pin.until = pin.until.min(now);
+        self.tick(now);
+        true
     }
 
     /// The next change, oldest first.
@@ -275,15 +306,15 @@
         self.changes.pop_front()
     }
 
-    /// When [`Levels::tick`] can matter next; infinite at full service without a pin.
+    /// When [`Levels::tick`] can matter next; infinite at full service without a pin or trouble.
     pub fn due(&self) -> f64 {
-        match self.pin {
-            Some(pin) => pin.until,
-            None if self.level > 0 => {
-                (self.since + self.stay).max(self.last_judged + 2.0 * self.params.window)
-            }
-            None => f64::INFINITY,
+        if let Some(pin) = self.pin {
+            return pin.until;
         }
+        let stayed = self.since + self.stay;
+        let silent = if self.level > 0 { stayed.max(self.silent_at()) } else { f64::INFINITY };
+        let patient = self.over_since.map_or(f64::INFINITY, |since| stayed.max(since + self.patience));
+        silent.min(patient)
     }
 
     pub fn status(&mut self, now: f64) -> Status {
--- a/crates/levels/tests/histories.rs
+++ b/crates/levels/tests/histories.rs
@@ -19,6 +19,7 @@
         reach: 1.0,
         leap: 0.6,
         spread: 0.2,
+        patience: 4.0,
         pause: 0.5,
         longest_pause: 4.0,
         remember: 9.0,
@@ -186,6 +187,19 @@
     assert!(most < 281 / 3, "{most} of 281 step within a second of each other");
 }
 
+#[test]
+fn fronts_that_see_the_same_trouble_at_once_step_up_apart() {
+    let mut first = Vec::new();
+    for seed in 0..281 {
+        let (mut levels, mut now) = (Levels::new(seed, params(), 0.0), 0.0);
+        // Everything is lost from one moment on.
+        let changes = drive(&mut levels, &mut now, 40.0, 20.0, |t, _| t > 10.0);
+        first.push(changes[0].at);
+    }
+    let most = first.iter().map(|t| first.iter().filter(|u| (*u - t).abs() < 0.5).count()).max().unwrap();
+    assert!(most < 281 / 3, "{most} of 281 step within a second of each other");
+}
+
 #[test]
 fn state_is_bounded_whatever_is_asked() {
     let mut levels = Levels::new(9, params(), 0.0);
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -9,6 +9,7 @@
 use shalespindle_levels::{LevelParams, Step};
 use std::collections::HashSet;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 fn over_zero(span: &Span, _: &()) -> garde::Result {
     if span.0.is_zero() {
@@ -49,6 +50,9 @@
     pub levels: LevelSettings,
     #[serde(default)]
     #[garde(skip)]
+    pub console: ConsoleSettings,
+    #[serde(default)]
+    #[garde(skip)]
     pub log: LogSettings,
 }
 
@@ -89,6 +93,10 @@
     /// Part by which fronts differ.
     #[garde(range(min = 0.0, max = 0.9))]
     pub spread: f64,
+    /// A crossed threshold must stay crossed for a time drawn anew for each step, up to this part of the
+    /// least stay.
+    #[garde(range(min = 0.0, max = 10.0))]
+    pub patience: f64,
     /// Pause named at the first level, in shortest latency targets; doubles with each further one.
     #[garde(range(min = 0.0, max = 10.0))]
     pub pause: f64,
@@ -128,6 +136,7 @@
             reach: 1.0,
             leap: 0.99,
             spread: 0.2,
+            patience: 2.0,
             pause: 0.25,
             steps: vec![
                 step(0.05, 0.02, 0.0, 1.0, 1.0),
@@ -297,6 +306,15 @@
     }
 }
 
+/// Operators' questions; docs/operators/front.md.
+#[derive(Clone, Debug, Default, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct ConsoleSettings {
+    /// Path of the local socket; none is opened where it is left out.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub socket: Option<PathBuf>,
+}
+
 /// How the log is written.
 #[derive(Clone, Debug, Default, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields, default)]
@@ -419,6 +437,7 @@
             reach: l.reach,
             leap: l.leap,
             spread: l.spread,
+            patience: l.patience * l.least_stay.seconds(),
             pause: l.pause * shortest,
             longest_pause: self.limits.longest_pause.seconds(),
             remember: longest,
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -1,10 +1,12 @@
 //! Carries frames between sockets and a front on `may` coroutines. One coroutine owns the front; readers
 //! send it what comes over one bounded mailbox; it writes without blocking. No decision is made here.
 
+mod answers;
 mod log;
 mod owner;
 mod readers;
 mod service;
 
 pub use log::log_event;
-pub use service::{Service, Snapshot};
+pub use service::Service;
+pub use shalespindle_console::Snapshot;
--- a/crates/transport/src/log.rs
+++ b/crates/transport/src/log.rs
@@ -36,7 +36,13 @@
         }
         Event::Feed { what, detail } => warn!(target: "shalespindle::list", front, what, detail, "feed"),
         Event::Level { from, to, why, takes } => {
-            warn!(target: "shalespindle::level", front, from, to, ?why, takes, "level of reduced service")
+            warn!(target: "shalespindle::level", front, from, to, %why, takes, "level of reduced service")
+        }
+        Event::Pinned { level: Some(level), seconds } => {
+            warn!(target: "shalespindle::level", front, level, seconds, "level pinned by an operator")
+        }
+        Event::Pinned { level: None, .. } => {
+            warn!(target: "shalespindle::level", front, "level let go by an operator")
         }
         Event::BadInput { from, why } => debug!(target: "shalespindle::input", front, from, why, "bad input"),
         Event::Ending { in_hand, standing } => {
--- a/crates/transport/src/owner.rs
+++ b/crates/transport/src/owner.rs
@@ -1,15 +1,17 @@
 //! The coroutine that owns a front: letters in, turns, outputs out.
 
+use crate::answers::{answer, Host};
 use crate::readers;
-use crate::service::Snapshot;
 use hdrhistogram::Histogram;
 use may::net::UdpSocket;
+use may::sync::mpsc;
+use shalespindle_console::{Ask, Reply};
 use shalespindle_front::{Event, Front, Input, LinkId, Output};
 use shalespindle_sockets::{Ground, Mail, Mailbox, Outgoing, Sent};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{mpsc, Arc};
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Letters handled before the front decides.
@@ -21,19 +23,48 @@
 
 /// What reaches the owner.
 pub(crate) enum Letter {
-    Datagram { arrived: f64, from: SocketAddr, bytes: Vec<u8> },
-    Caller { stream: u64, outgoing: Outgoing },
-    CallerBytes { arrived: f64, stream: u64, bytes: Vec<u8> },
-    CallerClosed { stream: u64 },
-    CallerThrough { stream: u64 },
-    Connected { id: LinkId, outgoing: Outgoing },
-    LinkLost { id: LinkId },
-    LinkBytes { arrived: f64, id: LinkId, bytes: Vec<u8> },
-    Through { id: LinkId },
+    Datagram {
+        arrived: f64,
+        from: SocketAddr,
+        bytes: Vec<u8>,
+    },
+    Caller {
+        stream: u64,
+        outgoing: Outgoing,
+    },
+    CallerBytes {
+        arrived: f64,
+        stream: u64,
+        bytes: Vec<u8>,
+    },
+    CallerClosed {
+        stream: u64,
+    },
+    CallerThrough {
+        stream: u64,
+    },
+    Connected {
+        id: LinkId,
+        outgoing: Outgoing,
+    },
+    LinkLost {
+        id: LinkId,
+    },
+    LinkBytes {
+        arrived: f64,
+        id: LinkId,
+        bytes: Vec<u8>,
+    },
+    Through {
+        id: LinkId,
+    },
     FeedConnected,
-    FeedBytes { bytes: Vec<u8> },
+    FeedBytes {
+        bytes: Vec<u8>,
+    },
     FeedLost,
-    Snapshot(mpsc::Sender<Snapshot>),
+    /// An operator's question.
+    Console(Ask, mpsc::Sender<Reply>),
     End,
     Stop,
 }
@@ -180,21 +211,10 @@
             Letter::FeedConnected => front.take(now, now, Input::FeedConnected),
             Letter::FeedBytes { bytes } => front.take(now, now, Input::FeedBytes { bytes: &bytes }),
             Letter::FeedLost => front.take(now, now, Input::FeedLost),
-            Letter::Snapshot(to) => {
-                let quantile = |q| Duration::from_micros(self.lag.value_at_quantile(q));
-                let (attaches, legs) = front.held();
-                let snapshot = Snapshot {
-                    counters: front.counters(),
-                    in_hand: front.in_hand(),
-                    standing: front.standing(),
-                    attaches_held: attaches,
-                    legs_held: legs,
-                    datagrams_dropped: self.dropped,
-                    lag_p50: quantile(0.5),
-                    lag_p99: quantile(0.99),
-                };
+            Letter::Console(ask, to) => {
+                let host = Host { lag: &self.lag, datagrams_dropped: self.dropped };
                 // Whoever asked may have gone; there is nobody to tell then.
-                let _ = to.send(snapshot);
+                let _ = to.send(answer(front, now, &ask, &host));
             }
             Letter::End => front.take(now, now, Input::End),
             Letter::Stop => return false,
--- a/crates/transport/src/service.rs
+++ b/crates/transport/src/service.rs
@@ -4,14 +4,16 @@
 use crate::owner::{Hook, Letter, Owner};
 use crate::readers;
 use may::net::{TcpListener, UdpSocket};
-use shalespindle_front::{Counters, Event, Front};
+use may::sync::mpsc;
+use shalespindle_console::{serve, Ask, Console, Reply, Snapshot};
+use shalespindle_front::{Event, Front};
 use shalespindle_settings::Settings;
 use shalespindle_sockets::{end, mailbox, start, Ground, Handle, Mailbox, LARGE_STACK};
 use socket2::SockRef;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::AtomicUsize;
-use std::sync::{mpsc, Arc};
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Letters that may wait for a front.
@@ -19,19 +21,8 @@
 /// Asked of the kernel for each front's datagrams: what comes while the process stands still.
 const DATAGRAM_BUFFER: usize = 4 << 20;
 
-/// A front's state at one moment.
-#[derive(Clone, Debug)]
-pub struct Snapshot {
-    pub counters: Counters,
-    pub in_hand: usize,
-    pub standing: usize,
-    pub attaches_held: usize,
-    pub legs_held: usize,
-    pub datagrams_dropped: u64,
-    /// How late the owner handled what came and what was due.
-    pub lag_p50: Duration,
-    pub lag_p99: Duration,
-}
+/// An owner that does not answer a question within this has ended.
+const ANSWERED_WITHIN: Duration = Duration::from_secs(5);
 
 /// A front in service. Dropping it stops the front at once and leaves nothing running.
 pub struct Service {
@@ -40,6 +31,7 @@
     readers: Vec<Handle>,
     owner: Option<Handle>,
     feed: Option<Handle>,
+    console: Option<Console>,
 }
 
 impl Service {
@@ -83,7 +75,22 @@
         let owner = Owner::new(front, ground, writer, outgoing.clone(), mail, hook, connect_within, open)
             .ok_or_else(|| io::Error::other("no histogram of that range"))?;
         let owner = start(LARGE_STACK, move || owner.run())?;
-        Ok(Service { address, mailbox: outgoing, readers, owner: Some(owner), feed: Some(feed) })
+        // From here on an error must end what runs already: dropping the service does.
+        let mut service = Service {
+            address,
+            mailbox: outgoing.clone(),
+            readers,
+            owner: Some(owner),
+            feed: Some(feed),
+            console: None,
+        };
+        if let Some(path) = &settings.console.socket {
+            let answer = move |question| {
+                ask(&outgoing, question).unwrap_or(Reply::Bad { why: "the front has ended".into() })
+            };
+            service.console = Some(serve(path, answer)?);
+        }
+        Ok(service)
     }
 
     /// Where callers reach it.
@@ -93,9 +100,10 @@
 
     /// Its state now; none once it has ended.
     pub fn snapshot(&self) -> Option<Snapshot> {
-        let (to, from) = mpsc::channel();
-        self.mailbox.send_urgent(Letter::Snapshot(to)).ok()?;
-        from.recv_timeout(Duration::from_secs(5)).ok()
+        match ask(&self.mailbox, Ask::Status)? {
+            Reply::Status(snapshot) => Some(*snapshot),
+            Reply::Done { .. } | Reply::Bad { .. } => None,
+        }
     }
 
     /// Asks for an orderly end: no new attaches, those in hand answered, standing ones waited for.
@@ -111,6 +119,7 @@
 
 impl Drop for Service {
     fn drop(&mut self) {
+        self.console = None;
         let _ = self.mailbox.send_urgent(Letter::Stop);
         if let Some(owner) = self.owner.take() {
             // A panic in the owner has been reported by its own message.
@@ -122,6 +131,13 @@
     }
 }
 
+/// Puts a question to the owner; none once it has ended.
+fn ask(mailbox: &Mailbox<Letter>, question: Ask) -> Option<Reply> {
+    let (to, from) = mpsc::channel();
+    mailbox.send_urgent(Letter::Console(question, to)).ok()?;
+    from.recv_timeout(ANSWERED_WITHIN).ok()
+}
+
 /// Datagrams and streams on one port; with port 0, tries until one is free for both.
 fn bind(address: SocketAddr) -> io::Result<(UdpSocket, TcpListener)> {
     let mut tries = 0;
