Hard cases of levels as scenarios over a base; lab compare on sockets; repeated troubles

Callers drew the gap to the next wish at the old rate, so that a minute's silence lasted for ever: gaps over a second are now drawn anew (exact, the gap has no memory).

--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -105,6 +105,12 @@
         pairs: u64,
         #[arg(long, default_value_t = 1)]
         seed: u64,
+        /// Another period of the scenarios' repeated troubles, seconds; they last half of it.
+        #[arg(long)]
+        period: Option<f64>,
+        /// On loopback sockets instead of virtual time, so many pairs at once.
+        #[arg(long, default_value_t = 0)]
+        sockets: usize,
         /// B runs without levels of reduced service.
         #[arg(long, conflicts_with = "baseline")]
         without_levels: bool,
--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -2,10 +2,10 @@
 
 use crate::commands::{Lab, RunWith, BAD_INPUT};
 use clap::ValueEnum;
-use shalespindle_lab::compare::{compare, Variant};
+use shalespindle_lab::compare::{compare, Variant, Where};
 use shalespindle_lab::play::{play, Fronts};
 use shalespindle_lab::scenario::{Scenario, BAD_DAY};
-use shalespindle_lab::summary::Report;
+use shalespindle_lab::summary::{LevelSteps, Report};
 use shalespindle_lab::{sim, throughput};
 use std::io;
 use std::net::SocketAddr;
@@ -20,8 +20,7 @@
 }
 
 fn scenario(path: &Path) -> Result<Scenario, ExitCode> {
-    let read = std::fs::read_to_string(path).map_err(|e| e.to_string());
-    read.and_then(|text| Scenario::read(&text).map_err(|e| e.to_string())).map_err(|why| {
+    Scenario::load(path).map_err(|why| {
         eprintln!("{}: {why}", path.display());
         ExitCode::from(BAD_INPUT)
     })
@@ -54,26 +53,30 @@
                     std::fs::create_dir_all(out)?;
                     write_trace(out, &run.trace.sorted())?;
                 }
-                if !run.levels.is_empty() {
-                    let near =
-                        |t: f64| run.levels.iter().filter(|l| (l.0 - t).abs() < 0.5 && l.3 > l.2).count();
-                    let most = run.levels.iter().map(|l| near(l.0)).max().unwrap_or(0);
-                    println!(
-                        "changes of level {} over {} fronts; {most} steps up within one second at most",
-                        run.levels.len(),
-                        scenario.fleet.fronts
-                    );
+                let steps = LevelSteps::of(&run.levels, scenario.fleet.fronts);
+                println!("{steps}");
+                let apart = steps.apart_by(scenario.levels.least_stay.seconds());
+                if !apart {
+                    println!("levels changed sooner than levels.least_stay");
                 }
-                told(&run.report)
+                Ok(if apart { told(&run.report)? } else { ExitCode::FAILURE })
             }
             Err(code) => Ok(code),
         },
-        Lab::Compare { a, b, pairs, seed, without_levels, baseline } => {
+        Lab::Compare { a, b, pairs, seed, without_levels, baseline, period, sockets } => {
             let with = if without_levels { Variant::WithoutLevels } else { variant(baseline) };
             let b = b.unwrap_or_else(|| a.clone());
             match (scenario(&a), scenario(&b)) {
-                (Ok(first), Ok(second)) => {
-                    let result = compare((&first, Variant::Module), (&second, with), seed, pairs);
+                (Ok(mut first), Ok(mut second)) => {
+                    let place = match sockets {
+                        0 => Where::VirtualTime,
+                        pairs_at_once => Where::Sockets { pairs_at_once },
+                    };
+                    if let Some(period) = period {
+                        first.set_period(period);
+                        second.set_period(period);
+                    }
+                    let result = compare((&first, Variant::Module), (&second, with), place, seed, pairs)?;
                     print!("{result}");
                     Ok(if result.rules_kept { ExitCode::SUCCESS } else { ExitCode::FAILURE })
                 }
--- a/crates/lab/src/compare.rs
+++ b/crates/lab/src/compare.rs
@@ -1,11 +1,13 @@
-//! Two variants of a scenario, paired by seed under virtual time, with the noise.
+//! Two variants of a scenario, paired by seed under virtual time or on sockets, with the noise.
 
+use crate::play::{play, Fronts};
 use crate::scenario::Scenario;
 use crate::sim::{self, Setup};
 use crate::summary::Report;
 use statrs::distribution::{ContinuousCDF, StudentsT};
 use std::collections::BTreeMap;
 use std::fmt;
+use std::io;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Mutex;
 
@@ -37,22 +39,62 @@
     pub broken: [u64; 2],
 }
 
-/// Runs both variants over `pairs` seeds, on all cores, and pairs them.
-pub fn compare(a: (&Scenario, Variant), b: (&Scenario, Variant), first: u64, pairs: u64) -> Comparison {
+/// Where pairs are run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Where {
+    VirtualTime,
+    /// On loopback sockets with all fronts in this process, so many pairs at once: both runs of a pair share
+    /// the machine, so that what else goes on meets both alike.
+    Sockets {
+        pairs_at_once: usize,
+    },
+}
+
+fn one(scenario: &Scenario, variant: Variant, place: Where, seed: u64) -> io::Result<Report> {
+    if place == Where::VirtualTime {
+        return Ok(sim::run(scenario, seed, &Setup::of(variant)).report);
+    }
+    let mut scenario = scenario.clone();
+    match variant {
+        Variant::Module => {}
+        Variant::WithoutLevels => scenario.levels.on = false,
+        Variant::RandomRoute => return Err(io::Error::other("baselines run under virtual time only")),
+    }
+    Ok(play(&scenario, seed, &Fronts::Inside, &mut |_| {})?.report)
+}
+
+/// Runs both variants over `pairs` seeds and pairs them; the first run that cannot be made ends it.
+pub fn compare(
+    a: (&Scenario, Variant),
+    b: (&Scenario, Variant),
+    place: Where,
+    first: u64,
+    pairs: u64,
+) -> io::Result<Comparison> {
     let next = AtomicU64::new(0);
-    let results: Mutex<BTreeMap<u64, [Report; 2]>> = Mutex::new(BTreeMap::new());
-    let cores = std::thread::available_parallelism().map_or(1, usize::from);
+    let results: Mutex<BTreeMap<u64, io::Result<[Report; 2]>>> = Mutex::new(BTreeMap::new());
+    let at_once = match place {
+        Where::VirtualTime => std::thread::available_parallelism().map_or(1, usize::from),
+        Where::Sockets { pairs_at_once } => pairs_at_once,
+    };
     std::thread::scope(|scope| {
-        for _ in 0..cores {
+        for _ in 0..at_once {
             scope.spawn(|| loop {
                 let pair = next.fetch_add(1, Ordering::Relaxed);
                 if pair >= pairs {
                     return;
                 }
-                let run = |(scenario, variant): (&Scenario, Variant)| {
-                    sim::run(scenario, first + pair, &Setup::of(variant)).report
+                let run = |(scenario, variant)| one(scenario, variant, place, first + pair);
+                let both = if place == Where::VirtualTime {
+                    run(a).and_then(|a| Ok([a, run(b)?]))
+                } else {
+                    std::thread::scope(|scope| {
+                        let other = scope.spawn(|| run(b));
+                        let a = run(a)?;
+                        let b = other.join().map_err(|_| io::Error::other("a run panicked"))?;
+                        Ok([a, b?])
+                    })
                 };
-                let both = [run(a), run(b)];
                 results.lock().unwrap_or_else(|e| e.into_inner()).insert(pair, both);
             });
         }
@@ -60,18 +102,19 @@
     let results = results.into_inner().unwrap_or_else(|e| e.into_inner());
     let mut rows: BTreeMap<String, Vec<(f64, f64)>> = BTreeMap::new();
     let mut broken = [0, 0];
-    for both in results.values() {
+    for both in results.into_values() {
+        let both = both?;
         let [a, b] = both.each_ref().map(figures);
         for (name, value) in a {
             let other = b.get(&name).copied().unwrap_or(value);
             rows.entry(name).or_default().push((value, other));
         }
-        for (count, report) in broken.iter_mut().zip(both) {
+        for (count, report) in broken.iter_mut().zip(&both) {
             *count += report.summary.rules_broken.values().sum::<u64>();
         }
     }
     let figures = rows.into_iter().map(|(name, pairs)| (name, difference(&pairs))).collect();
-    Comparison { pairs, rules_kept: broken[0] == 0, figures, broken }
+    Ok(Comparison { pairs, rules_kept: broken[0] == 0, figures, broken })
 }
 
 fn figures(report: &Report) -> BTreeMap<String, f64> {
--- a/crates/lab/src/plan.rs
+++ b/crates/lab/src/plan.rs
@@ -42,7 +42,15 @@
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut actions = Vec::new();
     for trouble in &scenario.troubles {
-        one(scenario, trouble, &mut rng, &mut actions);
+        let mut trouble = trouble.clone();
+        loop {
+            one(scenario, &trouble, &mut rng, &mut actions);
+            let Some(every) = trouble.every else { break };
+            trouble.from += every;
+            if trouble.from >= scenario.seconds {
+                break;
+            }
+        }
     }
     actions.sort_by(|a, b| a.0.total_cmp(&b.0));
     actions
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -7,6 +7,7 @@
 use shalespindle_standin::processor::{Cold, Work};
 use shalespindle_standin::server::ServerSpec;
 use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 /// The scenario of `lab bad-day`.
@@ -17,6 +18,8 @@
 pub enum ScenarioError {
     #[error("{0}")]
     Toml(#[from] toml::de::Error),
+    #[error("{file}: {why}")]
+    File { file: PathBuf, why: std::io::Error },
     #[error("{key}: {why}")]
     Value { key: String, why: String },
 }
@@ -131,11 +134,42 @@
     /// Share of the servers or fronts that it meets, rounded up.
     #[serde(default = "whole")]
     pub part: f64,
+    /// It returns after so many seconds, again and again until callers stop asking.
+    #[serde(default)]
+    pub every: Option<f64>,
     /// How much: times slower, times the rate, share of answers lost, share of patience, seconds late.
     #[serde(default)]
     pub size: f64,
 }
 
+/// Bases of bases: guards against files that name each other.
+const MOST_BASES: usize = 4;
+
+fn table(path: &Path, bases: usize) -> Result<toml::Table, ScenarioError> {
+    let text = std::fs::read_to_string(path).map_err(|why| ScenarioError::File { file: path.into(), why })?;
+    let mut own: toml::Table = toml::from_str(&text)?;
+    let Some(base) = own.remove("base") else { return Ok(own) };
+    let bad = |why: &str| ScenarioError::Value { key: "base".into(), why: why.into() };
+    let base = base.as_str().ok_or_else(|| bad("the name of a file beside this one"))?;
+    if bases == 0 {
+        return Err(bad("bases are too deep"));
+    }
+    let mut whole = table(&path.with_file_name(base), bases - 1)?;
+    lay_over(&mut whole, own);
+    Ok(whole)
+}
+
+fn lay_over(under: &mut toml::Table, over: toml::Table) {
+    for (key, value) in over {
+        match (under.get_mut(&key), value) {
+            (Some(toml::Value::Table(under)), toml::Value::Table(over)) => lay_over(under, over),
+            (_, value) => {
+                under.insert(key, value);
+            }
+        }
+    }
+}
+
 fn whole() -> f64 {
     1.0
 }
@@ -148,6 +182,22 @@
         Ok(scenario)
     }
 
+    /// Reads and checks a scenario's file. `base` may name another beside it: this one's keys go before
+    /// that one's, table by table; lists are replaced whole.
+    pub fn load(path: &Path) -> Result<Scenario, ScenarioError> {
+        let scenario: Scenario = table(path, MOST_BASES)?.try_into()?;
+        scenario.check()?;
+        Ok(scenario)
+    }
+
+    /// Repeated troubles with another period, in trouble for half of it.
+    pub fn set_period(&mut self, period: f64) {
+        for trouble in self.troubles.iter_mut().filter(|t| t.every.is_some()) {
+            trouble.every = Some(period);
+            trouble.lasts = period / 2.0;
+        }
+    }
+
     fn check(&self) -> Result<(), ScenarioError> {
         let bad = |key: &str, why: &str| Err(ScenarioError::Value { key: key.into(), why: why.into() });
         if !(1..=1000).contains(&self.fleet.fronts) {
@@ -173,6 +223,9 @@
         }
         for (place, trouble) in self.troubles.iter().enumerate() {
             let key = format!("troubles[{place}]");
+            if trouble.every.is_some_and(|every| every < 0.1 || every.is_nan()) {
+                return bad(&key, "every 0.1 or more");
+            }
             if !(0.0..=1.0).contains(&trouble.part) || trouble.lasts < 0.0 || trouble.from < 0.0 {
                 return bad(&key, "part in 0 to 1, from and for 0 or more");
             }
--- a/crates/lab/src/summary.rs
+++ b/crates/lab/src/summary.rs
@@ -112,3 +112,66 @@
     };
     Report { summary, by_procedure, by_tenant, verdict }
 }
+
+/// What a run's changes of level come to.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LevelSteps {
+    pub changes: usize,
+    pub fronts: usize,
+    /// Steps up within one second, at most, over all fronts.
+    pub together: usize,
+    /// Seconds between two changes of one front, at least; infinite where none changed twice.
+    pub least_apart: f64,
+    pub deepest: usize,
+}
+
+impl LevelSteps {
+    /// Of changes in order of time: when, of which front, from, to.
+    pub fn of(changes: &[(f64, usize, usize, usize)], fronts: usize) -> LevelSteps {
+        let ups: Vec<f64> = changes.iter().filter(|c| c.3 > c.2).map(|c| c.0).collect();
+        let within = |from: f64| ups.iter().filter(|at| (from..=from + 1.0).contains(*at)).count();
+        let mut last = vec![f64::NEG_INFINITY; fronts];
+        let mut least_apart = f64::INFINITY;
+        for &(at, front, _, _) in changes {
+            least_apart = least_apart.min(at - last[front]);
+            last[front] = at;
+        }
+        LevelSteps {
+            changes: changes.len(),
+            fronts,
+            together: ups.iter().map(|at| within(*at)).max().unwrap_or(0),
+            least_apart,
+            deepest: changes.iter().map(|c| c.3).max().unwrap_or(0),
+        }
+    }
+
+    /// Whether no front changed twice within `seconds`.
+    pub fn apart_by(&self, seconds: f64) -> bool {
+        // Virtual time is summed from parts; their rounding is no change too soon.
+        self.least_apart >= seconds - 1e-6
+    }
+}
+
+impl std::fmt::Display for LevelSteps {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(
+            f,
+            "levels: {} changes over {} fronts, to {} at most; {} steps up within one second at most; \
+             changes of a front {:.2} s apart at least",
+            self.changes, self.fronts, self.deepest, self.together, self.least_apart
+        )
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn changes_too_near_and_steps_together_are_found() {
+        let steps = LevelSteps::of(&[(1.0, 0, 0, 1), (1.5, 1, 0, 1), (2.5, 1, 1, 2), (4.0, 0, 1, 0)], 2);
+        assert_eq!((steps.changes, steps.together, steps.deepest), (4, 2, 2));
+        assert!(steps.apart_by(1.0) && !steps.apart_by(1.1));
+        assert!(LevelSteps::of(&[], 3).apart_by(1e9));
+    }
+}
--- a/crates/lab/tests/sim.rs
+++ b/crates/lab/tests/sim.rs
@@ -1,6 +1,6 @@
 //! The bad day under virtual time.
 
-use shalespindle_lab::compare::{compare, Variant};
+use shalespindle_lab::compare::{compare, Variant, Where};
 use shalespindle_lab::scenario::Scenario;
 use shalespindle_lab::sim::{self, Planted, Setup};
 
@@ -47,7 +47,8 @@
 #[test]
 fn the_module_beats_any_route_at_random() {
     let day = bad_day();
-    let result = compare((&day, Variant::Module), (&day, Variant::RandomRoute), 1, 4);
+    let result =
+        compare((&day, Variant::Module), (&day, Variant::RandomRoute), Where::VirtualTime, 1, 4).unwrap();
     println!("{result}");
     let all = result.figures["all"];
     assert!(result.rules_kept && all.mean + all.half < 0.0, "{result}");
@@ -57,7 +58,9 @@
 #[test]
 fn levels_gain_where_servers_swing_and_keep_their_stay() {
     let swing = Scenario::read(include_str!("../scenarios/swing.toml")).unwrap();
-    let result = compare((&swing, Variant::WithoutLevels), (&swing, Variant::Module), 1, 4);
+    let result =
+        compare((&swing, Variant::WithoutLevels), (&swing, Variant::Module), Where::VirtualTime, 1, 4)
+            .unwrap();
     println!("{result}");
     assert!(result.figures["all"].mean > 0.01 && result.rules_kept, "{result}");
     let run = sim::run(&swing, 1, &Setup::of(Variant::Module));
@@ -68,3 +71,29 @@
         assert!(times.windows(2).all(|w| w[1] - w[0] >= stay - 1e-6), "front {front}: {times:?}");
     }
 }
+
+#[test]
+fn scenarios_load_over_their_bases_and_bad_ones_say_why() {
+    let folder = std::path::Path::new(concat!(env!("CARGO_MANIFEST_DIR"), "/scenarios"));
+    let mut seen = 0;
+    for file in std::fs::read_dir(folder).unwrap() {
+        let path = file.unwrap().path();
+        let scenario = Scenario::load(&path).unwrap_or_else(|why| panic!("{}: {why}", path.display()));
+        assert_eq!(path.file_stem().unwrap().to_str().unwrap(), scenario.name);
+        seen += 1;
+    }
+    assert!(seen >= 14, "{seen} scenarios");
+    let full = Scenario::load(&folder.join("swing-full.toml")).unwrap();
+    let swing = Scenario::load(&folder.join("swing.toml")).unwrap();
+    assert_eq!((full.fleet.fronts, full.fleet.list_delay), (281, swing.fleet.list_delay));
+    assert_eq!(full.callers.procedures.len(), swing.callers.procedures.len());
+
+    let own = tempfile::tempdir().unwrap();
+    let bad = |name: &str, text: &str| {
+        std::fs::write(own.path().join(name), text).unwrap();
+        Scenario::load(&own.path().join(name)).unwrap_err().to_string()
+    };
+    assert!(bad("loop.toml", "base = 'loop.toml'").contains("too deep"));
+    assert!(bad("none.toml", "base = 'missing.toml'").contains("missing.toml"));
+    assert!(bad("kind.toml", "base = 3").starts_with("base: "));
+}
--- a/crates/standin/src/callers.rs
+++ b/crates/standin/src/callers.rs
@@ -97,9 +97,14 @@
     bye: Option<Vec<u8>>,
 }
 
+/// Seconds after which a gap between wishes is drawn anew.
+const LONGEST_GAP: f64 = 1.0;
+
 #[derive(Clone, Copy, Debug)]
 enum Due {
     Arrival,
+    /// None came for the longest gap; the next is drawn anew.
+    NoArrival,
     Again(usize),
     Patience(usize),
     Redial(usize),
@@ -174,8 +179,7 @@
             stood_after: Vec::new(),
         };
         if rate > 0.0 {
-            let gap = callers.gap();
-            callers.timers.set(from + gap, Due::Arrival);
+            callers.next_arrival(from);
         }
         callers
     }
@@ -209,19 +213,26 @@
         std::mem::take(&mut self.seen)
     }
 
-    fn gap(&mut self) -> f64 {
+    /// Draws when the next wish comes. A gap without memory may be drawn anew at any time: it is, so that a
+    /// rate that changes is followed within a second.
+    fn next_arrival(&mut self, now: f64) {
         let rate = self.rate * self.faults.burst.unwrap_or(1.0);
-        Exp::new(rate).map_or(1.0, |d| d.sample(&mut self.rng))
+        let gap = Exp::new(rate).map_or(f64::INFINITY, |d| d.sample(&mut self.rng));
+        match gap <= LONGEST_GAP {
+            true => self.timers.set(now + gap, Due::Arrival),
+            false => self.timers.set(now + LONGEST_GAP, Due::NoArrival),
+        }
     }
 
     pub fn tick(&mut self, now: f64) {
         while let Some(due) = self.timers.pop(now) {
             match due {
+                Due::NoArrival if now < self.stop_at => self.next_arrival(now),
+                Due::NoArrival => {}
                 Due::Arrival => {
                     if now < self.stop_at {
                         self.wish(now);
-                        let gap = self.gap();
-                        self.timers.set(now + gap, Due::Arrival);
+                        self.next_arrival(now);
                     }
                 }
                 Due::Again(dial) => self.resend(now, dial),
