--- a/crates/lab/src/walk.rs
+++ b/crates/lab/src/walk.rs
@@ -179,15 +179,17 @@
     }
 
     fn named(&mut self, which: u8) {
-        let now = self.now;
+        let (now, stale) = (self.now, params().stale_longest);
         self.empty_since = None;
         let mut found = Vec::new();
         for (server, account) in self.accounts.iter_mut().enumerate() {
             if which >> server & 1 == 1 {
                 (account.named, account.left_out) = (Some(now), None);
                 found.push(Found { address: address(server), pool: server as u16, priority: 1, weight: 1 });
-            } else if account.named.is_some() {
-                account.left_out.get_or_insert(now);
+            } else if account.left_out.is_none() {
+                // A word that lapsed long ago is not withdrawn now.
+                account.named = account.named.filter(|at| now < at + LIFETIME + stale);
+                account.left_out = account.named.map(|_| now);
             }
         }
         self.members.answered(now, 0, &Answer::Servers { found, lifetime: LIFETIME });
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -256,11 +256,15 @@
     }
 
     fn found(&mut self, now: f64, name: usize, found: &[Found], lifetime: f64) {
+        let stale = self.params.stale_longest;
         for member in self.members.values_mut() {
+            if found.iter().any(|f| f.address == member.address) {
+                continue;
+            }
+            // A word that lapsed long ago is not withdrawn now: forgotten or not, it counts for nothing.
+            member.named.retain(|n, by| *n != name || by.left_out_at.is_some() || now < by.until + stale);
             if let Some(by) = member.named.get_mut(&name) {
-                if !found.iter().any(|f| f.address == member.address) {
-                    by.left_out_at.get_or_insert(now);
-                }
+                by.left_out_at.get_or_insert(now);
             }
         }
         for server in found {
