Fronts take servers from the pool list and DNS through the membership module

Change: the front feeds lines and look-ups to the membership module and passes its rulings to the decision module and the links; the list's reader keeps only its guard against old news. Each try of a question has a socket of its own. `[dns]` and `[membership]` in the settings, checked; trunk groups without a first choice are dealt by priority and weight. The last known members are kept in `membership.file`, written beside and renamed by a thread of its own; a bad file is set aside. `shalespindle members`; one log event a ruling.

--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -36,6 +36,13 @@
         #[arg(long)]
         json: bool,
     },
+    /// Each server that a running front knows: what the pool list and DNS say of it, and the verdict.
+    Members {
+        #[command(flatten)]
+        front: console::Which,
+        #[arg(long)]
+        json: bool,
+    },
     /// Holds a level of reduced service of a running front for a time; it falls back by itself.
     Pin {
         /// 0 is full service.
@@ -153,6 +160,7 @@
             Command::Run { config } => run::run(&config),
             Command::Check { config } => run::check(&config),
             Command::Status { front, json } => console::ask(&front, &Ask::Status, json),
+            Command::Members { front, json } => console::ask(&front, &Ask::Members, json),
             Command::Pin { level, lasts, front } => {
                 let seconds = lasts.as_secs_f64();
                 console::ask(&front, &Ask::PinLevel { level, seconds }, false)
--- a/crates/cli/src/console.rs
+++ b/crates/cli/src/console.rs
@@ -49,6 +49,6 @@
     }
     Ok(match reply {
         Reply::Bad { .. } => ExitCode::FAILURE,
-        Reply::Status(_) | Reply::Done { .. } => ExitCode::SUCCESS,
+        Reply::Status(_) | Reply::Members(_) | Reply::Done { .. } => ExitCode::SUCCESS,
     })
 }
--- a/crates/console/src/lib.rs
+++ b/crates/console/src/lib.rs
@@ -19,6 +19,8 @@
 #[serde(tag = "ask", rename_all = "snake_case", deny_unknown_fields)]
 pub enum Ask {
     Status,
+    /// Each server with what the sources say of it.
+    Members,
     /// Holds a level of reduced service for so many seconds.
     PinLevel {
         level: usize,
@@ -33,6 +35,7 @@
 #[serde(tag = "reply", rename_all = "snake_case")]
 pub enum Reply {
     Status(Box<Snapshot>),
+    Members(Box<Members>),
     Done {
         what: String,
     },
@@ -80,3 +83,46 @@
     pub refused: u64,
     pub changes: u64,
 }
+
+/// The servers that a front knows; docs/operators/membership.md.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Members {
+    /// Seconds that the pool list's feed has been away; none while it is there.
+    pub feed_away: Option<f64>,
+    pub names: Vec<NameState>,
+    pub members: Vec<MemberState>,
+    /// Servers not taken up for want of room.
+    pub turned_away: u64,
+}
+
+/// A name that is looked up.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct NameState {
+    pub name: String,
+    /// What the last look-up came to.
+    pub last: Option<String>,
+    /// Seconds since then.
+    pub age: Option<f64>,
+    /// Seconds until the next; none while one is under way.
+    pub next_in: Option<f64>,
+}
+
+/// One server.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct MemberState {
+    pub address: std::net::SocketAddr,
+    pub pool: u16,
+    pub verdict: String,
+    pub seconds: f64,
+    pub list: String,
+    /// Seconds since the list last told something new.
+    pub list_age: Option<f64>,
+    pub dns: String,
+    /// Seconds since DNS last named it, and what is left of that answer's lifetime (negative: past).
+    pub dns_age: Option<f64>,
+    pub dns_left: Option<f64>,
+    /// Priority and weight (RFC 2782).
+    pub rank: Option<(u16, u16)>,
+    pub because: String,
+    pub warned: bool,
+}
--- a/crates/console/src/words.rs
+++ b/crates/console/src/words.rs
@@ -1,12 +1,13 @@
 //! Answers as operators read them.
 
-use crate::{LevelState, Reply, Snapshot};
+use crate::{LevelState, MemberState, Members, Reply, Snapshot};
 use std::fmt;
 
 impl fmt::Display for Reply {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Reply::Status(snapshot) => snapshot.fmt(f),
+            Reply::Members(members) => members.fmt(f),
             Reply::Done { what } => f.write_str(what),
             Reply::Bad { why } => write!(f, "not done: {why}"),
         }
@@ -55,3 +56,52 @@
         Ok(())
     }
 }
+
+impl fmt::Display for Members {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.feed_away {
+            Some(seconds) => writeln!(f, "pool list: away for {seconds:.0} s")?,
+            None => writeln!(f, "pool list: there")?,
+        }
+        for name in &self.names {
+            let last = name.last.as_deref().unwrap_or("not looked up yet");
+            write!(f, "{}: {last}", name.name)?;
+            if let Some(age) = name.age {
+                write!(f, ", {age:.0} s ago")?;
+            }
+            match name.next_in {
+                Some(next) => writeln!(f, "; again in {next:.0} s")?,
+                None => writeln!(f, "; under way")?,
+            }
+        }
+        for member in &self.members {
+            member.fmt(f)?;
+        }
+        if self.turned_away > 0 {
+            writeln!(f, "{} servers not taken up for want of room", self.turned_away)?;
+        }
+        Ok(())
+    }
+}
+
+impl fmt::Display for MemberState {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let warned = if self.warned { ", warned" } else { "" };
+        write!(
+            f,
+            "{} pool {}: {} for {:.0} s{warned}; list {}",
+            self.address, self.pool, self.verdict, self.seconds, self.list
+        )?;
+        if let Some(age) = self.list_age {
+            write!(f, " ({age:.0} s)")?;
+        }
+        write!(f, "; DNS {}", self.dns)?;
+        if let (Some(age), Some(left)) = (self.dns_age, self.dns_left) {
+            write!(f, " ({age:.0} s, {left:.0} s left)")?;
+        }
+        if let Some((priority, weight)) = self.rank {
+            write!(f, " priority {priority} weight {weight}")?;
+        }
+        writeln!(f, "; {}", self.because)
+    }
+}
--- a/crates/front/src/callers.rs
+++ b/crates/front/src/callers.rs
@@ -14,8 +14,6 @@
 
 /// Header with a caller's patience in milliseconds, where whole seconds of Expires are too coarse.
 pub const PATIENCE: &str = "Attach-Patience-Ms";
-/// First choice of an attach whose trunk group is unknown: no pool has this number.
-const NO_POOL: u16 = u16::MAX;
 /// Over the attaches in hand, so many times as many answered ones are kept to meet repeats.
 const KEPT_FOR_REPEATS: usize = 8;
 /// A 100 is sent to a caller whose attach has waited so long.
@@ -150,11 +148,7 @@
             return;
         }
         let procedure = self.procedure(message);
-        let first_choice = called.trunk_group.map_or(NO_POOL, |group| {
-            let known = self.params.trunk_groups.get(group).copied();
-            self.counters.unknown_trunk_group += u64::from(known.is_none());
-            known.unwrap_or(NO_POOL)
-        });
+        let first_choice = self.first_choice(called.trunk_group);
         let timer = self.params.deployment.procedures.get(procedure).map_or(0.0, |p| p.t_timer);
         let patience =
             [message.expires(), message.millis(PATIENCE)].into_iter().flatten().fold(timer, f64::min);
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -3,7 +3,7 @@
 use crate::io::{Counters, Event, FinalAnswer, Input, LinkId, Outcome, Output, Source};
 use crate::links::{Frame, LegRef, Link, LinkState};
 use crate::params::Params;
-use crate::pool_list::{Dropped, Known, PoolList, ServerState};
+use crate::sources::Sources;
 use crate::told::{Router, Tapped, Told};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -14,6 +14,7 @@
 use shalespindle_signalling::transaction::{Client, InviteServer};
 use shalespindle_signalling::write::ResponseHead;
 use shalespindle_signalling::Framer;
+use shalespindle_srv::In;
 use slab::Slab;
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
@@ -31,6 +32,8 @@
 pub(crate) enum Due {
     /// The level of reduced service may move by time alone.
     Level,
+    /// Resolver or membership module asked to be woken.
+    Sources,
     /// The decision module asked to be woken.
     Control,
     /// The time-out of the leg with that key and serial number.
@@ -155,7 +158,7 @@
     pub(crate) rng: ChaCha8Rng,
     /// Tells this front's names of dialogs and transactions from another's.
     pub(crate) tag: String,
-    pub(crate) list: PoolList,
+    pub(crate) sources: Sources,
     pub(crate) links: Vec<Link>,
     pub(crate) by_pool: HashMap<PoolName, usize>,
     pub(crate) attaches: Slab<Attach>,
@@ -191,6 +194,7 @@
         let control = Tapped::new(router);
         let tag = format!("{:012x}", rng.random::<u64>() >> 16);
         let levels = params.levels.clone().map(|params| Levels::new(rng.random(), params, now));
+        let sources = Sources::new(&params, rng.random(), now);
         Front {
             params,
             started: now,
@@ -199,7 +203,7 @@
             control,
             rng,
             tag,
-            list: PoolList::default(),
+            sources,
             links: Vec::new(),
             by_pool: HashMap::new(),
             attaches: Slab::new(),
@@ -259,10 +263,6 @@
         (self.attaches.len(), self.legs.len())
     }
 
-    pub fn servers(&self) -> impl Iterator<Item = &Known> {
-        self.list.servers()
-    }
-
     /// Asked to end, with nothing left in hand and no attach standing.
     pub fn is_done(&self) -> bool {
         self.ending.is_some() && self.in_hand == 0 && self.standing == 0
@@ -295,11 +295,14 @@
             Input::LinkBytes { id, bytes } => self.link_bytes(now, id, bytes),
             Input::Blocked { id } => self.with_link(id, |link| link.blocked = true),
             Input::Writable { id } => self.with_link(id, |link| link.blocked = false),
-            Input::FeedConnected => self.list.connected(),
+            Input::FeedConnected => self.sources.list.connected(),
             Input::FeedBytes { bytes } => self.feed_bytes(now, bytes),
-            Input::FeedLost => {
-                self.event(Event::Feed { what: "lost", detail: "the last known list stands".into() });
+            Input::FeedLost => self.feed_lost(now),
+            Input::NameDatagram { ticket, from, bytes } => {
+                self.dns(now, In::Datagram { ticket, from, bytes });
             }
+            Input::NameBytes { ticket, bytes } => self.dns(now, In::Stream { ticket, bytes }),
+            Input::NameLost { ticket } => self.dns(now, In::Lost { ticket }),
             Input::End => self.end(now),
         }
     }
@@ -308,6 +311,7 @@
     /// [`Front::wake_at`]; then pull outputs.
     pub fn turn(&mut self, now: f64) {
         self.run_due(now);
+        self.heed_sources(now);
         self.decide(now);
         self.heed_levels(now);
     }
@@ -321,6 +325,7 @@
                 Due::Release { key, serial } => self.bye_due(now, key, serial),
                 Due::Drained { link, connection } => self.drain_due(now, link, connection),
                 Due::Link { link, connection } => self.link_due(now, link, connection),
+                Due::Sources => self.sources_due(now),
                 Due::Level => {
                     self.level_wake = f64::INFINITY;
                     if let Some(levels) = &mut self.levels {
@@ -456,69 +461,6 @@
         self.event(Event::BadInput { from, why });
     }
 
-    // ---- the pool list ----
-
-    fn feed_bytes(&mut self, now: f64, bytes: &[u8]) {
-        if !self.list.push(bytes) {
-            self.counters.bad_list_lines += 1;
-            self.list.connected();
-            self.event(Event::Feed { what: "line too long", detail: String::new() });
-        }
-        while let Some(line) = self.list.next_line(now) {
-            match line {
-                Ok(news) => {
-                    let (entries, whole) = (news.entries, news.whole);
-                    self.control.tell(now, Told::PoolsListed { entries, whole });
-                    for known in news.changed {
-                        self.listed(now, known);
-                    }
-                }
-                Err(Dropped::Nonsense(why)) => {
-                    self.counters.bad_list_lines += 1;
-                    self.event(Event::Feed { what: "nonsense", detail: why });
-                }
-                Err(Dropped::Backwards { epoch, sequence }) => {
-                    let detail = format!("epoch {epoch}, line {sequence}");
-                    self.event(Event::Feed { what: "old news", detail });
-                }
-            }
-        }
-    }
-
-    /// A server's state changed: its link follows.
-    fn listed(&mut self, now: f64, known: Known) {
-        let place = match self.by_pool.get(&known.name) {
-            Some(&place) => place,
-            None => {
-                self.links.push(Link::new(known.name, known.pool, known.address));
-                self.by_pool.insert(known.name, self.links.len() - 1);
-                self.links.len() - 1
-            }
-        };
-        let link = &mut self.links[place];
-        link.number = known.pool;
-        link.ready = known.state == ServerState::Ready;
-        link.listed = known.state != ServerState::Gone;
-        let age = if known.started == 0.0 { f64::INFINITY } else { now - known.started };
-        self.event(Event::Pool { server: known.address, number: known.pool, state: known.state.name(), age });
-        if self.links[place].ready {
-            if let LinkState::Down { retry_at } = self.links[place].state {
-                if retry_at <= now {
-                    self.connect(now, place);
-                }
-            }
-            return;
-        }
-        self.take_back(now, place);
-        let link = &self.links[place];
-        if link.blocked {
-            // What is half written may go on inside the grace, not after it.
-            let at = now + self.params.drain_grace / 2.0;
-            self.timers.set(at, Due::Drained { link: place, connection: link.connection });
-        }
-        self.close_unused(now, place);
-    }
-
     // ---- the end ----
 
     fn end(&mut self, now: f64) {
--- a/crates/front/src/io.rs
+++ b/crates/front/src/io.rs
@@ -2,6 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 use shalespindle_levels::Why;
+use shalespindle_membership::Change;
+use shalespindle_srv::{Step, Ticket};
 use std::net::SocketAddr;
 
 /// Where a caller's message came from, and where its answers go.
@@ -58,6 +60,21 @@
         bytes: &'a [u8],
     },
     FeedLost,
+    /// An answer to a question for a name, from that address.
+    NameDatagram {
+        ticket: Ticket,
+        from: SocketAddr,
+        bytes: &'a [u8],
+    },
+    /// The same over a stream, in any parts.
+    NameBytes {
+        ticket: Ticket,
+        bytes: &'a [u8],
+    },
+    /// That question's socket could not be opened or has ended.
+    NameLost {
+        ticket: Ticket,
+    },
     /// Take no new attaches, answer those in hand, then be done.
     End,
 }
@@ -90,6 +107,17 @@
         id: LinkId,
         reset: bool,
     },
+    /// Ask a name server: on a socket of its own, with a fresh port.
+    NameAsk {
+        ticket: Ticket,
+        to: SocketAddr,
+        tcp: bool,
+        bytes: Vec<u8>,
+    },
+    /// Close that question's socket.
+    NameClose {
+        ticket: Ticket,
+    },
     /// For the log; carries nothing to do.
     Event(Event),
 }
@@ -140,12 +168,16 @@
         cut: bool,
         stood_for: f64,
     },
+    /// A server's verdict changed; `age` is its processor's, seconds.
     Pool {
-        server: SocketAddr,
-        number: u16,
-        state: &'static str,
+        change: Change,
         age: f64,
     },
+    /// A step of a look-up; `trouble`: not an ordinary one.
+    LookUp {
+        step: Step,
+        trouble: bool,
+    },
     LinkUp {
         server: SocketAddr,
     },
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -12,8 +12,10 @@
 pub mod params;
 pub mod pool_list;
 mod servers;
+mod sources;
 pub mod told;
 
 pub use front::Front;
 pub use io::{Counters, Event, FinalAnswer, Input, LinkId, Outcome, Output, Source};
 pub use params::Params;
+pub use sources::Name;
--- a/crates/front/src/params.rs
+++ b/crates/front/src/params.rs
@@ -2,7 +2,9 @@
 
 use shalespindle_control::interface::Deployment;
 use shalespindle_levels::LevelParams;
-use std::collections::HashMap;
+use shalespindle_membership::MembershipParams;
+use shalespindle_srv::ResolverParams;
+use std::collections::{BTreeMap, HashMap};
 
 /// Start-up values of one front. Times are seconds.
 #[derive(Clone, Debug)]
@@ -11,8 +13,13 @@
     pub deployment: Deployment,
     /// Resource-Priority value (RFC 4412) to procedure, by its place in `deployment.procedures`.
     pub priorities: HashMap<String, usize>,
-    /// Trunk group (RFC 4904) to the number of the pool that is its first choice.
-    pub trunk_groups: HashMap<String, u16>,
+    /// Trunk groups (RFC 4904) and their first choices.
+    pub trunk_groups: HashMap<String, FirstChoice>,
+    /// How many of them are dealt by DNS.
+    pub dealt_groups: usize,
+    pub membership: MembershipParams,
+    /// DNS as a second source of servers; none: the pool list alone.
+    pub dns: Option<DnsParams>,
     /// Tenants by the host of a caller's address, to their places in `levels.tenant_shares`.
     pub tenants: HashMap<String, usize>,
     /// Levels of reduced service; none: full service always.
@@ -36,3 +43,22 @@
     /// Longest time that standing attaches hold up an orderly end.
     pub end_within: f64,
 }
+
+/// The pool that is a trunk group's first choice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FirstChoice {
+    /// The one of that number.
+    Pool(u16),
+    /// By priority and weight of DNS; its place among the groups dealt so.
+    Dealt(usize),
+}
+
+/// DNS as a source of servers.
+#[derive(Clone, Debug)]
+pub struct DnsParams {
+    pub resolver: ResolverParams,
+    /// Pool numbers of targets that the settings list.
+    pub pools: BTreeMap<String, u16>,
+    /// Other targets are numbered from here.
+    pub first_pool: u16,
+}
--- a/crates/front/src/servers.rs
+++ b/crates/front/src/servers.rs
@@ -3,11 +3,12 @@
 
 use crate::front::{Due, Front, Leg, LegStage, Stage};
 use crate::io::{Event, LinkId, Outcome, Output};
-use crate::links::{Frame, LegRef, LinkState};
+use crate::links::{Frame, LegRef, Link, LinkState};
 use crate::outcome;
 use crate::told::Told;
 use rand::Rng;
 use shalespindle_control::interface::{Ended, Report};
+use shalespindle_membership::Change;
 use shalespindle_signalling::message::{address, Message, Method};
 use shalespindle_signalling::transaction::LONG;
 use shalespindle_signalling::write::{ResponseHead, Writer};
@@ -25,6 +26,32 @@
         self.outputs.push_back(Output::Connect { id, to });
     }
 
+    /// The link to a member, made when it is first heard of.
+    pub(crate) fn link_of(&mut self, change: &Change) -> usize {
+        if let Some(&place) = self.by_pool.get(&change.name) {
+            return place;
+        }
+        self.links.push(Link::new(change.name, change.pool, change.address));
+        self.by_pool.insert(change.name, self.links.len() - 1);
+        self.links.len() - 1
+    }
+
+    /// Connects to a server in service, unless a pause after a loss is still on.
+    pub(crate) fn connect_when_due(&mut self, now: f64, place: usize) {
+        if matches!(self.links[place].state, LinkState::Down { retry_at } if retry_at <= now) {
+            self.connect(now, place);
+        }
+    }
+
+    /// What is half written may go on inside the grace, not after it.
+    pub(crate) fn drain(&mut self, now: f64, place: usize) {
+        let link = &self.links[place];
+        if link.blocked {
+            let at = now + self.params.drain_grace / 2.0;
+            self.timers.set(at, Due::Drained { link: place, connection: link.connection });
+        }
+    }
+
     pub(crate) fn connected(&mut self, id: LinkId) {
         let Some(link) = self.links.get_mut(id.link).filter(|l| l.connection == id.connection) else {
             return;
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -38,6 +38,8 @@
     #[serde(default)]
     pub levels: LevelSettings,
     #[serde(default)]
+    pub membership: MembershipSettings,
+    #[serde(default)]
     pub troubles: Vec<Trouble>,
 }
 
@@ -327,7 +329,7 @@
             late_share: p.late_share,
             pools: pools.clone(),
         };
-        let group = |p: &u16| TrunkGroup { name: Scenario::trunk_group((*p).into()), first_choice: *p };
+        let group = |p: &u16| TrunkGroup { name: Scenario::trunk_group((*p).into()), first_choice: Some(*p) };
         Settings {
             front: FrontSettings {
                 listen,
@@ -363,6 +365,8 @@
                 .iter()
                 .map(|(name, share)| TenantSettings { name: name.clone(), share: *share })
                 .collect(),
+            dns: None,
+            membership: self.membership.clone(),
             levels: self.levels.clone(),
             console: ConsoleSettings::default(),
             log: LogSettings::default(),
--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -392,6 +392,7 @@
                     }
                 }
                 Output::Event(Event::Level { from, to, .. }) => self.levels.push((now, front, from, to)),
+                Output::NameAsk { .. } | Output::NameClose { .. } => {}
                 Output::ToCaller { .. } | Output::CloseCaller { .. } | Output::Event(_) => {}
             }
         }
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -9,12 +9,14 @@
 mod durable;
 mod flaps;
 mod members;
+mod numbers;
 mod sources;
 pub mod table;
 
 pub use choices::first_choice;
 pub use durable::{read, write, DurableError, Remembered, VERSION};
 pub use members::{Member, Membership};
+pub use numbers::Numbers;
 pub use sources::{DnsWord, ListWord};
 
 use std::net::SocketAddr;
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -3,9 +3,11 @@
 
 mod model;
 mod place;
+mod sources;
 mod span;
 
 pub use model::*;
+pub use sources::{DnsSettings, DnsTarget, MembershipSettings};
 pub use span::Span;
 
 use garde::Validate;
--- a/crates/transport/src/answers.rs
+++ b/crates/transport/src/answers.rs
@@ -1,8 +1,10 @@
 //! What a front and its host answer to operators' questions.
 
 use hdrhistogram::Histogram;
-use shalespindle_console::{Ask, LevelState, Reply, Snapshot};
+use shalespindle_console::{Ask, LevelState, MemberState, Members, NameState, Reply, Snapshot};
 use shalespindle_front::Front;
+use shalespindle_membership::table::row;
+use shalespindle_membership::{Because, Member};
 
 /// The longest pin, seconds: one that is forgotten must not outlive a day.
 const LONGEST_PIN: f64 = 86_400.0;
@@ -17,6 +19,7 @@
 pub(crate) fn answer(front: &mut Front, now: f64, ask: &Ask, host: &Host) -> Reply {
     match *ask {
         Ask::Status => Reply::Status(Box::new(snapshot(front, now, host))),
+        Ask::Members => Reply::Members(Box::new(members(front, now))),
         Ask::PinLevel { level, seconds } => {
             if !(seconds > 0.0 && seconds <= LONGEST_PIN) {
                 return Reply::Bad { why: format!("a pin lasts more than 0 and at most {LONGEST_PIN} s") };
@@ -71,3 +74,43 @@
         counters: front.counters(),
     }
 }
+
+fn members(front: &Front, now: f64) -> Members {
+    let name = |n: shalespindle_front::Name| NameState {
+        name: n.name,
+        last: n.last.map(|l| l.0.to_string()),
+        age: n.last.map(|l| l.1),
+        next_in: Some(n.next_in).filter(|s| s.is_finite()),
+    };
+    Members {
+        feed_away: front.feed_away(now),
+        names: front.names(now).into_iter().map(name).collect(),
+        members: front.members().map(|m| member(m, now)).collect(),
+        turned_away: front.turned_away(),
+    }
+}
+
+fn member(member: &Member, now: f64) -> MemberState {
+    let (list, dns) = member.words();
+    // Of several names the one whose answer is good for longest.
+    let named = member.named().max_by(|a, b| a.2.total_cmp(&b.2));
+    let because = match member.because() {
+        Because::Row => row(list, dns).reason,
+        Because::Flapping => "it came and went too often of late",
+        Because::LastResort => "the last resort: nothing else is left",
+    };
+    MemberState {
+        address: member.address(),
+        pool: member.pool(),
+        verdict: format!("{:?}", member.verdict()).to_lowercase(),
+        seconds: now - member.since(),
+        list: list.to_string(),
+        list_age: member.listed().map(|l| now - l.1),
+        dns: dns.to_string(),
+        dns_age: named.map(|n| now - n.1),
+        dns_left: named.map(|n| n.2 - now),
+        rank: member.rank(),
+        because: because.into(),
+        warned: member.warned(),
+    }
+}
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -3,6 +3,8 @@
 
 mod answers;
 mod log;
+mod memory;
+mod names;
 mod owner;
 mod readers;
 mod service;
--- a/crates/transport/src/log.rs
+++ b/crates/transport/src/log.rs
@@ -1,6 +1,8 @@
 //! One structured log event for each thing that a front tells; docs/operators/front.md explains them.
 
 use shalespindle_front::{Event, Outcome};
+use shalespindle_membership::table::row;
+use shalespindle_membership::Because;
 use tracing::{debug, info, warn};
 
 /// Writes an event to the log; `front` names the front.
@@ -24,9 +26,27 @@
         Event::Released { session, cut, stood_for } => info!(
             target: "shalespindle::attach", front, session = &**session, cut, stood_for_s = stood_for, "released"
         ),
-        Event::Pool { server, number, state, age } => info!(
-            target: "shalespindle::list", front, %server, pool = number, state, age_s = age, "server listed"
-        ),
+        Event::Pool { change: c, age } => {
+            let reason = row(c.list, c.dns).reason;
+            let (list, dns, state) = (c.list.name(), c.dns.name(), format!("{:?}", c.verdict));
+            if c.warned || c.because != Because::Row {
+                warn!(
+                    target: "shalespindle::members", front, server = %c.address, pool = c.pool, state, list, dns,
+                    because = ?c.because, reason, age_s = age, "server ruled on old news"
+                )
+            } else {
+                info!(
+                    target: "shalespindle::members", front, server = %c.address, pool = c.pool, state, list, dns,
+                    reason, age_s = age, "server ruled"
+                )
+            }
+        }
+        Event::LookUp { step, trouble: true } => {
+            info!(target: "shalespindle::names", front, ?step, "look-up")
+        }
+        Event::LookUp { step, trouble: false } => {
+            debug!(target: "shalespindle::names", front, ?step, "look-up")
+        }
         Event::LinkUp { server } => info!(target: "shalespindle::link", front, %server, "connected"),
         Event::LinkLost { server, cut, retry_after } => warn!(
             target: "shalespindle::link", front, %server, cut, retry_after_s = retry_after, "connection lost"
--- a/crates/transport/src/owner.rs
+++ b/crates/transport/src/owner.rs
@@ -1,6 +1,8 @@
 //! The coroutine that owns a front: letters in, turns, outputs out.
 
 use crate::answers::{answer, Host};
+use crate::memory::Memory;
+use crate::names::Questions;
 use crate::readers;
 use hdrhistogram::Histogram;
 use may::net::UdpSocket;
@@ -8,6 +10,7 @@
 use shalespindle_console::{Ask, Reply};
 use shalespindle_front::{Event, Front, Input, LinkId, Output};
 use shalespindle_sockets::{Ground, Mail, Mailbox, Outgoing, Sent};
+use shalespindle_srv::Ticket;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -63,6 +66,18 @@
         bytes: Vec<u8>,
     },
     FeedLost,
+    NameDatagram {
+        ticket: Ticket,
+        from: SocketAddr,
+        bytes: Vec<u8>,
+    },
+    NameBytes {
+        ticket: Ticket,
+        bytes: Vec<u8>,
+    },
+    NameLost {
+        ticket: Ticket,
+    },
     /// An operator's question.
     Console(Ask, mpsc::Sender<Reply>),
     End,
@@ -88,6 +103,10 @@
     pub hook: Hook,
     pub connect_within: Duration,
     pub connections: Arc<AtomicUsize>,
+    pub memory: Option<Memory>,
+    /// The members changed since they were last offered.
+    unkept: bool,
+    questions: Questions,
     callers: HashMap<u64, Caller>,
     links: HashMap<LinkId, Outgoing>,
     /// Asked for and not yet there.
@@ -108,6 +127,7 @@
         hook: Hook,
         connect_within: Duration,
         connections: Arc<AtomicUsize>,
+        memory: Option<Memory>,
     ) -> Option<Owner> {
         // 1 us to 100 s, two figures: enough to tell a millisecond from two.
         let lag = Histogram::new_with_bounds(1, 100_000_000, 2).ok()?;
@@ -120,6 +140,9 @@
             hook,
             connect_within,
             connections,
+            memory,
+            unkept: false,
+            questions: Questions::default(),
             callers: HashMap::new(),
             links: HashMap::new(),
             connecting: HashMap::new(),
@@ -153,6 +176,7 @@
             let now = self.ground.now();
             self.front.turn(now);
             self.carry(now);
+            self.keep();
             if self.front.is_done() {
                 return;
             }
@@ -161,6 +185,13 @@
         }
     }
 
+    /// Offers the last known members to be written, until they are taken.
+    fn keep(&mut self) {
+        if let Some(memory) = self.memory.as_ref().filter(|_| self.unkept) {
+            self.unkept = !memory.offer(self.front.remember());
+        }
+    }
+
     fn late(&mut self, seconds: f64) {
         self.lag.saturating_record((seconds * 1e6) as u64);
     }
@@ -211,6 +242,13 @@
             Letter::FeedConnected => front.take(now, now, Input::FeedConnected),
             Letter::FeedBytes { bytes } => front.take(now, now, Input::FeedBytes { bytes: &bytes }),
             Letter::FeedLost => front.take(now, now, Input::FeedLost),
+            Letter::NameDatagram { ticket, from, bytes } => {
+                front.take(now, now, Input::NameDatagram { ticket, from, bytes: &bytes });
+            }
+            Letter::NameBytes { ticket, bytes } => {
+                front.take(now, now, Input::NameBytes { ticket, bytes: &bytes });
+            }
+            Letter::NameLost { ticket } => front.take(now, now, Input::NameLost { ticket }),
             Letter::Console(ask, to) => {
                 let host = Host { lag: &self.lag, datagrams_dropped: self.dropped };
                 // Whoever asked may have gone; there is nobody to tell then.
@@ -259,7 +297,14 @@
                         outgoing.close(reset);
                     }
                 }
-                Output::Event(event) => (self.hook)(&event),
+                Output::NameAsk { ticket, to, tcp, bytes } => {
+                    self.questions.ask(ticket, to, tcp, bytes, self.connect_within, &self.mailbox);
+                }
+                Output::NameClose { ticket } => self.questions.close(ticket),
+                Output::Event(event) => {
+                    self.unkept |= matches!(event, Event::Pool { .. });
+                    (self.hook)(&event);
+                }
             }
         }
     }
--- a/crates/transport/src/service.rs
+++ b/crates/transport/src/service.rs
@@ -1,6 +1,7 @@
 //! A front in service: its sockets, its coroutines, and the handle that ends them.
 
 use crate::log::log_event;
+use crate::memory::{recall, Memory};
 use crate::owner::{Hook, Letter, Owner};
 use crate::readers;
 use may::net::{TcpListener, UdpSocket};
@@ -57,7 +58,14 @@
         }
         let connect_within = Duration::from_secs_f64(params.connect_within);
         let name = params.host.clone();
-        let front = Front::new(params, seed, ground.now());
+        let mut front = Front::new(params, seed, ground.now());
+        let mut memory = None;
+        if let Some(path) = &settings.membership.file {
+            if let Some((members, age)) = recall(path) {
+                front.restore(ground.now(), age, &members);
+            }
+            memory = Some(Memory::start(path.clone())?);
+        }
         let (outgoing, mail) = mailbox(ROOM);
         let open = Arc::new(AtomicUsize::new(0));
         let writer = udp.try_clone()?;
@@ -72,8 +80,9 @@
             log_event(&name, event);
             hook(event);
         });
-        let owner = Owner::new(front, ground, writer, outgoing.clone(), mail, hook, connect_within, open)
-            .ok_or_else(|| io::Error::other("no histogram of that range"))?;
+        let owner =
+            Owner::new(front, ground, writer, outgoing.clone(), mail, hook, connect_within, open, memory)
+                .ok_or_else(|| io::Error::other("no histogram of that range"))?;
         let owner = start(LARGE_STACK, move || owner.run())?;
         // From here on an error must end what runs already: dropping the service does.
         let mut service = Service {
@@ -102,7 +111,7 @@
     pub fn snapshot(&self) -> Option<Snapshot> {
         match ask(&self.mailbox, Ask::Status)? {
             Reply::Status(snapshot) => Some(*snapshot),
-            Reply::Done { .. } | Reply::Bad { .. } => None,
+            Reply::Members(_) | Reply::Done { .. } | Reply::Bad { .. } => None,
         }
     }
 
