Lab plays SRV records: zone, scripts, silent feeds; a start that a front sees itself is cold

Change: scenarios may have a `[dns]` zone that follows the fleet, name servers with scripts and a feed that is silent, under virtual time and on sockets; the checker's rule 3 counts withdrawn records and the hold; `lab sim` prints how soon fronts know and what name servers are asked. A server that answers again where nobody did has started anew as far as a front can see: membership takes it for cold until the list tells of that start.

--- a/crates/front/src/servers.rs
+++ b/crates/front/src/servers.rs
@@ -52,7 +52,7 @@
         }
     }
 
-    pub(crate) fn connected(&mut self, id: LinkId) {
+    pub(crate) fn connected(&mut self, now: f64, id: LinkId) {
         let Some(link) = self.links.get_mut(id.link).filter(|l| l.connection == id.connection) else {
             return;
         };
@@ -60,6 +60,11 @@
             link.state = LinkState::Up;
             link.pause = 0.0;
             let server = link.address;
+            let came_back = link.was_up && link.nobody_there;
+            (link.was_up, link.nobody_there) = (true, false);
+            if came_back {
+                self.came_back(now, server);
+            }
             self.event(Event::LinkUp { server });
         }
     }
@@ -72,6 +77,7 @@
         let chance = self.rng.random();
         let (least, longest) = self.params.reconnect;
         let link = &mut self.links[id.link];
+        link.nobody_there |= link.state == LinkState::Connecting;
         let retry_after = link.back_off(least, longest, chance);
         link.state = LinkState::Down { retry_at: now + retry_after };
         // The next connection has another number, so that late reports of this one are told apart.
--- a/crates/front/src/sources.rs
+++ b/crates/front/src/sources.rs
@@ -153,6 +153,12 @@
         self.event(Event::Feed { what: "lost", detail: "the last known list stands".into() });
     }
 
+    /// A server answers again where nobody did.
+    pub(crate) fn came_back(&mut self, now: f64, server: SocketAddr) {
+        self.sources.stirred = true;
+        self.sources.members.came_back(now, server);
+    }
+
     pub(crate) fn dns(&mut self, now: f64, report: In) {
         self.sources.stirred = true;
         if let Some(dns) = &mut self.sources.dns {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod summary;
 pub mod throughput;
 pub mod walk;
+pub mod zone;
--- a/crates/lab/src/plan.rs
+++ b/crates/lab/src/plan.rs
@@ -6,6 +6,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use shalespindle_standin::feed::Listed;
+use shalespindle_standin::nameserver::Script;
 
 /// Something the lab does to the fleet.
 #[derive(Clone, Debug, PartialEq)]
@@ -31,6 +32,10 @@
     Burst(Option<f64>),
     GiveUp(Option<f64>),
     Abuse(Option<usize>),
+    /// A server's record comes into the zone, or goes.
+    Published(usize, bool),
+    NameServer(usize, Script),
+    FeedSilent(bool),
 }
 
 /// Seconds that a drained server has before its processor ends, and that its successor takes to start.
@@ -52,6 +57,20 @@
             }
         }
     }
+    if let Some(dns) = &scenario.dns {
+        // Whoever tells the list of a server's end tells the zone, which has its own delay.
+        let told = |(at, action): &(f64, Action)| match action {
+            Action::List { server, state, .. } => {
+                Some((at + dns.delay, Action::Published(*server, *state == Listed::Ready)))
+            }
+            _ => None,
+        };
+        let published: Vec<(f64, Action)> = actions.iter().filter_map(told).collect();
+        actions.extend(published);
+        if dns.alone {
+            actions.push((0.0, Action::FeedSilent(true)));
+        }
+    }
     actions.sort_by(|a, b| a.0.total_cmp(&b.0));
     actions
 }
@@ -135,6 +154,17 @@
                 out.push((to, Action::FrontGoesOn(front)));
             }
         }
+        TroubleKind::NameServer => {
+            let count = scenario.dns.as_ref().map_or(0, |d| d.name_servers);
+            for place in some(count.max(1), trouble.part, rng).into_iter().filter(|p| *p < count) {
+                out.push((from, Action::NameServer(place, trouble.script)));
+                out.push((to, Action::NameServer(place, Script::Plain)));
+            }
+        }
+        TroubleKind::FeedSilent => {
+            out.push((from, Action::FeedSilent(true)));
+            out.push((to, Action::FeedSilent(false)));
+        }
         TroubleKind::Burst => {
             out.push((from, Action::Burst(Some(trouble.size))));
             out.push((to, Action::Burst(None)));
--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -3,6 +3,7 @@
 use crate::plan::{plan, Action};
 use crate::scenario::Scenario;
 use crate::summary::{report, Report};
+use crate::zone::Zone;
 use may::net::{TcpListener, UdpSocket};
 use nix::sys::signal::{kill, Signal};
 use nix::unistd::Pid;
@@ -13,6 +14,7 @@
 use shalespindle_standin::callers::Callers;
 use shalespindle_standin::checker::check;
 use shalespindle_standin::feed::Feed;
+use shalespindle_standin::names::{self, HostedNames};
 use shalespindle_standin::net::{self, Hosted, HostedServer};
 use shalespindle_standin::server::Server;
 use shalespindle_standin::trace::{Entry, Seen, Trace};
@@ -22,7 +24,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 /// What a front's messages may take on the loopback sockets of a busy machine, seconds.
@@ -65,6 +67,8 @@
     running: Vec<Running>,
     servers: Vec<HostedServer>,
     feed: Hosted<Feed>,
+    zone: Arc<Mutex<Zone>>,
+    _name_servers: Vec<HostedNames>,
     callers: Vec<Hosted<Callers>>,
     rng: ChaCha8Rng,
 }
@@ -85,6 +89,31 @@
 /// Loopback networks of fronts and of servers.
 const FRONTS: u8 = 10;
 const SERVERS: u8 = 20;
+const NAMES: u8 = 30;
+
+/// A name server for one front, so that what it is told is known to be told to it.
+fn name_server(
+    zone: &Arc<Mutex<Zone>>,
+    front: usize,
+    place: usize,
+    ground: &Ground,
+    trace: &Trace,
+) -> io::Result<(SocketAddr, HostedNames)> {
+    let at = free_address(NAMES, front)?;
+    let (udp, tcp) = (UdpSocket::bind(at)?, TcpListener::bind(at)?);
+    let (zone, ground, trace) = (zone.clone(), ground.clone(), trace.clone());
+    let answer = move |question: &[u8], stream: bool| {
+        let now = ground.now();
+        let (replies, named) =
+            zone.lock().unwrap_or_else(|e| e.into_inner()).ask(place, now, question, stream);
+        // What passed is in the trace before it can have an effect elsewhere.
+        if let Some(servers) = named {
+            trace.add(now, Seen::Named { front, servers });
+        }
+        replies
+    };
+    Ok((at, names::name_server(udp, tcp, Arc::new(answer))?))
+}
 
 /// Plays a scenario; `tell` gets lines of progress.
 pub fn play(
@@ -131,18 +160,34 @@
             let listener = TcpListener::bind("127.0.0.1:0")?;
             let (address, feed) = (free_address(FRONTS, front)?, listener.local_addr()?);
             names.insert(address.to_string(), front);
-            settings.push(scenario.settings(address, feed, MARGIN));
+            settings.push((address, feed));
             listeners.push(listener);
         }
         let names = Arc::new(names);
         let mut feed = Feed::new(1, count, scenario.fleet.list_delay);
+        feed.silence(scenario.dns.as_ref().is_some_and(|d| d.alone));
         let mut servers = Vec::new();
+        let mut addresses = Vec::new();
         for s in 0..scenario.fleet.servers {
             let address = free_address(SERVERS, s)?;
             feed.known(s, address, s as u16);
+            addresses.push(address);
             let core = Server::new(s, address.to_string(), scenario.server(s), names.clone(), rng.random());
             servers.push(HostedServer::start(core, address, ground.clone(), trace.clone())?);
         }
+        let zone = Arc::new(Mutex::new(Zone::new(scenario, seed, addresses)));
+        let mut name_servers = Vec::new();
+        let mut all_settings = Vec::new();
+        for (front, (address, feed)) in settings.into_iter().enumerate() {
+            let mut names = Vec::new();
+            for place in 0..scenario.dns.as_ref().map_or(0, |d| d.name_servers) {
+                let (at, hosted) = name_server(&zone, front, place, &ground, &trace)?;
+                names.push(at);
+                name_servers.push(hosted);
+            }
+            all_settings.push(scenario.settings(address, feed, &names, MARGIN));
+        }
+        let settings = all_settings;
         let feed = net::feed(feed, listeners, ground.clone(), trace.clone())?;
         let mut fleet = Fleet {
             scenario,
@@ -153,6 +198,8 @@
             running: Vec::new(),
             servers,
             feed,
+            zone,
+            _name_servers: name_servers,
             callers: Vec::new(),
             rng,
         };
@@ -229,6 +276,9 @@
             Action::AnswersLost(s, share) => {
                 self.servers[s].core.act(move |core, _| core.faults.answers_lost = share);
             }
+            Action::Published(s, there) => self.zone().publish(s, there),
+            Action::NameServer(place, script) => self.zone().script(place, script),
+            Action::FeedSilent(silent) => self.feed.act(move |feed, _| feed.silence(silent)),
             Action::ListDelay(delay) => self.feed.act(move |feed, _| feed.delay = delay),
             Action::FrontKilled(f) => {
                 self.signal(f, Signal::SIGKILL)?;
@@ -253,6 +303,11 @@
         Ok(())
     }
 
+    fn zone(&self) -> MutexGuard<'_, Zone> {
+        // Whoever panicked with it left whole records behind.
+        self.zone.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
     fn each_callers(&self, change: impl Fn(&mut Callers) + Send + Clone + 'static) {
         for callers in &self.callers {
             let change = change.clone();
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -1,9 +1,11 @@
 //! Scenarios: a fleet, its callers, troubles and the rules' figures, read from TOML.
 
+use crate::zone;
 use serde::Deserialize;
 use shalespindle_settings::*;
 use shalespindle_standin::callers::{AskSpec, CallerSpec};
 use shalespindle_standin::checker::Figures;
+use shalespindle_standin::nameserver::Script;
 use shalespindle_standin::processor::{Cold, Work};
 use shalespindle_standin::server::ServerSpec;
 use std::net::SocketAddr;
@@ -35,6 +37,9 @@
     pub servers: Servers,
     pub callers: Callers,
     pub rules: Rules,
+    /// SRV records beside the pool list.
+    #[serde(default)]
+    pub dns: Option<DnsSide>,
     #[serde(default)]
     pub levels: LevelSettings,
     #[serde(default)]
@@ -60,6 +65,29 @@
     pub longest_pause: f64,
 }
 
+/// The zone of a scenario and how fronts look it up.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct DnsSide {
+    /// Lifetime of records, seconds.
+    pub ttl: u32,
+    /// Seconds until a change is in the zone.
+    pub delay: f64,
+    pub name_servers: usize,
+    /// Seconds over which first look-ups are spread.
+    pub start_spread: f64,
+    /// Least time that fronts take a record to be good for, seconds.
+    pub lifetime_least: f64,
+    /// Fronts hear nothing of the pool list.
+    pub alone: bool,
+}
+
+impl Default for DnsSide {
+    fn default() -> DnsSide {
+        DnsSide { ttl: 2, delay: 0.2, name_servers: 2, start_spread: 0.5, lifetime_least: 1.0, alone: false }
+    }
+}
+
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Servers {
@@ -124,6 +152,10 @@
     AnswerLost,
     GiveUp,
     RetryAbuse,
+    /// Name servers follow a script.
+    NameServer,
+    /// The pool list says nothing.
+    FeedSilent,
 }
 
 #[derive(Clone, Debug, Deserialize)]
@@ -139,6 +171,9 @@
     /// It returns after so many seconds, again and again until callers stop asking.
     #[serde(default)]
     pub every: Option<f64>,
+    /// What name servers do.
+    #[serde(default)]
+    pub script: Script,
     /// How much: times slower, times the rate, share of answers lost, share of patience, seconds late.
     #[serde(default)]
     pub size: f64,
@@ -220,6 +255,9 @@
         if self.callers.procedures.is_empty() || self.callers.tenants.is_empty() {
             return bad("callers", "one procedure and one tenant at least");
         }
+        if self.dns.as_ref().is_some_and(|d| !(1..=8).contains(&d.name_servers) || d.delay < 0.0) {
+            return bad("dns", "1 to 8 name_servers, delay 0 or more");
+        }
         if self.callers.load < 0.0 {
             return bad("callers.load", "0 or more");
         }
@@ -313,11 +351,35 @@
             release_guard: self.rules.release_guard,
             cold: self.cold(),
             passing,
+            hold: self.membership.hold.seconds(),
+        }
+    }
+
+    fn dns_settings(&self, dns: &DnsSide, names: &[SocketAddr]) -> DnsSettings {
+        let span = |seconds: f64| Span(Duration::from_secs_f64(seconds));
+        let target = |s: usize| DnsTarget { name: zone::target(s), pool: s as u16 };
+        DnsSettings {
+            names: vec![zone::SERVICE.into()],
+            servers: names.to_vec(),
+            targets: (0..self.fleet.servers).map(target).collect(),
+            start_spread: span(dns.start_spread),
+            lifetime_least: span(dns.lifetime_least),
+            try_within: span(0.5),
+            pause_least: span(0.5),
+            pause_longest: span(2.0),
+            ..DnsSettings::default()
         }
     }
 
     /// The settings of a front of this scenario; `margin` is what its messages may take on the way.
-    pub fn settings(&self, listen: SocketAddr, feed: SocketAddr, margin: f64) -> Settings {
+    /// `names` are its name servers, where it has any.
+    pub fn settings(
+        &self,
+        listen: SocketAddr,
+        feed: SocketAddr,
+        names: &[SocketAddr],
+        margin: f64,
+    ) -> Settings {
         let span = |seconds: f64| Span(Duration::from_secs_f64(seconds));
         let pools: Vec<u16> = (0..self.fleet.servers as u16).collect();
         let procedure = |p: &AskSpec| ProcedureSettings {
@@ -365,7 +427,7 @@
                 .iter()
                 .map(|(name, share)| TenantSettings { name: name.clone(), share: *share })
                 .collect(),
-            dns: None,
+            dns: self.dns.as_ref().map(|dns| self.dns_settings(dns, names)),
             membership: self.membership.clone(),
             levels: self.levels.clone(),
             console: ConsoleSettings::default(),
--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -6,9 +6,11 @@
 use crate::plan::{plan, Action};
 use crate::scenario::Scenario;
 use crate::summary::{report, Report};
+use crate::zone::Zone;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use shalespindle_front::{Counters, Event, Front, Input, LinkId, Output};
+use shalespindle_membership::Verdict;
 use shalespindle_signalling::timers::Timers;
 use shalespindle_standin::callers::Callers;
 use shalespindle_standin::checker::check;
@@ -32,6 +34,7 @@
     Server(usize),
     Callers(usize),
     Feed,
+    NameAsk { front: usize, life: u64, ticket: u64, place: usize, tcp: bool, question: Vec<u8> },
     Do(usize),
 }
 
@@ -42,6 +45,14 @@
     Bytes(LinkId, Vec<u8>),
     Feed(Vec<u8>),
     FeedUp,
+    FeedLost,
+    /// An answer of the name server at that place.
+    Name {
+        ticket: u64,
+        place: usize,
+        tcp: bool,
+        bytes: Vec<u8>,
+    },
 }
 
 struct Host {
@@ -62,8 +73,17 @@
     /// Virtual seconds.
     pub lasted: f64,
     pub trace: Trace,
+    /// When questions came to name servers.
+    pub asked: Vec<f64>,
+    /// Verdicts: when, of which front, on which server, whether it is in service.
+    pub verdicts: Vec<(f64, usize, usize, bool)>,
+    /// What was done to the fleet, and when.
+    pub actions: Vec<(f64, Action)>,
 }
 
+/// From then on a front that is deaf to drains takes no answer of name servers.
+const DEAF_FROM: f64 = 4.0;
+
 /// A fault planted into every front of a run, to see the checker find it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Planted {
@@ -105,6 +125,7 @@
     caller_wake: Vec<f64>,
     feed: Feed,
     feed_wake: f64,
+    zone: Zone,
     trace: Trace,
     actions: Vec<(f64, Action)>,
     by_address: HashMap<SocketAddr, usize>,
@@ -115,6 +136,15 @@
     rng: ChaCha8Rng,
     setup: Setup,
     levels: Vec<(f64, usize, usize, usize)>,
+    verdicts: Vec<(f64, usize, usize, bool)>,
+}
+
+fn server_address(server: usize) -> SocketAddr {
+    SocketAddr::from(([127, 1, 0, 1], 6000 + server as u16))
+}
+
+fn name_server(place: usize) -> SocketAddr {
+    SocketAddr::from(([127, 3, 0, 1], 53 + place as u16))
 }
 
 /// Runs a scenario under virtual time.
@@ -142,7 +172,7 @@
         let mut servers = Vec::new();
         let trace = Trace::default();
         for s in 0..scenario.fleet.servers {
-            let address = SocketAddr::from(([127, 1, 0, 1], 6000 + s as u16));
+            let address = server_address(s);
             by_address.insert(address, s);
             feed.known(s, address, s as u16);
             let mut server =
@@ -150,6 +180,8 @@
             server.start(0.0, false);
             servers.push(server);
         }
+        let zone = Zone::new(scenario, seed, (0..scenario.fleet.servers).map(server_address).collect());
+        feed.silence(scenario.dns.as_ref().is_some_and(|d| d.alone));
         let rate = scenario.rate() / fronts as f64;
         let callers = (0..fronts).map(|f| {
             let host = format!("callers-{f}");
@@ -167,6 +199,7 @@
             callers,
             feed,
             feed_wake: f64::INFINITY,
+            zone,
             trace,
             actions: plan(scenario, seed),
             by_address,
@@ -176,6 +209,7 @@
             rng,
             setup,
             levels: Vec::new(),
+            verdicts: Vec::new(),
         };
         for front in 0..fronts {
             world.hosts.push(Host { front: None, life: 0, stopped: None, wake: f64::INFINITY });
@@ -192,7 +226,9 @@
 
     fn front_starts(&mut self, front: usize) {
         let nowhere = SocketAddr::from(([127, 0, 0, 1], 1));
-        let mut settings = self.scenario.settings(nowhere, nowhere, MARGIN);
+        let count = self.scenario.dns.as_ref().map_or(0, |d| d.name_servers);
+        let names: Vec<SocketAddr> = (0..count).map(name_server).collect();
+        let mut settings = self.scenario.settings(nowhere, nowhere, &names, MARGIN);
         settings.levels.on &= self.setup.variant != Variant::WithoutLevels;
         let mut params = settings.params();
         params.host = front_host(front);
@@ -299,6 +335,9 @@
                 self.feed.tick(now);
                 self.feed_out();
             }
+            Happening::NameAsk { front, life, ticket, place, tcp, question } => {
+                self.name_asked(front, life, ticket, place, tcp, &question);
+            }
             Happening::Do(place) => {
                 let action = self.actions[place].1.clone();
                 self.act(action);
@@ -326,6 +365,9 @@
             Action::Hung(s, on) => self.servers[s].faults.hung = on,
             Action::AnswersLost(s, share) => self.servers[s].faults.answers_lost = share,
             Action::ListDelay(delay) => self.feed.delay = delay,
+            Action::Published(s, there) => self.zone.publish(s, there),
+            Action::NameServer(place, script) => self.zone.script(place, script),
+            Action::FeedSilent(silent) => self.feed_silent(silent),
             Action::FrontKilled(f) => self.front_killed(f),
             Action::FrontStarts(f) => self.front_starts(f),
             Action::FrontStops(f) => {
@@ -339,6 +381,32 @@
         }
     }
 
+    fn name_asked(&mut self, front: usize, life: u64, ticket: u64, place: usize, tcp: bool, question: &[u8]) {
+        let (replies, named) = self.zone.ask(place, self.now, question, tcp);
+        if let Some(servers) = named {
+            self.trace.add(self.now, Seen::Named { front, servers });
+        }
+        for reply in replies {
+            let mut bytes = reply.bytes;
+            if tcp {
+                bytes.splice(0..0, (bytes.len() as u16).to_be_bytes());
+            }
+            let at = self.now + self.scenario.fleet.link_delay + reply.after;
+            let what = FrontNews::Name { ticket, place, tcp, bytes };
+            self.events.set(at, Happening::ToFront { front, life, what });
+        }
+    }
+
+    fn feed_silent(&mut self, silent: bool) {
+        self.feed.silence(silent);
+        for front in (0..self.hosts.len()).filter(|_| !silent) {
+            let life = self.hosts[front].life;
+            self.events.set(self.now, Happening::ToFront { front, life, what: FrontNews::FeedUp });
+            self.feed.connected(self.now, front);
+        }
+        self.feed_out();
+    }
+
     /// A stopped front reads what came meanwhile, all of it before it decides anything.
     fn goes_on(&mut self, front: usize) {
         let Some(kept) = self.hosts[front].stopped.take() else { return };
@@ -365,6 +433,16 @@
             }
             FrontNews::Feed(bytes) => Input::FeedBytes { bytes },
             FrontNews::FeedUp => Input::FeedConnected,
+            FrontNews::FeedLost => Input::FeedLost,
+            FrontNews::Name { .. }
+                if self.setup.planted == Some(Planted::DeafToDrains) && now > DEAF_FROM =>
+            {
+                return;
+            }
+            FrontNews::Name { ticket, tcp: true, bytes, .. } => Input::NameBytes { ticket: *ticket, bytes },
+            FrontNews::Name { ticket, place, bytes, .. } => {
+                Input::NameDatagram { ticket: *ticket, from: name_server(*place), bytes }
+            }
         };
         made.take(now, arrived, input);
     }
@@ -391,8 +469,21 @@
                         self.drop_connection(connection, false);
                     }
                 }
+                Output::Event(Event::Pool { change, .. }) => {
+                    if let Some(&server) = self.by_address.get(&change.address) {
+                        let there = change.verdict == Verdict::In;
+                        self.verdicts.push((now, front, server, there));
+                    }
+                }
                 Output::Event(Event::Level { from, to, .. }) => self.levels.push((now, front, from, to)),
-                Output::NameAsk { .. } | Output::NameClose { .. } => {}
+                Output::NameAsk { ticket, to, tcp, bytes } => {
+                    let place = usize::from(to.port() - name_server(0).port());
+                    let question = if tcp { bytes[2..].to_vec() } else { bytes };
+                    let ask = Happening::NameAsk { front, life, ticket, place, tcp, question };
+                    self.events.set(now + delay, ask);
+                }
+                // What comes after is of a ticket that is no more.
+                Output::NameClose { .. } => {}
                 Output::ToCaller { .. } | Output::CloseCaller { .. } | Output::Event(_) => {}
             }
         }
@@ -500,8 +591,14 @@
             let front = out.front;
             if let Some(host) = self.hosts.get(front) {
                 let life = host.life;
-                self.events
-                    .set(self.now, Happening::ToFront { front, life, what: FrontNews::Feed(out.line) });
+                let what = match out.line {
+                    Some(line) => FrontNews::Feed(line),
+                    None => {
+                        self.feed.closed(front);
+                        FrontNews::FeedLost
+                    }
+                };
+                self.events.set(self.now, Happening::ToFront { front, life, what });
             }
         }
         self.trace.extend(self.feed.take_seen());
@@ -524,6 +621,9 @@
             levels: self.levels,
             lasted: self.now,
             trace: self.trace,
+            asked: self.zone.asked(),
+            verdicts: self.verdicts,
+            actions: self.actions,
         }
     }
 }
--- a/crates/lab/src/summary.rs
+++ b/crates/lab/src/summary.rs
@@ -163,10 +163,79 @@
     }
 }
 
+/// How soon fronts know of changes, and what name servers are asked.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Knowledge {
+    pub changes: usize,
+    /// Seconds until half of the fronts, and until the last one, knew of a change; the longest of all changes.
+    pub half: f64,
+    pub last: f64,
+    /// Changes that some front did not come to know before the next of the same server.
+    pub missed: usize,
+    pub questions: usize,
+    /// Questions within one second at most, in the first minute and after it.
+    pub first_minute: usize,
+    pub later: usize,
+}
+
+impl Knowledge {
+    /// `changes` are servers that came or went, with when; `verdicts` what fronts ruled; `asked` when name
+    /// servers were asked; all in order of time.
+    pub fn of(
+        changes: &[(f64, usize, bool)],
+        verdicts: &[(f64, usize, usize, bool)],
+        asked: &[f64],
+        fronts: usize,
+    ) -> Knowledge {
+        let mut all = Knowledge { changes: changes.len(), questions: asked.len(), ..Knowledge::default() };
+        for (place, &(at, server, there)) in changes.iter().enumerate() {
+            let next = changes[place + 1..].iter().find(|c| c.1 == server).map_or(f64::INFINITY, |c| c.0);
+            let mut knew: Vec<f64> = (0..fronts)
+                .filter_map(|front| {
+                    let is_it = |v: &&(f64, usize, usize, bool)| {
+                        v.1 == front && v.2 == server && v.3 == there && v.0 >= at && v.0 < next
+                    };
+                    verdicts.iter().find(is_it).map(|v| v.0 - at)
+                })
+                .collect();
+            knew.sort_by(f64::total_cmp);
+            all.missed += usize::from(knew.len() < fronts);
+            all.half = all.half.max(knew.get(knew.len() / 2).copied().unwrap_or(0.0));
+            all.last = all.last.max(knew.last().copied().unwrap_or(0.0));
+        }
+        let most = |times: &[f64]| {
+            let within = |from: f64| times.iter().filter(|t| **t >= from && **t < from + 1.0).count();
+            times.iter().map(|t| within(*t)).max().unwrap_or(0)
+        };
+        let minute = asked.partition_point(|t| *t < 60.0);
+        (all.first_minute, all.later) = (most(&asked[..minute]), most(&asked[minute..]));
+        all
+    }
+}
+
+impl std::fmt::Display for Knowledge {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(
+            f,
+            "servers came or went {} times; half of the fronts knew after {:.2} s, the last after {:.2} s, \
+             {} changes missed by some; {} questions, in one second {} at most in the first minute, {} later",
+            self.changes, self.half, self.last, self.missed, self.questions, self.first_minute, self.later
+        )
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
 
+    #[test]
+    fn knowledge_counts_the_last_front_and_those_that_missed_it() {
+        let verdicts = [(1.5, 0, 7, false), (2.5, 1, 7, false), (5.2, 0, 7, true)];
+        let known = Knowledge::of(&[(1.0, 7, false), (5.0, 7, true)], &verdicts, &[0.1, 0.5, 1.2, 70.0], 2);
+        assert_eq!((known.changes, known.missed, known.last), (2, 1, 1.5));
+        assert_eq!((known.questions, known.first_minute, known.later), (4, 2, 1));
+    }
+
     #[test]
     fn changes_too_near_and_steps_together_are_found() {
         let steps = LevelSteps::of(&[(1.0, 0, 0, 1), (1.5, 1, 0, 1), (2.5, 1, 1, 2), (4.0, 0, 1, 0)], 2);
--- a/crates/lab/src/throughput.rs
+++ b/crates/lab/src/throughput.rs
@@ -98,7 +98,7 @@
     let ground = Ground::new();
     let servers = servers(&scenario, &ground, false)?;
     let relay = Relay::start(&servers.addresses)?;
-    let settings = scenario.settings(SocketAddr::from(([127, 0, 0, 1], 0)), servers.feed, 0.05);
+    let settings = scenario.settings(SocketAddr::from(([127, 0, 0, 1], 0)), servers.feed, &[], 0.05);
     let service = Service::start(&settings, 1, ground.clone())?;
     let front = service.address();
     std::thread::sleep(Duration::from_millis(500));
@@ -128,7 +128,7 @@
     let scenario = scenario()?;
     let ground = Ground::new();
     let servers = servers(&scenario, &ground, true)?;
-    let settings = scenario.settings(SocketAddr::from(([127, 0, 0, 1], 0)), servers.feed, 0.05);
+    let settings = scenario.settings(SocketAddr::from(([127, 0, 0, 1], 0)), servers.feed, &[], 0.05);
     let service = Service::start(&settings, 1, ground)?;
     std::thread::sleep(Duration::from_millis(500));
     let socket = std::net::UdpSocket::bind("127.0.0.1:0")?;
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -12,6 +12,10 @@
 /// A server that is out is remembered for so many flap windows, so that it is not forgiven by being forgotten.
 const REMEMBERED_OUT: f64 = 4.0;
 
+/// A start that the list tells may be so much before the moment at which this front saw it: starting takes
+/// time, and connections are tried again after a pause; seconds.
+const EARLIER: f64 = 5.0;
+
 /// One server as this front knows it.
 #[derive(Clone, Debug)]
 pub struct Member {
@@ -24,6 +28,8 @@
     remembered_until: f64,
     /// As the list told; none where it never did.
     told_start: Option<f64>,
+    /// When this front saw it come back from where nobody answered, if no later start has been told since.
+    seen_start: Option<f64>,
     /// As the router is told.
     started: f64,
     flaps: Flaps,
@@ -87,6 +93,7 @@
             named: BTreeMap::new(),
             remembered_until: f64::NEG_INFINITY,
             told_start: None,
+            seen_start: None,
             started: 0.0,
             flaps: Flaps::default(),
             verdict: Verdict::Out,
@@ -224,6 +231,8 @@
         if known.is_none_or(|k| server.incarnation > k.incarnation) {
             // Told late, a start seems later than it was, which errs on the side of cold.
             member.told_start = Some(server.started);
+            // The list may be so late that it tells of an earlier start than the one that was seen.
+            member.seen_start = member.seen_start.filter(|seen| server.started < seen - EARLIER);
         }
         let since = match known {
             Some(k) if k.told == server.told && k.incarnation == server.incarnation => k.since,
@@ -238,6 +247,14 @@
         self.sources.feed.away_since.get_or_insert(now);
     }
 
+    /// A connection was lost, nobody answered there for a while, and now somebody does: a processor that
+    /// started anew, as far as this front can see. Guards rule 4 while the sources are late or away.
+    pub fn came_back(&mut self, now: f64, address: SocketAddr) {
+        if let Some(member) = self.members.get_mut(&address) {
+            member.seen_start = Some(now.max(f64::MIN_POSITIVE));
+        }
+    }
+
     /// A look-up of the name at place `name` in the settings has ended.
     pub fn answered(&mut self, now: f64, name: usize, answer: &Answer) {
         let state = self.sources.names.entry(name).or_insert(NameState { answered: None, empty_since: None });
@@ -446,7 +463,9 @@
         }
         // A source's word on the start goes before any guess; a start nobody told is taken for now: cold.
         let told = self.told_start.filter(|_| self.list_word != ListWord::NeverHeard);
-        if let Some(told) = told {
+        if let Some(seen) = self.seen_start {
+            self.started = seen;
+        } else if let Some(told) = told {
             self.started = told;
         } else if comes && (ruling.cold || self.told_start.is_none()) {
             self.started = now.max(f64::MIN_POSITIVE);
--- a/crates/membership/tests/hard.rs
+++ b/crates/membership/tests/hard.rs
@@ -222,3 +222,32 @@
     let none = Membership::new(params(), 0.0);
     assert_eq!(first_choice(none.members(), 0, 8), None);
 }
+
+#[test]
+fn a_start_that_was_seen_holds_until_the_list_tells_of_it() {
+    let mut members = Membership::new(params(), 0.0);
+    members.listed(0.0, true, &[listed(1, Told::Ready, 1, 0.0), listed(2, Told::Ready, 1, 0.0)]);
+    members.settle(0.0);
+    changes(&mut members);
+    let start = |members: &mut Membership, now| {
+        members.settle(now);
+        changes(members).into_iter().rfind(|c| c.address == address(1)).map(|c| c.started)
+    };
+    members.came_back(100.0, address(1));
+    assert_eq!(start(&mut members, 100.0), Some(100.0), "cold, though the list still says that it is old");
+    // An old start, told late, is not that one.
+    members.listed(101.0, false, &[listed(1, Told::Ready, 2, 60.0)]);
+    assert_eq!(start(&mut members, 101.0), None);
+    members.listed(110.0, false, &[listed(1, Told::Ready, 3, 98.5)]);
+    assert_eq!(start(&mut members, 110.0), Some(98.5), "known better");
+    members.came_back(120.0, address(9));
+    assert_eq!(members.members().count(), 2, "one that nobody named is none");
+}
+
+#[test]
+fn an_earlier_incarnation_is_old_news() {
+    let mut members = Membership::new(params(), 0.0);
+    members.listed(0.0, true, &[listed(1, Told::Ready, 3, 0.0)]);
+    members.listed(1.0, false, &[listed(1, Told::Gone, 2, 0.0)]);
+    assert_eq!(verdicts(&mut members, 1.0), [(1, In)]);
+}
--- a/crates/settings/src/sources.rs
+++ b/crates/settings/src/sources.rs
@@ -74,6 +74,29 @@
     pub most_records: usize,
 }
 
+impl Default for DnsSettings {
+    /// No name and no server yet: what a file must say.
+    fn default() -> DnsSettings {
+        DnsSettings {
+            names: Vec::new(),
+            servers: Vec::new(),
+            targets: Vec::new(),
+            first_pool: first_pool(),
+            try_within: try_within(),
+            tries: dns_tries(),
+            lifetime_least: lifetime_least(),
+            lifetime_longest: lifetime_longest(),
+            negative_longest: negative_longest(),
+            early: early(),
+            pause_least: pause_least(),
+            pause_longest: pause_longest(),
+            start_spread: start_spread(),
+            udp_size: udp_size(),
+            most_records: most_records(),
+        }
+    }
+}
+
 #[derive(Clone, Debug, Serialize, Deserialize, Validate, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct DnsTarget {
--- a/crates/standin/src/checker.rs
+++ b/crates/standin/src/checker.rs
@@ -18,6 +18,8 @@
     pub cold: Cold,
     /// What passing the sockets may take.
     pub passing: f64,
+    /// So long what one source took out is not brought back by the other.
+    pub hold: f64,
 }
 
 /// What a process that went on may take to find its feet, seconds.
@@ -91,6 +93,8 @@
     by_session: HashMap<Arc<str>, Vec<usize>>,
     /// Per front and server: since when it has been told that it is not ready.
     not_ready: HashMap<(FrontId, ServerId), f64>,
+    /// Per front and server: when DNS last named it, and since when it no longer does.
+    named: HashMap<(FrontId, ServerId), (f64, Option<f64>)>,
     started: HashMap<ServerId, (f64, bool, f64)>,
     recent: HashMap<ServerId, VecDeque<f64>>,
     stopped: HashMap<ServerId, Vec<f64>>,
@@ -109,6 +113,7 @@
             by_leg: HashMap::new(),
             by_session: HashMap::new(),
             not_ready: HashMap::new(),
+            named: HashMap::new(),
             started: HashMap::new(),
             recent: HashMap::new(),
             stopped: HashMap::new(),
@@ -174,9 +179,20 @@
                     self.not_ready.entry((*front, *server)).or_insert(now);
                 }
             }
+            Seen::Named { front, servers } => {
+                for ((_, server), named) in self.named.iter_mut().filter(|(at, _)| at.0 == *front) {
+                    if !servers.contains(server) {
+                        named.1.get_or_insert(now);
+                    }
+                }
+                for server in servers {
+                    self.named.insert((*front, *server), (now, None));
+                }
+            }
             Seen::FrontKilled { front } => {
                 self.killed.entry(*front).or_default().push(now);
                 self.not_ready.retain(|(f, _), _| f != front);
+                self.named.retain(|(f, _), _| f != front);
                 for leg in self.legs.iter_mut().filter(|l| l.front == *front) {
                     // What a killed front held is no longer its duty.
                     leg.ended.get_or_insert((now, false));
@@ -260,7 +276,7 @@
                 Some(_) => {}
             }
         }
-        if let Some(&told) = self.not_ready.get(&(front, server)) {
+        if let Some(told) = self.taken_out(now, front, server) {
             if now > told + self.figures.drain_grace + passing {
                 let late = now - told;
                 self.broken(
@@ -284,6 +300,20 @@
         });
     }
 
+    /// Since when this front knows that the server drains or is gone. The list's word holds until the list
+    /// says otherwise, or DNS names the server after the hold; that of DNS holds within it.
+    fn taken_out(&self, now: f64, front: FrontId, server: ServerId) -> Option<f64> {
+        let hold = self.figures.hold;
+        let named = self.named.get(&(front, server));
+        let by_list = self.not_ready.get(&(front, server)).copied();
+        let by_list = by_list.filter(|told| !named.is_some_and(|n| n.1.is_none() && n.0 >= told + hold));
+        let by_dns = named.and_then(|n| n.1).filter(|at| now < at + hold);
+        match (by_list, by_dns) {
+            (Some(a), Some(b)) => Some(a.min(b)),
+            (a, b) => a.or(b),
+        }
+    }
+
     fn cold(&mut self, now: f64, server: ServerId) {
         let Some(&(started, true, capacity)) = self.started.get(&server) else { return };
         let cold = &self.figures.cold;
--- a/crates/standin/src/feed.rs
+++ b/crates/standin/src/feed.rs
@@ -36,7 +36,8 @@
 #[derive(Clone, Debug)]
 pub struct FeedOut {
     pub front: FrontId,
-    pub line: Vec<u8>,
+    /// None: its connection is closed.
+    pub line: Option<Vec<u8>>,
 }
 
 /// The service.
@@ -49,7 +50,7 @@
     late: VecDeque<Late>,
     /// Seconds that a push is late.
     pub delay: f64,
-    /// Stops pushing; connections stay.
+    /// Says nothing, neither of changes nor to whom connects.
     pub stopped: bool,
     out: VecDeque<FeedOut>,
     seen: Vec<Entry>,
@@ -99,11 +100,25 @@
     /// A front's connection: it gets what it would have been told by now.
     pub fn connected(&mut self, now: f64, front: FrontId) {
         self.connected.insert(front, true);
+        if self.stopped {
+            self.out.push_back(FeedOut { front, line: None });
+            return;
+        }
         let rows: Vec<(ServerId, Row)> =
             self.told.get(&front).into_iter().flatten().map(|(s, r)| (*s, r.clone())).collect();
         self.write(now, front, true, &rows);
     }
 
+    /// From now on it says nothing and holds no connection, or speaks again.
+    pub fn silence(&mut self, silent: bool) {
+        self.stopped = silent;
+        if silent {
+            for (&front, _) in self.connected.iter().filter(|(_, on)| **on) {
+                self.out.push_back(FeedOut { front, line: None });
+            }
+        }
+    }
+
     pub fn closed(&mut self, front: FrontId) {
         self.connected.insert(front, false);
     }
@@ -156,7 +171,7 @@
             .collect();
         let line =
             json!({ "epoch": self.epoch, "sequence": self.sequence, "whole": whole, "servers": servers });
-        self.out.push_back(FeedOut { front, line: format!("{line}\n").into_bytes() });
+        self.out.push_back(FeedOut { front, line: Some(format!("{line}\n").into_bytes()) });
     }
 
     pub fn next_output(&mut self) -> Option<FeedOut> {
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod callers;
 pub mod checker;
 pub mod feed;
+pub mod names;
 pub mod nameserver;
 pub mod net;
 pub mod processor;
--- a/crates/standin/src/nameserver.rs
+++ b/crates/standin/src/nameserver.rs
@@ -277,3 +277,21 @@
     // A message of our own records can be written; were one not, the asker would see a lost answer.
     message.to_vec().unwrap_or_default()
 }
+
+/// The targets that an answer names, where it is one that a resolver may take: to this question, whole, and
+/// with records of the name that was asked for.
+pub fn targets(question: &[u8], answer: &[u8]) -> Option<Vec<Name>> {
+    let (question, answer) = (Message::from_vec(question).ok()?, Message::from_vec(answer).ok()?);
+    let asked = question.query()?;
+    let fits = answer.id() == question.id()
+        && answer.query() == Some(asked)
+        && !answer.truncated()
+        && answer.response_code() == ResponseCode::NoError
+        && answer.answers().len() < 256;
+    let named = answer.answers().iter().filter(|r| r.name() == asked.name()).filter_map(|r| match r.data() {
+        RData::SRV(srv) => Some(srv.target().clone()),
+        _ => None,
+    });
+    let named: Vec<Name> = named.collect();
+    (fits && !named.is_empty()).then_some(named)
+}
--- a/crates/standin/src/net.rs
+++ b/crates/standin/src/net.rs
@@ -57,6 +57,8 @@
     /// To whichever connection has that tag.
     Tagged(usize, Vec<u8>),
     Close(u64),
+    /// Whichever connection has that tag.
+    CloseTagged(usize),
     Datagram(Vec<u8>),
 }
 
@@ -151,6 +153,9 @@
                 }
             }
             Carry::Close(connection) => gone.push(connection),
+            Carry::CloseTagged(tag) => {
+                gone.extend(connections.iter().filter(|c| c.1 .0 == tag).map(|c| *c.0));
+            }
             Carry::Datagram(bytes) => {
                 if let Some((udp, to)) = &udp {
                     // Lost like any other datagram; its sender repeats it.
@@ -216,7 +221,10 @@
     fn drain(&mut self, out: &mut dyn FnMut(Carry), trace: &Trace) {
         trace.extend(self.take_seen());
         while let Some(next) = self.next_output() {
-            out(Carry::Tagged(next.front, next.line));
+            out(match next.line {
+                Some(line) => Carry::Tagged(next.front, line),
+                None => Carry::CloseTagged(next.front),
+            });
         }
     }
 }
--- a/crates/standin/src/trace.rs
+++ b/crates/standin/src/trace.rs
@@ -82,6 +82,11 @@
         server: ServerId,
         ready: bool,
     },
+    /// A name server sent a front an answer that names these servers and no others.
+    Named {
+        front: FrontId,
+        servers: Vec<ServerId>,
+    },
     FrontUp {
         front: FrontId,
     },
