lab names, shalespindle resolve, and a restart with everything down tested on sockets

`shalespindle resolve` shows a look-up step by step with the fronts' own resolver; the sockets of single questions moved to crates/sockets, where both use them. A console that asked before the first turn saw restored members out of service: they are ruled before anybody can ask.

--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -1,6 +1,6 @@
 //! The command line.
 
-use crate::{console, lab, run};
+use crate::{console, lab, resolve, run};
 use clap::{Args, Parser, Subcommand};
 use shalespindle_console::Ask;
 use std::path::PathBuf;
@@ -58,6 +58,17 @@
         #[command(flatten)]
         front: console::Which,
     },
+    /// Looks an SRV name up as a front would, step by step.
+    Resolve {
+        /// Such as _sip._tcp.auth.example.org.
+        name: String,
+        /// A name server; may be given several times.
+        #[arg(long = "server", required = true)]
+        servers: Vec<std::net::SocketAddr>,
+        /// Longest wait for each try.
+        #[arg(long, default_value = "1s")]
+        within: humantime::Duration,
+    },
     /// Prints the JSON schema of the settings.
     Schema {
         /// The schema of a line of the pool list's feed instead.
@@ -125,6 +136,14 @@
         #[arg(long, value_enum)]
         baseline: Option<lab::Baseline>,
     },
+    /// The name server in each of its scripts on sockets, checked against the membership table.
+    Names {
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Runs at once.
+        #[arg(long, default_value_t = 6)]
+        at_once: usize,
+    },
     /// Every sequence of events of two sources to a depth, through the membership module itself.
     Walk {
         #[arg(long, default_value_t = 5)]
@@ -166,6 +185,7 @@
                 console::ask(&front, &Ask::PinLevel { level, seconds }, false)
             }
             Command::Unpin { front } => console::ask(&front, &Ask::UnpinLevel, false),
+            Command::Resolve { name, servers, within } => resolve::resolve(&name, &servers, *within),
             Command::Schema { feed } => run::schema(feed),
             Command::Standin { config, feed } => lab::standin(&config, feed),
             Command::Lab { command } => lab::lab(command),
--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -7,7 +7,7 @@
 use shalespindle_lab::play::{play, Fronts};
 use shalespindle_lab::scenario::{Scenario, BAD_DAY};
 use shalespindle_lab::summary::{Knowledge, LevelSteps, Report};
-use shalespindle_lab::{sim, throughput, walk};
+use shalespindle_lab::{names, sim, throughput, walk};
 use shalespindle_standin::feed::Listed;
 use std::io;
 use std::net::SocketAddr;
@@ -96,6 +96,15 @@
                 (Err(code), _) | (_, Err(code)) => Ok(code),
             }
         }
+        Lab::Names { seed, at_once } => {
+            let cases = names::all(seed, at_once, &|case| {
+                println!("{:?} {:?}: servers {:?}", case.script, case.when, case.used);
+                case.faults.iter().take(5).for_each(|fault| println!("  {fault}"));
+            })?;
+            let bad = cases.iter().filter(|c| !c.faults.is_empty()).count();
+            println!("{} runs, {bad} not as documented", cases.len());
+            Ok(if bad == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+        }
         Lab::Walk { depth } => {
             let begin = std::time::Instant::now();
             let walked = walk::walk(depth, None, 10);
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -3,6 +3,7 @@
 mod commands;
 mod console;
 mod lab;
+mod resolve;
 mod run;
 
 use clap::Parser;
--- /dev/null
+++ b/crates/cli/src/resolve.rs
@@ -0,0 +1,94 @@
+//! One look-up, step by step.
+
+use crate::commands::BAD_INPUT;
+use shalespindle_sockets::{Questions, Report};
+use shalespindle_srv::{In, Name, Out, Outcome, Resolver, ResolverParams, Step};
+use std::io;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::sync::mpsc;
+use std::time::{Duration, Instant};
+
+/// Looks a name up with the resolver that fronts use and prints what it does.
+pub fn resolve(name: &str, servers: &[SocketAddr], within: Duration) -> io::Result<ExitCode> {
+    let Ok(mut name) = Name::from_ascii(name) else {
+        eprintln!("{name}: no domain name");
+        return Ok(ExitCode::from(BAD_INPUT));
+    };
+    name.set_fqdn(true);
+    let params = ResolverParams {
+        upstreams: servers.to_vec(),
+        names: vec![name],
+        try_within: within.as_secs_f64(),
+        tries: 4,
+        lifetime: (0.0, f64::INFINITY),
+        negative_longest: 0.0,
+        early: 0.0,
+        pause: (f64::INFINITY, f64::INFINITY),
+        start_spread: 0.0,
+        udp_size: 1232,
+        most_records: 256,
+    };
+    let begin = Instant::now();
+    let now = || begin.elapsed().as_secs_f64();
+    let mut resolver = Resolver::new(params, rand::random(), 0.0);
+    let mut questions = Questions::default();
+    let (to, from) = mpsc::channel();
+    resolver.look_up_now(now(), 0);
+    loop {
+        while let Some(step) = resolver.next_step() {
+            println!("{:9.3} ms  {}", now() * 1000.0, words(&step));
+        }
+        while let Some(out) = resolver.next_out() {
+            match out {
+                Out::Ask { ticket, to: server, tcp, bytes } => {
+                    let to = to.clone();
+                    questions.ask(ticket, server, tcp, bytes, within, move |report| to.send(report).is_ok());
+                }
+                Out::Close { ticket } => questions.close(ticket),
+                Out::Done { outcome, .. } => return Ok(told(&outcome)),
+            }
+        }
+        let wait = Duration::from_secs_f64((resolver.due() - now()).clamp(0.0, 60.0));
+        match from.recv_timeout(wait) {
+            Ok(Report::Datagram { ticket, from, bytes }) => {
+                resolver.take(now(), In::Datagram { ticket, from, bytes: &bytes });
+            }
+            Ok(Report::Bytes { ticket, bytes }) => resolver.take(now(), In::Stream { ticket, bytes: &bytes }),
+            Ok(Report::Lost { ticket }) => resolver.take(now(), In::Lost { ticket }),
+            // Nothing came: what is due is done below.
+            Err(_) => {}
+        }
+        resolver.tick(now());
+    }
+}
+
+fn words(step: &Step) -> String {
+    match step {
+        Step::Asked { name, kind, to, tcp } => {
+            format!("asked {to} over {} for {name} {kind}", if *tcp { "TCP" } else { "UDP" })
+        }
+        Step::Answered { code, records, after } => {
+            format!("answered {code}, {records} records, after {:.3} ms", after * 1000.0)
+        }
+        Step::Truncated { by } => format!("{by} cut its answer short: TCP"),
+        Step::Dropped { why } => format!("dropped an answer: {why:?}"),
+        Step::TryFailed { by, why } => format!("{by}: {why}"),
+        Step::Cached { name, kind } => format!("known still: {name} {kind}"),
+        Step::Alias { from, to } => format!("{from} is {to}"),
+        Step::AliasLoop { at } => format!("aliases come back to {at}"),
+        Step::LastKnown { target } => format!("{target}: last known addresses"),
+        Step::Finished { name, outcome } => format!("{name}: {outcome}"),
+    }
+}
+
+fn told(outcome: &Outcome) -> ExitCode {
+    let Outcome::Servers { targets, .. } = outcome else { return ExitCode::FAILURE };
+    for t in targets {
+        for address in &t.addresses {
+            let at = SocketAddr::new(*address, t.port);
+            println!("{at} {} priority {} weight {}", t.name, t.priority, t.weight);
+        }
+    }
+    ExitCode::SUCCESS
+}
--- /dev/null
+++ b/crates/cli/tests/names.rs
@@ -0,0 +1,149 @@
+//! Names on sockets: `resolve` against scripted name servers, and a front that DNS alone tells its servers.
+
+use shalespindle_srv::Name;
+use shalespindle_standin::names::{name_server, HostedNames};
+use shalespindle_standin::nameserver::{Entry, NameServer, Script};
+use std::net::{IpAddr, SocketAddr};
+use std::process::{Command, Output};
+use std::sync::{Arc, Mutex};
+
+fn name(text: &str) -> Name {
+    Name::from_ascii(text).unwrap()
+}
+
+/// A name server with two targets, one behind an alias.
+fn served(script: Script) -> (SocketAddr, HostedNames) {
+    let mut core = NameServer::new(name("example.org."), 5);
+    core.script = script;
+    let entry = |n: u16, weight| Entry {
+        target: name(&format!("s{n}.example.org.")),
+        port: 5070 + n,
+        priority: 10,
+        weight,
+    };
+    core.publish(&name("_sip._tcp.auth.example.org."), &[entry(1, 5), entry(2, 9)], 60);
+    core.addresses(&name("s1.example.org."), &[IpAddr::from([127, 4, 0, 1])], 60);
+    core.addresses(&name("s2.example.org."), &[IpAddr::from([127, 4, 0, 2])], 60);
+    let core = Mutex::new(core);
+    loop {
+        let tcp = may::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let at = tcp.local_addr().unwrap();
+        let Ok(udp) = may::net::UdpSocket::bind(at) else { continue };
+        let answer = move |question: &[u8], stream: bool| core.lock().unwrap().ask(0.0, question, stream);
+        return (at, name_server(udp, tcp, Arc::new(answer)).unwrap());
+    }
+}
+
+fn resolve(servers: &[SocketAddr]) -> (Option<i32>, String) {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_shalespindle"));
+    command.args(["resolve", "_sip._tcp.auth.example.org", "--within", "300ms"]);
+    for server in servers {
+        command.args(["--server", &server.to_string()]);
+    }
+    let Output { status, stdout, .. } = command.output().unwrap();
+    (status.code(), String::from_utf8(stdout).unwrap())
+}
+
+#[test]
+fn a_look_up_is_shown_step_by_step() {
+    let (plain, _a) = served(Script::Plain);
+    let (code, text) = resolve(&[plain]);
+    assert_eq!(code, Some(0), "{text}");
+    let found: Vec<&str> = text.lines().rev().take(2).collect();
+    assert_eq!(found[1], "127.4.0.2:5072 s2.example.org. priority 10 weight 9");
+    assert_eq!(found[0], "127.4.0.1:5071 s1.example.org. priority 10 weight 5");
+    assert!(text.contains("over UDP for _sip._tcp.auth.example.org. SRV"), "{text}");
+
+    let (truncates, _b) = served(Script::Truncates);
+    let (code, text) = resolve(&[truncates]);
+    assert!(code == Some(0) && text.contains("cut its answer short: TCP"), "{text}");
+
+    let (refused, _c) = served(Script::Refused);
+    let (code, text) = resolve(&[refused, plain]);
+    assert!(code == Some(0) && text.contains("REFUSED"), "{text}");
+
+    let (hangs, _d) = served(Script::TcpHangs);
+    let (code, text) = resolve(&[hangs]);
+    assert!(code == Some(1) && text.contains("no answer in time"), "{text}");
+
+    let nobody = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
+    let (code, text) = resolve(&[nobody.local_addr().unwrap()]);
+    assert!(code == Some(1) && text.ends_with("failed\n"), "{text}");
+}
+
+/// A front in service, killed when the test leaves it.
+struct Front(std::process::Child);
+
+impl Drop for Front {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+#[test]
+fn a_front_keeps_what_dns_named_over_a_restart_with_everything_down() {
+    let folder = tempfile::tempdir().unwrap();
+    let (at, names) = served(Script::Plain);
+    let path = |file: &str| folder.path().join(file);
+    let text = include_str!("../../../deploy/front.toml")
+        .replace("127.0.0.1:5060", "127.0.0.1:0")
+        .replace("127.0.0.1:7060", "127.0.0.1:1");
+    let more = format!(
+        "[dns]\nnames = [\"_sip._tcp.auth.example.org\"]\nservers = [\"{at}\"]\nstart_spread = \"0s\"\n\
+         targets = [{{ name = \"s1.example.org\", pool = 1 }}]\n\
+         [membership]\nfile = {:?}\n[console]\nsocket = {:?}\n",
+        path("members"),
+        path("front.sock")
+    );
+    std::fs::write(path("front.toml"), format!("{text}\n{more}")).unwrap();
+    let config = path("front.toml");
+    let config = config.to_str().unwrap();
+    let run = || {
+        let log = std::fs::File::create(path("front.log")).unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_shalespindle"));
+        Front(command.args(["run", "--config", config]).stderr(log).spawn().unwrap())
+    };
+    let members = || -> serde_json::Value {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_shalespindle"));
+        let out = command.args(["members", "--config", config, "--json"]).output().unwrap();
+        serde_json::from_slice(&out.stdout).unwrap_or_default()
+    };
+    let shown = |members: &serde_json::Value, row: usize, key: &str| members["members"][row][key].clone();
+    let front = run();
+    let all = until(members, |m| m["members"].as_array().is_some_and(|all| all.len() == 2));
+    assert_eq!((shown(&all, 0, "pool"), shown(&all, 1, "pool")), (1.into(), 1000.into()));
+    assert_eq!((shown(&all, 0, "verdict"), shown(&all, 0, "dns")), ("in".into(), "present".into()));
+    assert_eq!(shown(&all, 0, "because"), "found by DNS alone: cold until known better");
+    until(
+        || std::fs::read(path("members")).unwrap_or_default(),
+        |bytes| shalespindle_membership::read(u64::MAX / 2, bytes).is_ok_and(|known| known.0.len() == 2),
+    );
+    drop(front);
+    drop(names);
+    let front = run();
+    let all = until(members, |m| m["members"].as_array().is_some_and(|all| all.len() == 2));
+    assert_eq!((shown(&all, 0, "verdict"), shown(&all, 0, "dns")), ("in".into(), "never heard".into()));
+    assert_eq!(shown(&all, 0, "warned"), true);
+    drop(front);
+    // A damaged file is set aside, and the front starts.
+    std::fs::write(path("members"), "shalespindle-members 1 00000000\n{}").unwrap();
+    let _front = run();
+    let none = until(members, |m| m["members"].is_array());
+    assert_eq!(none["members"].as_array().unwrap().len(), 0);
+    assert!(path("members.set-aside").exists());
+    assert!(std::fs::read_to_string(path("front.log")).unwrap().contains("set aside"));
+}
+
+/// Waits for what must come true; the bound only ends a test that has failed.
+fn until<T: std::fmt::Debug>(get: impl Fn() -> T, done: impl Fn(&T) -> bool) -> T {
+    let begin = std::time::Instant::now();
+    loop {
+        let got = get();
+        if done(&got) {
+            return got;
+        }
+        assert!(begin.elapsed().as_secs() < 60, "did not come true: {got:?}");
+        std::thread::yield_now();
+    }
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod baseline;
 pub mod compare;
+pub mod names;
 pub mod plan;
 pub mod play;
 pub mod scenario;
--- a/crates/sockets/src/lib.rs
+++ b/crates/sockets/src/lib.rs
@@ -3,10 +3,12 @@
 
 pub mod ground;
 pub mod mailbox;
+pub mod questions;
 pub mod stream;
 
 pub use ground::Ground;
 pub use mailbox::{mailbox, Gone, Mail, Mailbox};
+pub use questions::{Questions, Report};
 pub use stream::{Outgoing, Sent};
 
 /// Stack of a coroutine that only carries bytes, in machine words.
--- a/crates/transport/src/names.rs
+++ b/crates/sockets/src/questions.rs
@@ -1,33 +1,51 @@
-//! Sockets of questions to name servers: one for each try, so that each has a port of its own.
+//! Sockets of single questions, over UDP or TCP: one for each, so that each has a port of its own.
 
-use crate::owner::Letter;
+use crate::{end, start, Handle, READ, SMALL_STACK};
 use may::net::{TcpStream, UdpSocket};
-use shalespindle_sockets::{end, start, Handle, Mailbox, READ, SMALL_STACK};
-use shalespindle_srv::Ticket;
 use std::collections::HashMap;
 use std::io::{self, Read, Write};
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Questions out at once; the resolver asks far fewer.
+/// Questions out at once.
 const MOST: usize = 1024;
 
 /// The questions that are out.
 #[derive(Default)]
-pub(crate) struct Questions(HashMap<Ticket, Handle>);
+pub struct Questions(HashMap<u64, Handle>);
+
+/// What became of a question.
+#[derive(Debug)]
+pub enum Report {
+    Datagram {
+        ticket: u64,
+        from: SocketAddr,
+        bytes: Vec<u8>,
+    },
+    /// Bytes of a stream, in any parts.
+    Bytes {
+        ticket: u64,
+        bytes: Vec<u8>,
+    },
+    /// Its socket could not be opened or has ended.
+    Lost {
+        ticket: u64,
+    },
+}
 
 impl Questions {
-    /// Sends a question and reports what comes until it is closed.
+    /// Sends a question and reports what comes until it is closed; `report` is called from a coroutine, or
+    /// at once, and says whether it wants more.
     pub fn ask(
         &mut self,
-        ticket: Ticket,
+        ticket: u64,
         to: SocketAddr,
         tcp: bool,
         bytes: Vec<u8>,
         within: Duration,
-        mailbox: &Mailbox<Letter>,
+        report: impl Fn(Report) -> bool + Clone + Send + 'static,
     ) {
-        let own = mailbox.clone();
+        let own = report.clone();
         let started = if self.0.len() >= MOST {
             Err(io::ErrorKind::QuotaExceeded.into())
         } else {
@@ -39,7 +57,7 @@
                 };
                 // Whatever the error, the resolver asks again or elsewhere.
                 if asked.is_err() {
-                    let _ = own.send(Letter::NameLost { ticket });
+                    own(Report::Lost { ticket });
                 }
             })
         };
@@ -48,12 +66,12 @@
                 self.0.insert(ticket, handle);
             }
             Err(_) => {
-                let _ = mailbox.send_urgent(Letter::NameLost { ticket });
+                report(Report::Lost { ticket });
             }
         }
     }
 
-    pub fn close(&mut self, ticket: Ticket) {
+    pub fn close(&mut self, ticket: u64) {
         if let Some(handle) = self.0.remove(&ticket) {
             end(handle);
         }
@@ -68,7 +86,7 @@
     }
 }
 
-fn datagram(ticket: Ticket, to: SocketAddr, bytes: &[u8], mailbox: &Mailbox<Letter>) -> io::Result<()> {
+fn datagram(ticket: u64, to: SocketAddr, bytes: &[u8], report: &impl Fn(Report) -> bool) -> io::Result<()> {
     let any: SocketAddr = match to {
         SocketAddr::V4(_) => ([0, 0, 0, 0], 0).into(),
         SocketAddr::V6(_) => ([0u16; 8], 0).into(),
@@ -78,19 +96,18 @@
     let mut buffer = vec![0; READ];
     loop {
         let (size, from) = udp.recv_from(&mut buffer)?;
-        let letter = Letter::NameDatagram { ticket, from, bytes: buffer[..size].to_vec() };
-        if mailbox.send(letter).is_err() {
+        if !report(Report::Datagram { ticket, from, bytes: buffer[..size].to_vec() }) {
             return Ok(());
         }
     }
 }
 
 fn stream(
-    ticket: Ticket,
+    ticket: u64,
     to: SocketAddr,
     bytes: &[u8],
     within: Duration,
-    mailbox: &Mailbox<Letter>,
+    report: &impl Fn(Report) -> bool,
 ) -> io::Result<()> {
     let mut tcp = TcpStream::connect_timeout(&to, within)?;
     tcp.write_all(bytes)?;
@@ -100,7 +117,7 @@
         if size == 0 {
             return Err(io::ErrorKind::UnexpectedEof.into());
         }
-        if mailbox.send(Letter::NameBytes { ticket, bytes: buffer[..size].to_vec() }).is_err() {
+        if !report(Report::Bytes { ticket, bytes: buffer[..size].to_vec() }) {
             return Ok(());
         }
     }
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -4,7 +4,6 @@
 mod answers;
 mod log;
 mod memory;
-mod names;
 mod owner;
 mod readers;
 mod service;
--- a/crates/transport/src/owner.rs
+++ b/crates/transport/src/owner.rs
@@ -2,15 +2,13 @@
 
 use crate::answers::{answer, Host};
 use crate::memory::Memory;
-use crate::names::Questions;
 use crate::readers;
 use hdrhistogram::Histogram;
 use may::net::UdpSocket;
 use may::sync::mpsc;
 use shalespindle_console::{Ask, Reply};
 use shalespindle_front::{Event, Front, Input, LinkId, Output};
-use shalespindle_sockets::{Ground, Mail, Mailbox, Outgoing, Sent};
-use shalespindle_srv::Ticket;
+use shalespindle_sockets::{Ground, Mail, Mailbox, Outgoing, Questions, Report, Sent};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -66,18 +64,8 @@
         bytes: Vec<u8>,
     },
     FeedLost,
-    NameDatagram {
-        ticket: Ticket,
-        from: SocketAddr,
-        bytes: Vec<u8>,
-    },
-    NameBytes {
-        ticket: Ticket,
-        bytes: Vec<u8>,
-    },
-    NameLost {
-        ticket: Ticket,
-    },
+    /// What became of a question to a name server.
+    Name(Report),
     /// An operator's question.
     Console(Ask, mpsc::Sender<Reply>),
     End,
@@ -242,13 +230,13 @@
             Letter::FeedConnected => front.take(now, now, Input::FeedConnected),
             Letter::FeedBytes { bytes } => front.take(now, now, Input::FeedBytes { bytes: &bytes }),
             Letter::FeedLost => front.take(now, now, Input::FeedLost),
-            Letter::NameDatagram { ticket, from, bytes } => {
+            Letter::Name(Report::Datagram { ticket, from, bytes }) => {
                 front.take(now, now, Input::NameDatagram { ticket, from, bytes: &bytes });
             }
-            Letter::NameBytes { ticket, bytes } => {
+            Letter::Name(Report::Bytes { ticket, bytes }) => {
                 front.take(now, now, Input::NameBytes { ticket, bytes: &bytes });
             }
-            Letter::NameLost { ticket } => front.take(now, now, Input::NameLost { ticket }),
+            Letter::Name(Report::Lost { ticket }) => front.take(now, now, Input::NameLost { ticket }),
             Letter::Console(ask, to) => {
                 let host = Host { lag: &self.lag, datagrams_dropped: self.dropped };
                 // Whoever asked may have gone; there is nobody to tell then.
@@ -298,7 +286,13 @@
                     }
                 }
                 Output::NameAsk { ticket, to, tcp, bytes } => {
-                    self.questions.ask(ticket, to, tcp, bytes, self.connect_within, &self.mailbox);
+                    let mailbox = self.mailbox.clone();
+                    // A loss is reported once, by the owner itself at times; what peers send waits for room.
+                    let report = move |report| match report {
+                        Report::Lost { .. } => mailbox.send_urgent(Letter::Name(report)).is_ok(),
+                        _ => mailbox.send(Letter::Name(report)).is_ok(),
+                    };
+                    self.questions.ask(ticket, to, tcp, bytes, self.connect_within, report);
                 }
                 Output::NameClose { ticket } => self.questions.close(ticket),
                 Output::Event(event) => {
--- a/crates/transport/src/service.rs
+++ b/crates/transport/src/service.rs
@@ -63,6 +63,8 @@
         if let Some(path) = &settings.membership.file {
             if let Some((members, age)) = recall(path) {
                 front.restore(ground.now(), age, &members);
+                // Ruled before anybody can ask.
+                front.turn(ground.now());
             }
             memory = Some(Memory::start(path.clone())?);
         }
