What DNS withdrew and names again is cold; membership's note, operators' page, tests on front and lab

Change: a server that DNS names again after a withdrawal is cold unless the list told of a start after it, within the answer's lifetime. Fleets played at once take networks of their own: two had found the same port free. The operators' page is checked against the table.

--- a/crates/front/tests/common/mod.rs
+++ b/crates/front/tests/common/mod.rs
@@ -82,6 +82,8 @@
     pub refusing: Vec<SocketAddr>,
     /// Servers whose next frame does not fit.
     pub full: Vec<SocketAddr>,
+    /// Questions to name servers: ticket, to whom, over TCP, bytes.
+    pub questions: Vec<(u64, SocketAddr, bool, Vec<u8>)>,
     sequence: u64,
 }
 
@@ -108,6 +110,7 @@
             events: Vec::new(),
             refusing: Vec::new(),
             full: Vec::new(),
+            questions: Vec::new(),
             sequence: 0,
         }
     }
@@ -140,7 +143,8 @@
                 Output::Datagram { bytes, .. } | Output::ToCaller { bytes, .. } => {
                     self.answers.push(String::from_utf8(bytes).unwrap());
                 }
-                Output::CloseCaller { .. } | Output::NameAsk { .. } | Output::NameClose { .. } => {}
+                Output::NameAsk { ticket, to, tcp, bytes } => self.questions.push((ticket, to, tcp, bytes)),
+                Output::CloseCaller { .. } | Output::NameClose { .. } => {}
                 Output::Connect { id, to } => {
                     let up = !self.refusing.contains(&to);
                     if up {
--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -24,6 +24,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -75,8 +76,8 @@
 
 /// A free port for datagrams and streams alike on a loopback address of its own: no connection that goes
 /// out from the usual one can take the port before it is used.
-fn free_address(group: u8, number: usize) -> io::Result<SocketAddr> {
-    let ip = [127, group, (number / 250) as u8, (number % 250) as u8 + 1];
+fn free_address(network: u8, number: usize) -> io::Result<SocketAddr> {
+    let ip = [127, network, (number / 250) as u8, (number % 250) as u8 + 1];
     loop {
         let stream = std::net::TcpListener::bind(SocketAddr::from((ip, 0)))?;
         let address = stream.local_addr()?;
@@ -86,20 +87,29 @@
     }
 }
 
-/// Loopback networks of fronts and of servers.
-const FRONTS: u8 = 10;
-const SERVERS: u8 = 20;
-const NAMES: u8 = 30;
+/// Kinds of loopback network of a fleet: fronts, servers, name servers.
+const FRONTS: u8 = 0;
+const SERVERS: u8 = 1;
+const NAMES: u8 = 2;
+const KINDS: u8 = 3;
+
+/// The first network of a fleet. Guards against fleets played at once that find the same port free.
+fn networks() -> u8 {
+    static FLEETS: AtomicU8 = AtomicU8::new(0);
+    const APART: u8 = 60;
+    10 + KINDS * (FLEETS.fetch_add(1, Ordering::Relaxed) % APART)
+}
 
 /// A name server for one front, so that what it is told is known to be told to it.
 fn name_server(
     zone: &Arc<Mutex<Zone>>,
+    network: u8,
     front: usize,
     place: usize,
     ground: &Ground,
     trace: &Trace,
 ) -> io::Result<(SocketAddr, HostedNames)> {
-    let at = free_address(NAMES, front)?;
+    let at = free_address(network, front)?;
     let (udp, tcp) = (UdpSocket::bind(at)?, TcpListener::bind(at)?);
     let (zone, ground, trace) = (zone.clone(), ground.clone(), trace.clone());
     let answer = move |question: &[u8], stream: bool| {
@@ -152,13 +162,14 @@
     fn new(scenario: &'a Scenario, seed: u64, fronts: &'a Fronts) -> io::Result<Fleet<'a>> {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let (ground, trace) = (Ground::new(), Trace::default());
+        let networks = networks();
         let count = scenario.fleet.fronts;
         let mut names = HashMap::new();
         let mut settings = Vec::new();
         let mut listeners = Vec::new();
         for front in 0..count {
             let listener = TcpListener::bind("127.0.0.1:0")?;
-            let (address, feed) = (free_address(FRONTS, front)?, listener.local_addr()?);
+            let (address, feed) = (free_address(networks + FRONTS, front)?, listener.local_addr()?);
             names.insert(address.to_string(), front);
             settings.push((address, feed));
             listeners.push(listener);
@@ -169,7 +180,7 @@
         let mut servers = Vec::new();
         let mut addresses = Vec::new();
         for s in 0..scenario.fleet.servers {
-            let address = free_address(SERVERS, s)?;
+            let address = free_address(networks + SERVERS, s)?;
             feed.known(s, address, s as u16);
             addresses.push(address);
             let core = Server::new(s, address.to_string(), scenario.server(s), names.clone(), rng.random());
@@ -181,7 +192,7 @@
         for (front, (address, feed)) in settings.into_iter().enumerate() {
             let mut names = Vec::new();
             for place in 0..scenario.dns.as_ref().map_or(0, |d| d.name_servers) {
-                let (at, hosted) = name_server(&zone, front, place, &ground, &trace)?;
+                let (at, hosted) = name_server(&zone, networks + NAMES, front, place, &ground, &trace)?;
                 names.push(at);
                 name_servers.push(hosted);
             }
--- /dev/null
+++ b/crates/lab/tests/names.rs
@@ -0,0 +1,48 @@
+//! SRV records under virtual time.
+
+use shalespindle_lab::compare::Variant;
+use shalespindle_lab::scenario::Scenario;
+use shalespindle_lab::sim::{self, Planted, Setup};
+use shalespindle_standin::nameserver::Script;
+use std::path::Path;
+
+fn scenario(name: &str) -> Scenario {
+    let folder = Path::new(concat!(env!("CARGO_MANIFEST_DIR"), "/scenarios"));
+    Scenario::load(&folder.join(name)).unwrap()
+}
+
+#[test]
+fn deploy_and_stale_days_keep_the_rules_with_every_script() {
+    let mut day = scenario("stale-day-dns.toml");
+    let (mut stood, mut asked) = (0, 0);
+    for (seed, script) in
+        [Script::Plain, Script::Truncates, Script::Lossy(0.3), Script::Nxdomain, Script::TcpHangs]
+            .into_iter()
+            .enumerate()
+    {
+        day.troubles.retain(|t| t.script == Script::Plain);
+        let mut names = day.troubles[0].clone();
+        names.kind = shalespindle_lab::scenario::TroubleKind::NameServer;
+        (names.from, names.lasts, names.part, names.script) = (10.0, 30.0, 1.0, script);
+        day.troubles.push(names);
+        let run = sim::run(&day, seed as u64, &Setup::of(Variant::Module));
+        assert!(run.report.rules_kept(), "{script:?}: {:?}", run.report.verdict.broken.first());
+        assert_eq!(run.report.summary.unanswered, 0);
+        stood += run.report.summary.stood;
+        asked += run.asked.len();
+    }
+    assert!(stood > 10_000 && asked > 1000, "{stood} stood, {asked} questions");
+}
+
+/// The checker of rule 3 sees a front that does not hear that a record was withdrawn.
+#[test]
+fn a_front_deaf_to_withdrawn_records_is_found() {
+    let mut day = scenario("deploy-day-dns.toml");
+    let dns = day.dns.as_mut().unwrap();
+    (dns.alone, dns.ttl) = (true, 1);
+    let good = sim::run(&day, 1, &Setup::of(Variant::Module));
+    assert!(good.report.rules_kept(), "{:?}", good.report.verdict.broken.first());
+    let planted = Setup { variant: Variant::Module, planted: Some(Planted::DeafToDrains) };
+    let broken = sim::run(&day, 1, &planted).report.summary.rules_broken;
+    assert!(broken["3"] > 0, "{broken:?}");
+}
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -293,7 +293,18 @@
                 priority: server.priority,
                 weight: server.weight,
             };
-            member.named.insert(name, by);
+            let before = member.named.insert(name, by);
+            // Guards rule 4: what DNS withdrew and names again may be another processor at the same address,
+            // and a list that is late tells of the one before. Both speak of the same start only if the list
+            // told of one after the withdrawal, and not longer ago than an answer takes to be asked for anew.
+            let left_out = before.and_then(|b| b.left_out_at);
+            let same = left_out.is_some_and(|at| {
+                member.told_start.is_some_and(|told| told >= at)
+                    && member.list.is_some_and(|says| now <= says.since + lifetime)
+            });
+            if left_out.is_some() && !same {
+                member.seen_start = Some(now.max(f64::MIN_POSITIVE));
+            }
             if member.list.is_none() {
                 member.pool = server.pool;
             }
@@ -464,7 +475,9 @@
         // A source's word on the start goes before any guess; a start nobody told is taken for now: cold.
         let told = self.told_start.filter(|_| self.list_word != ListWord::NeverHeard);
         if let Some(seen) = self.seen_start {
-            self.started = seen;
+            // What was seen before it came in says nothing of what happened until then.
+            let seen = if comes { now.max(f64::MIN_POSITIVE) } else { seen };
+            (self.seen_start, self.started) = (Some(seen), seen);
         } else if let Some(told) = told {
             self.started = told;
         } else if comes && (ruling.cold || self.told_start.is_none()) {
--- a/crates/membership/tests/hard.rs
+++ b/crates/membership/tests/hard.rs
@@ -244,6 +244,23 @@
     assert_eq!(members.members().count(), 2, "one that nobody named is none");
 }
 
+#[test]
+fn what_dns_names_again_is_cold_until_the_list_tells_of_its_start() {
+    let mut members = Membership::new(params(), 0.0);
+    members.listed(0.0, true, &[listed(1, Told::Ready, 1, 0.0), listed(2, Told::Ready, 1, 0.0)]);
+    members.answered(0.0, 0, &servers(&[1, 2], 60.0));
+    members.settle(0.0);
+    members.answered(100.0, 0, &servers(&[2], 60.0));
+    members.settle(100.0);
+    // The list tells late of a start before this one.
+    members.listed(105.0, false, &[listed(1, Told::Ready, 2, 98.0)]);
+    assert_eq!(verdicts(&mut members, 105.0), [(1, Draining), (2, In)]);
+    members.answered(120.0, 0, &servers(&[1, 2], 60.0));
+    assert_eq!(verdicts(&mut members, 120.0), [(1, In), (2, In)]);
+    let back = changes(&mut members).into_iter().rfind(|c| c.address == address(1)).unwrap();
+    assert_eq!(back.started, 120.0);
+}
+
 #[test]
 fn an_earlier_incarnation_is_old_news() {
     let mut members = Membership::new(params(), 0.0);
--- a/crates/membership/tests/table.rs
+++ b/crates/membership/tests/table.rs
@@ -149,3 +149,13 @@
     assert!(rows().all(|(l, d, row)| seen.contains(&(l, d)) && !row.reason.is_empty()));
     assert_eq!(rows().count(), seen.len());
 }
+
+#[test]
+fn the_operators_page_has_every_row() {
+    let page = include_str!("../../../docs/operators/membership.md");
+    for (list, dns, row) in rows() {
+        let begin = format!("| {list} | {dns} | ");
+        let line = page.lines().find(|l| l.starts_with(&begin)).unwrap_or_else(|| panic!("{begin}"));
+        assert!(line.ends_with(&format!(" | {} |", row.reason)), "{line}");
+    }
+}
