Settings: faults of dns and membership tested by line and key

Need: each bad value must be named with file, line and key.

Change: tests for names, targets, servers, spans and the pairs that must fit each other; first choices are optional only with [dns].

--- a/crates/settings/tests/faults.rs
+++ b/crates/settings/tests/faults.rs
@@ -66,6 +66,43 @@
     }
 }
 
+const DNS: &str = r#"
+[dns]
+names = ["_sip._tcp.auth.example.org"]
+servers = ["127.0.0.1:5353"]
+targets = [{ name = "S1.auth.example.org.", pool = 1 }]
+
+[membership]
+hold = "10s"
+"#;
+
+#[test]
+fn dns_makes_first_choices_optional_and_its_faults_are_named() {
+    let good = format!("{}{DNS}", GOOD.replace("first_choice = 1\n", ""));
+    let params = parse("f.toml", &good).unwrap().params();
+    assert_eq!(params.trunk_groups["wayanad"], FirstChoice::Dealt(0));
+    let dns = params.dns.unwrap();
+    assert_eq!(dns.resolver.names[0].to_string(), "_sip._tcp.auth.example.org.");
+    assert_eq!(dns.pools["S1.auth.example.org."], 1);
+    let without = parse("f.toml", &GOOD.replace("first_choice = 1\n", "")).unwrap_err();
+    assert_eq!(without[0].key, "trunk_groups[1].first_choice");
+    for (from, to, key) in [
+        ("\"_sip._tcp.auth.example.org\"", "\"a..b\"", "dns.names[0]"),
+        ("[\"_sip._tcp.auth.example.org\"]", "[]", "dns.names"),
+        ("S1.auth.example.org.", "s1 .\\u0000", "dns.targets[0].name"),
+        ("127.0.0.1:5353", "localhost", "dns.servers"),
+        ("hold = \"10s\"", "hold = \"0s\"", "membership.hold"),
+        ("hold = \"10s\"", "stale_longest = \"1s\"", "membership.stale_longest"),
+        ("hold = \"10s\"", "flap_longest = \"1s\"", "membership.flap_longest"),
+        ("[dns]", "[dns]\nlifetime_longest = \"1s\"", "dns.lifetime_longest"),
+        ("[dns]", "[dns]\nearly = 2.0", "dns.early"),
+    ] {
+        assert!(good.contains(from), "{from}");
+        let faults = parse("f.toml", &good.replace(from, to)).unwrap_err();
+        assert!(faults.iter().any(|f| f.key.starts_with(key) && f.line > 40), "{to}: {faults:?}");
+    }
+}
+
 #[test]
 fn all_faults_come_together() {
     let text = GOOD.replace("tries = 4", "tries = 0").replace("utility = 3.0", "utility = -3.0");
