--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -56,7 +56,8 @@
 }
 
 struct Host {
-    front: Option<Front>,
+    /// Boxed: it is taken out for each turn, and large.
+    front: Option<Box<Front>>,
     /// Counts its starts; what was meant for an earlier one is lost.
     life: u64,
     /// While stopped, what comes is kept with its time.
@@ -245,7 +246,7 @@
         };
         let host = &mut self.hosts[front];
         host.life += 1;
-        host.front = Some(made);
+        host.front = Some(Box::new(made));
         host.stopped = None;
         host.wake = f64::INFINITY;
         let life = host.life;
@@ -617,7 +618,7 @@
         let callers: Vec<&Callers> = self.callers.iter().collect();
         Run {
             report: report(&self.scenario.name, seed, &callers, verdict),
-            counters: self.hosts.iter().filter_map(|h| h.front.as_ref()).map(Front::counters).collect(),
+            counters: self.hosts.iter().filter_map(|h| h.front.as_ref()).map(|f| f.counters()).collect(),
             levels: self.levels,
             lasted: self.now,
             trace: self.trace,
--- a/crates/signalling/src/framer.rs
+++ b/crates/signalling/src/framer.rs
@@ -57,7 +57,13 @@
 
 /// Content-Length of a head that need not be well-formed otherwise; on streams it must be there (20.14).
 fn content_length(head: &[u8]) -> Option<usize> {
-    for line in head.split(|&b| b == b'\n') {
+    let mut from = 0;
+    for end in memchr::memchr_iter(b'\n', head).chain([head.len()]) {
+        let line = &head[from.min(end)..end];
+        from = end + 1;
+        if !matches!(line.trim_ascii_start().first(), Some(b'C' | b'c' | b'L' | b'l')) {
+            continue;
+        }
         let Some(colon) = line.iter().position(|&b| b == b':') else { continue };
         let name = line[..colon].trim_ascii();
         if name.eq_ignore_ascii_case(b"Content-Length") || name.eq_ignore_ascii_case(b"l") {
--- a/crates/signalling/src/grammar.rs
+++ b/crates/signalling/src/grammar.rs
@@ -8,12 +8,13 @@
 use winnow::combinator::{alt, opt, preceded, repeat, terminated};
 use winnow::error::{ContextError, ErrMode};
 use winnow::prelude::*;
+use winnow::stream::Stream;
 use winnow::token::{any, one_of, take_till, take_while};
 
 type Out<T> = Result<T, ErrMode<ContextError>>;
 
 fn token_char(c: char) -> bool {
-    c.is_ascii_alphanumeric() || "-.!%*_+`'~".contains(c)
+    matches!(c, 'a'..='z' | 'A'..='Z' | '0'..='9' | '-' | '.' | '!' | '%' | '*' | '_' | '+' | '`' | '\'' | '~')
 }
 
 fn token<'a>(input: &mut &'a str) -> Out<&'a str> {
@@ -34,11 +35,16 @@
         .parse_next(input)
 }
 
+/// Up to the line's end, found many bytes at a time.
+fn line<'a>(input: &mut &'a str) -> Out<&'a str> {
+    let end = memchr::memchr2(b'\r', b'\n', input.as_bytes()).unwrap_or(input.len());
+    Ok(input.next_slice(end))
+}
+
 /// A value up to its line's end; a line that begins with white space goes on with the one before
 /// (section 7.3.1), the break being part of the slice.
 fn value<'a>(input: &mut &'a str) -> Out<&'a str> {
-    let line = take_till(0.., ['\r', '\n']);
-    let folded = (line_ending, one_of([' ', '\t']), take_till(0.., ['\r', '\n']));
+    let folded = (line_ending, one_of([' ', '\t']), line);
     terminated((line, repeat::<_, _, (), _, _>(0.., folded.void())).take(), line_ending).parse_next(input)
 }
 
--- a/crates/signalling/src/message.rs
+++ b/crates/signalling/src/message.rs
@@ -1,8 +1,10 @@
 //! A SIP message as it is read: borrowed slices of one buffer, and readers for the headers a router uses.
 
 use crate::grammar;
+use memchr::memmem::Finder;
 use smallvec::SmallVec;
 use std::fmt;
+use std::sync::LazyLock;
 
 /// Most header lines that a message may have; one with more is refused before it costs memory.
 pub const MOST_HEADERS: usize = 64;
@@ -216,9 +218,10 @@
 
 /// Length of the head with its empty line.
 pub(crate) fn head_end(bytes: &[u8]) -> Option<usize> {
-    // Compared by windows only as far as a head may reach: guards against long junk scanned anew each read.
+    // Looked for only as far as a head may reach: guards against long junk scanned anew each read.
     let limit = bytes.len().min(LONGEST_HEAD + 4);
-    bytes[..limit].windows(4).position(|w| w == b"\r\n\r\n").map(|at| at + 4)
+    static EMPTY_LINE: LazyLock<Finder> = LazyLock::new(|| Finder::new("\r\n\r\n"));
+    EMPTY_LINE.find(&bytes[..limit]).map(|at| at + 4)
 }
 
 /// The parameter `tag` of a From or To value (RFC 3261 section 19.3).
