--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -291,7 +291,7 @@
             Input::CallerBytes { stream, bytes } => self.caller_bytes(now, arrived, stream, bytes),
             Input::CallerClosed { stream } => self.caller_closed(now, stream),
             Input::Connected { id } => self.connected(now, id),
-            Input::LinkLost { id } => self.link_lost(now, id),
+            Input::LinkLost { id } => self.link_lost(now, id, true),
             Input::LinkBytes { id, bytes } => self.link_bytes(now, id, bytes),
             Input::Blocked { id } => self.with_link(id, |link| link.blocked = true),
             Input::Writable { id } => self.with_link(id, |link| link.blocked = false),
--- a/crates/front/src/links.rs
+++ b/crates/front/src/links.rs
@@ -53,9 +53,8 @@
     pub blocked: bool,
     /// The set-ups among the last frames that left together.
     pub last_set_ups: Vec<LegRef>,
-    /// It was up once, and since then a connection to it has failed.
-    pub was_up: bool,
-    pub nobody_there: bool,
+    /// Its server ended a connection that was up, and none has been up since.
+    pub cut_off: bool,
     /// The last pause before a new connection.
     pub pause: f64,
     /// Legs bound to it, in any state.
@@ -78,8 +77,7 @@
             framer: Framer::default(),
             blocked: false,
             last_set_ups: Vec::new(),
-            was_up: false,
-            nobody_there: false,
+            cut_off: false,
             pause: 0.0,
             legs: 0,
             probe: None,
--- a/crates/front/src/servers.rs
+++ b/crates/front/src/servers.rs
@@ -60,16 +60,17 @@
             link.state = LinkState::Up;
             link.pause = 0.0;
             let server = link.address;
-            let came_back = link.was_up && link.nobody_there;
-            (link.was_up, link.nobody_there) = (true, false);
-            if came_back {
+            // Guards rule 4: whatever ended the connection may have ended the processor, and a restart can be
+            // quicker than any news of it.
+            if std::mem::take(&mut link.cut_off) {
                 self.came_back(now, server);
             }
             self.event(Event::LinkUp { server });
         }
     }
 
-    pub(crate) fn link_lost(&mut self, now: f64, id: LinkId) {
+    /// `by_server`: not of this front's own doing.
+    pub(crate) fn link_lost(&mut self, now: f64, id: LinkId, by_server: bool) {
         let known = self.links.get(id.link).filter(|l| l.connection == id.connection);
         if known.is_none_or(|l| matches!(l.state, LinkState::Down { .. })) {
             return;
@@ -77,7 +78,7 @@
         let chance = self.rng.random();
         let (least, longest) = self.params.reconnect;
         let link = &mut self.links[id.link];
-        link.nobody_there |= link.state == LinkState::Connecting;
+        link.cut_off |= link.state == LinkState::Up && by_server;
         let retry_after = link.back_off(least, longest, chance);
         link.state = LinkState::Down { retry_at: now + retry_after };
         // The next connection has another number, so that late reports of this one are told apart.
@@ -131,7 +132,7 @@
             LinkState::Connecting => {
                 let id = link.id(place);
                 self.outputs.push_back(Output::CloseLink { id, reset: false });
-                self.link_lost(now, id);
+                self.link_lost(now, id, false);
             }
             LinkState::Down { .. } if link.listed || link.legs > 0 => self.connect(now, place),
             _ => {}
@@ -144,7 +145,7 @@
         if !link.listed && link.legs == 0 && !matches!(link.state, LinkState::Down { .. }) {
             let id = link.id(place);
             self.outputs.push_back(Output::CloseLink { id, reset: false });
-            self.link_lost(now, id);
+            self.link_lost(now, id, false);
         }
     }
 
@@ -178,7 +179,7 @@
     fn reset(&mut self, now: f64, place: usize) {
         let id = self.links[place].id(place);
         self.outputs.push_back(Output::CloseLink { id, reset: true });
-        self.link_lost(now, id);
+        self.link_lost(now, id, false);
     }
 
     // ---- setup tries ----
@@ -329,7 +330,7 @@
                 Err(why) => {
                     self.bad("server's stream", why.to_string());
                     self.outputs.push_back(Output::CloseLink { id, reset: false });
-                    return self.link_lost(now, id);
+                    return self.link_lost(now, id, false);
                 }
             }
         }
