Emulator: a front that was stopped is woken again by its own timers

An attach with 0.17 s of patience was answered after 0.20 s although nothing held its front up any more.

Change: a wake that fell due while the front was stopped stayed noted as the next one, and hid all later ones; it is forgotten when the front goes on. The fault was the emulator's, not the front's.

--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -416,6 +416,8 @@
     fn goes_on(&mut self, front: usize) {
         let Some(kept) = self.hosts[front].stopped.take() else { return };
         self.trace.add(self.now, Seen::FrontGoesOn { front });
+        // A wake that fell due meanwhile was passed over: without this it would hide all later ones.
+        self.hosts[front].wake = f64::INFINITY;
         for (arrived, what) in kept {
             self.tell_front(front, arrived, &what);
         }
