One set of short membership times and one front process for tests

Change: MembershipParams::short; tests/common/process.rs with the front's process and one wait, which the end-to-end suite uses as well (its bound of 20 s now holds for all); one count of steps within a second.

--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -1,5 +1,11 @@
 //! Sub-commands, their exit codes and what they print.
 
+#[path = "common/process.rs"]
+#[allow(dead_code)]
+mod process;
+
+use process::{until, Front};
+use std::path::Path;
 use std::process::{Command, Output};
 
 fn shalespindle(args: &[&str]) -> Output {
@@ -59,16 +65,6 @@
     assert!((1..=5).all(|rule| summary["rules_broken"][rule.to_string()] == 0), "{summary}");
 }
 
-/// A front in service, killed when the test leaves it.
-struct Front(std::process::Child);
-
-impl Drop for Front {
-    fn drop(&mut self) {
-        let _ = self.0.kill();
-        let _ = self.0.wait();
-    }
-}
-
 #[test]
 fn a_running_front_tells_its_level_and_holds_another() {
     let folder = tempfile::tempdir().unwrap();
@@ -79,12 +75,7 @@
     let config = config.to_str().unwrap();
     let unreachable = shalespindle(&["status", "--config", config]);
     assert_eq!(unreachable.status.code(), Some(1));
-    let front = Command::new(env!("CARGO_BIN_EXE_shalespindle"))
-        .args(["run", "--config", config])
-        .stderr(std::fs::File::create(&log).unwrap())
-        .spawn()
-        .unwrap();
-    let front = Front(front);
+    let front = Front::run(Path::new(config), std::fs::File::create(&log).unwrap());
     let told = |args: &[&str]| {
         let out = shalespindle(args);
         (out.status.code(), String::from_utf8(out.stdout).unwrap())
@@ -97,7 +88,7 @@
             serde_json::Value::Null
         }
     };
-    until(|| status()["level"]["level"] == 0);
+    until("full service", || status()["level"]["level"] == 0);
     let (code, words) = told(&["pin", "2", "--for", "1h", "--config", config]);
     assert_eq!((code, words.trim()), (Some(0), "level 2 is held for 3600 s"));
     let level = &status()["level"];
@@ -108,19 +99,10 @@
     assert_eq!(told(&["pin", "1", "--for", "2days", "--config", config]).0, Some(1));
     // It falls back by itself.
     assert_eq!(told(&["pin", "3", "--for", "50ms", "--config", config]).0, Some(0));
-    until(|| status()["level"]["why"] == "a pin has ended");
+    until("the end of the pin", || status()["level"]["why"] == "a pin has ended");
     assert_eq!(status()["level"]["level"], 0);
     assert_eq!(told(&["unpin", "--config", config]).0, Some(1));
     drop(front);
     let log = std::fs::read_to_string(log).unwrap();
     assert!(log.contains("level pinned by an operator") && log.contains("a pin has ended"), "{log}");
 }
-
-/// Waits for what must come true; the bound only ends a test that has failed.
-fn until(mut done: impl FnMut() -> bool) {
-    let begin = std::time::Instant::now();
-    while !done() {
-        assert!(begin.elapsed().as_secs() < 60, "did not come true");
-        std::thread::yield_now();
-    }
-}
--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -1,5 +1,8 @@
 //! What the end-to-end suite stands on: a router in service, by library or as a daemon, and scripted peers.
 
+mod process;
+
+pub use process::{until, Front, PATIENCE};
 use shalespindle_settings::parse;
 use shalespindle_signalling::message::{Message, Method};
 use shalespindle_signalling::write::{ResponseHead, Writer};
@@ -8,12 +11,9 @@
 use shalespindle_transport::Service;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
-use std::process::{Child, Command, Stdio};
+use std::process::Stdio;
 use std::sync::mpsc::{channel, Receiver, Sender};
-use std::time::{Duration, Instant};
-
-/// Longer than anything here takes; reached only by a failure.
-pub const PATIENCE: Duration = Duration::from_secs(20);
+use std::time::Instant;
 
 /// A router in service, however it runs.
 pub trait Router: Sized {
@@ -43,7 +43,7 @@
 
 /// A process of its own.
 pub struct Daemon {
-    child: Child,
+    front: Front,
     _folder: tempfile::TempDir,
 }
 
@@ -52,38 +52,14 @@
         let folder = tempfile::tempdir().unwrap();
         let file = folder.path().join("front.toml");
         std::fs::write(&file, text).unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_shalespindle"))
-            .args(["run", "--config"])
-            .arg(&file)
-            .stdout(Stdio::null())
-            .stderr(Stdio::null())
-            .spawn()
-            .unwrap();
-        Daemon { child, _folder: folder }
+        Daemon { front: Front::run(&file, Stdio::null()), _folder: folder }
     }
     fn end(&mut self) {
-        let pid = nix::unistd::Pid::from_raw(self.child.id() as i32);
+        let pid = nix::unistd::Pid::from_raw(self.front.0.id() as i32);
         nix::sys::signal::kill(pid, nix::sys::signal::Signal::SIGTERM).unwrap();
     }
     fn ended(&mut self) -> bool {
-        self.child.try_wait().unwrap().is_some_and(|status| status.success())
-    }
-}
-
-impl Drop for Daemon {
-    fn drop(&mut self) {
-        // Already ended by itself in some tests.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
-/// Waits until something holds.
-pub fn until(what: &str, mut holds: impl FnMut() -> bool) {
-    let begin = Instant::now();
-    while !holds() {
-        assert!(begin.elapsed() < PATIENCE, "{what} never came");
-        std::thread::sleep(Duration::from_millis(2));
+        self.front.0.try_wait().unwrap().is_some_and(|status| status.success())
     }
 }
 
--- a/crates/cli/tests/names.rs
+++ b/crates/cli/tests/names.rs
@@ -1,5 +1,10 @@
 //! Names on sockets: `resolve` against scripted name servers, and a front that DNS alone tells its servers.
 
+#[path = "common/process.rs"]
+#[allow(dead_code)]
+mod process;
+
+use process::{until_got, Front};
 use shalespindle_srv::Name;
 use shalespindle_standin::names::{name_server, HostedNames};
 use shalespindle_standin::nameserver::{Entry, NameServer, Script};
@@ -71,16 +76,6 @@
     assert!(code == Some(1) && text.ends_with("failed\n"), "{text}");
 }
 
-/// A front in service, killed when the test leaves it.
-struct Front(std::process::Child);
-
-impl Drop for Front {
-    fn drop(&mut self) {
-        let _ = self.0.kill();
-        let _ = self.0.wait();
-    }
-}
-
 #[test]
 fn a_front_keeps_what_dns_named_over_a_restart_with_everything_down() {
     let folder = tempfile::tempdir().unwrap();
@@ -99,11 +94,7 @@
     std::fs::write(path("front.toml"), format!("{text}\n{more}")).unwrap();
     let config = path("front.toml");
     let config = config.to_str().unwrap();
-    let run = || {
-        let log = std::fs::File::create(path("front.log")).unwrap();
-        let mut command = Command::new(env!("CARGO_BIN_EXE_shalespindle"));
-        Front(command.args(["run", "--config", config]).stderr(log).spawn().unwrap())
-    };
+    let run = || Front::run(&path("front.toml"), std::fs::File::create(path("front.log")).unwrap());
     let members = || -> serde_json::Value {
         let mut command = Command::new(env!("CARGO_BIN_EXE_shalespindle"));
         let out = command.args(["members", "--config", config, "--json"]).output().unwrap();
@@ -111,39 +102,27 @@
     };
     let shown = |members: &serde_json::Value, row: usize, key: &str| members["members"][row][key].clone();
     let front = run();
-    let all = until(members, |m| m["members"].as_array().is_some_and(|all| all.len() == 2));
+    let all = until_got("members", members, |m| m["members"].as_array().is_some_and(|all| all.len() == 2));
     assert_eq!((shown(&all, 0, "pool"), shown(&all, 1, "pool")), (1.into(), 1000.into()));
     assert_eq!((shown(&all, 0, "verdict"), shown(&all, 0, "dns")), ("in".into(), "present".into()));
     assert_eq!(shown(&all, 0, "because"), "found by DNS alone: cold until known better");
-    until(
+    until_got(
+        "the file",
         || std::fs::read(path("members")).unwrap_or_default(),
         |bytes| shalespindle_membership::read(u64::MAX / 2, bytes).is_ok_and(|known| known.0.len() == 2),
     );
     drop(front);
     drop(names);
     let front = run();
-    let all = until(members, |m| m["members"].as_array().is_some_and(|all| all.len() == 2));
+    let all = until_got("members", members, |m| m["members"].as_array().is_some_and(|all| all.len() == 2));
     assert_eq!((shown(&all, 0, "verdict"), shown(&all, 0, "dns")), ("in".into(), "never heard".into()));
     assert_eq!(shown(&all, 0, "warned"), true);
     drop(front);
     // A damaged file is set aside, and the front starts.
     std::fs::write(path("members"), "shalespindle-members 1 00000000\n{}").unwrap();
     let _front = run();
-    let none = until(members, |m| m["members"].is_array());
+    let none = until_got("members", members, |m| m["members"].is_array());
     assert_eq!(none["members"].as_array().unwrap().len(), 0);
     assert!(path("members.set-aside").exists());
     assert!(std::fs::read_to_string(path("front.log")).unwrap().contains("set aside"));
 }
-
-/// Waits for what must come true; the bound only ends a test that has failed.
-fn until<T: std::fmt::Debug>(get: impl Fn() -> T, done: impl Fn(&T) -> bool) -> T {
-    let begin = std::time::Instant::now();
-    loop {
-        let got = get();
-        if done(&got) {
-            return got;
-        }
-        assert!(begin.elapsed().as_secs() < 60, "did not come true: {got:?}");
-        std::thread::yield_now();
-    }
-}
--- a/crates/lab/src/walk.rs
+++ b/crates/lab/src/walk.rs
@@ -90,17 +90,7 @@
 const LIFETIME: f64 = 60.0;
 
 fn params() -> MembershipParams {
-    MembershipParams {
-        list_patience: 5.0,
-        hold: 10.0,
-        stale_quiet: 30.0,
-        stale_longest: 120.0,
-        flap_window: 30.0,
-        flap_hold: 3.0,
-        flap_longest: 60.0,
-        remembered_for: 300.0,
-        most: 16,
-    }
+    MembershipParams::short(16)
 }
 
 fn address(server: usize) -> SocketAddr {
--- a/crates/levels/tests/histories.rs
+++ b/crates/levels/tests/histories.rs
@@ -173,6 +173,12 @@
     assert_eq!((levels.level(), levels.status(50.0).why), (0, Why::Unpinned));
 }
 
+/// Of these moments, how many lie within one second, at most.
+fn within_a_second(moments: &[f64]) -> usize {
+    let near = |t: &f64| moments.iter().filter(|u| (*u - t).abs() < 0.5).count();
+    moments.iter().map(near).max().unwrap()
+}
+
 #[test]
 fn fronts_do_not_step_as_one() {
     let mut first = Vec::new();
@@ -182,8 +188,7 @@
         let changes = drive(&mut levels, &mut now, 120.0, 20.0, |t, n| ((n * 7919 % 1000) as f64) < t * 4.0);
         first.push(changes[0].at);
     }
-    first.sort_by(f64::total_cmp);
-    let most = first.iter().map(|t| first.iter().filter(|u| (*u - t).abs() < 0.5).count()).max().unwrap();
+    let most = within_a_second(&first);
     assert!(most < 281 / 3, "{most} of 281 step within a second of each other");
 }
 
@@ -196,7 +201,7 @@
         let changes = drive(&mut levels, &mut now, 40.0, 20.0, |t, _| t > 10.0);
         first.push(changes[0].at);
     }
-    let most = first.iter().map(|t| first.iter().filter(|u| (*u - t).abs() < 0.5).count()).max().unwrap();
+    let most = within_a_second(&first);
     assert!(most < 281 / 3, "{most} of 281 step within a second of each other");
 }
 
--- a/crates/membership/src/flaps.rs
+++ b/crates/membership/src/flaps.rs
@@ -33,11 +33,10 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::members::tests::params;
 
     #[test]
     fn the_first_return_is_free_and_each_further_one_waits_longer() {
-        let params = params();
+        let params = MembershipParams::short(8);
         let mut flaps = Flaps::default();
         let mut waits = Vec::new();
         for n in 0..8 {
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -44,6 +44,23 @@
     pub most: usize,
 }
 
+impl MembershipParams {
+    /// Short times: for the walk and for tests, which pass hours by hand.
+    pub fn short(most: usize) -> MembershipParams {
+        MembershipParams {
+            list_patience: 5.0,
+            hold: 10.0,
+            stale_quiet: 30.0,
+            stale_longest: 120.0,
+            flap_window: 30.0,
+            flap_hold: 3.0,
+            flap_longest: 60.0,
+            remembered_for: 300.0,
+            most,
+        }
+    }
+}
+
 /// State of a processor as the pool list tells it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Told {
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -511,26 +511,12 @@
 }
 
 #[cfg(test)]
-pub(crate) mod tests {
+mod tests {
     use super::*;
 
-    pub(crate) fn params() -> MembershipParams {
-        MembershipParams {
-            list_patience: 5.0,
-            hold: 10.0,
-            stale_quiet: 30.0,
-            stale_longest: 120.0,
-            flap_window: 30.0,
-            flap_hold: 3.0,
-            flap_longest: 60.0,
-            remembered_for: 300.0,
-            most: 8,
-        }
-    }
-
     #[test]
     fn room_is_bounded_and_what_is_out_makes_room() {
-        let mut members = Membership::new(params(), 0.0);
+        let mut members = Membership::new(MembershipParams::short(8), 0.0);
         let server = |n: u16, told| Listed {
             address: SocketAddr::from(([127, 0, 0, 1], n)),
             pool: n,
--- a/crates/membership/tests/hard.rs
+++ b/crates/membership/tests/hard.rs
@@ -4,17 +4,7 @@
 use std::net::SocketAddr;
 
 fn params() -> MembershipParams {
-    MembershipParams {
-        list_patience: 5.0,
-        hold: 10.0,
-        stale_quiet: 30.0,
-        stale_longest: 120.0,
-        flap_window: 30.0,
-        flap_hold: 3.0,
-        flap_longest: 60.0,
-        remembered_for: 300.0,
-        most: 100,
-    }
+    MembershipParams::short(100)
 }
 
 fn address(n: u16) -> SocketAddr {
