Lab: one way to run jobs at once, one count within a second; a run's figures in the lab

Need: compare, scale and names each had the same worker loop; steps together and questions were counted by two quadratic copies; the command line picked the changes of a run apart.

Change: parallel::each gives results in the order of the jobs; most_in_a_second goes over moments in order (its end is inclusive, as for steps; questions exactly a second apart now count together); Knowledge::of_run; Feed's silence is set by Feed::silence alone.

--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -4,12 +4,10 @@
 use clap::ValueEnum;
 use shalespindle_lab::baseline::Pick;
 use shalespindle_lab::compare::{compare, Variant, Where};
-use shalespindle_lab::plan::Action;
 use shalespindle_lab::play::{play, Fronts};
 use shalespindle_lab::scenario::{Scenario, BAD_DAY};
 use shalespindle_lab::summary::{Knowledge, LevelSteps, Report};
 use shalespindle_lab::{names, scale, sim, throughput, walk};
-use shalespindle_standin::feed::Listed;
 use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -64,17 +62,7 @@
                 }
                 let steps = LevelSteps::of(&run.levels, scenario.fleet.fronts);
                 println!("{steps}");
-                let changes: Vec<(f64, usize, bool)> = run
-                    .actions
-                    .iter()
-                    .filter_map(|(at, action)| match action {
-                        Action::List { server, state, .. } if *state != Listed::Gone => {
-                            Some((*at, *server, *state == Listed::Ready))
-                        }
-                        _ => None,
-                    })
-                    .collect();
-                println!("{}", Knowledge::of(&changes, &run.verdicts, &run.asked, scenario.fleet.fronts));
+                println!("{}", Knowledge::of_run(&run, scenario.fleet.fronts));
                 let apart = steps.apart_by(scenario.levels.least_stay.seconds());
                 if !apart {
                     println!("levels changed sooner than levels.least_stay");
--- a/crates/lab/src/compare.rs
+++ b/crates/lab/src/compare.rs
@@ -1,6 +1,7 @@
 //! Two variants of a scenario, paired by seed under virtual time or on sockets, with the noise.
 
 use crate::baseline::Pick;
+use crate::parallel;
 use crate::play::{play, Fronts};
 use crate::scenario::Scenario;
 use crate::sim::{self, Setup};
@@ -9,8 +10,6 @@
 use std::collections::BTreeMap;
 use std::fmt;
 use std::io;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::Mutex;
 
 /// What decides in a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -72,38 +71,26 @@
     first: u64,
     pairs: u64,
 ) -> io::Result<Comparison> {
-    let next = AtomicU64::new(0);
-    let results: Mutex<BTreeMap<u64, io::Result<[Report; 2]>>> = Mutex::new(BTreeMap::new());
+    let seeds: Vec<u64> = (first..first + pairs).collect();
     let at_once = match place {
-        Where::VirtualTime => std::thread::available_parallelism().map_or(1, usize::from),
+        Where::VirtualTime => parallel::cores(),
         Where::Sockets { pairs_at_once } => pairs_at_once,
     };
-    std::thread::scope(|scope| {
-        for _ in 0..at_once {
-            scope.spawn(|| loop {
-                let pair = next.fetch_add(1, Ordering::Relaxed);
-                if pair >= pairs {
-                    return;
-                }
-                let run = |(scenario, variant)| one(scenario, variant, place, first + pair);
-                let both = if place == Where::VirtualTime {
-                    run(a).and_then(|a| Ok([a, run(b)?]))
-                } else {
-                    std::thread::scope(|scope| {
-                        let other = scope.spawn(|| run(b));
-                        let a = run(a)?;
-                        let b = other.join().map_err(|_| io::Error::other("a run panicked"))?;
-                        Ok([a, b?])
-                    })
-                };
-                results.lock().unwrap_or_else(|e| e.into_inner()).insert(pair, both);
-            });
+    let results = parallel::each(&seeds, at_once, |_, &seed| -> io::Result<[Report; 2]> {
+        let run = |(scenario, variant)| one(scenario, variant, place, seed);
+        if place == Where::VirtualTime {
+            return Ok([run(a)?, run(b)?]);
         }
+        std::thread::scope(|scope| {
+            let other = scope.spawn(|| run(b));
+            let a = run(a)?;
+            let b = other.join().map_err(|_| io::Error::other("a run panicked"))?;
+            Ok([a, b?])
+        })
     });
-    let results = results.into_inner().unwrap_or_else(|e| e.into_inner());
     let mut rows: BTreeMap<String, Vec<(f64, f64)>> = BTreeMap::new();
     let mut broken = [0, 0];
-    for both in results.into_values() {
+    for both in results {
         let both = both?;
         let [a, b] = both.each_ref().map(figures);
         for (name, value) in a {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod baseline;
 pub mod compare;
 pub mod names;
+mod parallel;
 pub mod plan;
 pub mod play;
 pub mod scale;
--- a/crates/lab/src/names.rs
+++ b/crates/lab/src/names.rs
@@ -1,6 +1,7 @@
 //! The name server in each of its scripts, on sockets: which servers fronts use, checked against the
 //! membership table from what passed on the sockets.
 
+use crate::parallel;
 use crate::play::{play, Fronts};
 use crate::scenario::{Scenario, ScenarioError, Trouble, TroubleKind};
 use shalespindle_membership::table::{row, Ruling};
@@ -9,8 +10,6 @@
 use shalespindle_standin::trace::{Entry, FrontId, Seen, ServerId};
 use std::collections::{BTreeSet, HashMap};
 use std::io;
-use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::Mutex;
 
 /// The fleet of these runs.
 pub const NAMES: &str = include_str!("../scenarios/names.toml");
@@ -155,22 +154,11 @@
     let whens = [When::AloneFromStart, When::AloneLater, When::WithList];
     let scripts = WORKING.into_iter().chain(FAILING);
     let runs: Vec<(Script, When)> = scripts.flat_map(|s| whens.map(|w| (s, w))).collect();
-    let next = AtomicUsize::new(0);
-    let done = Mutex::new(Vec::new());
-    std::thread::scope(|scope| {
-        for _ in 0..at_once.max(1) {
-            scope.spawn(|| loop {
-                let place = next.fetch_add(1, Ordering::Relaxed);
-                let Some(&(script, when)) = runs.get(place) else { return };
-                let case = one(&base, script, when, seed + place as u64);
-                if let Ok(case) = &case {
-                    tell(case);
-                }
-                done.lock().unwrap_or_else(|e| e.into_inner()).push(case);
-            });
-        }
+    let cases = parallel::each(&runs, at_once, |place, &(script, when)| {
+        let case = one(&base, script, when, seed + place as u64);
+        case.inspect(tell)
     });
-    done.into_inner().unwrap_or_else(|e| e.into_inner()).into_iter().collect()
+    cases.into_iter().collect()
 }
 
 #[cfg(test)]
--- a/crates/lab/src/scale.rs
+++ b/crates/lab/src/scale.rs
@@ -4,13 +4,12 @@
 
 use crate::baseline::Pick;
 use crate::compare::{difference, Difference, Variant};
+use crate::parallel;
 use crate::scenario::{Scenario, Trouble, TroubleKind};
 use crate::sim::{self, Setup};
 use clap::ValueEnum;
 use shalespindle_standin::nameserver::Script;
 use std::fmt;
-use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::Mutex;
 
 /// The baselines of the table.
 const BASELINES: [Pick; 3] = [Pick::Random, Pick::LeastOfTwo, Pick::FirstChoice];
@@ -65,21 +64,8 @@
     };
     let jobs: Vec<(Option<TroubleKind>, usize)> =
         kinds.iter().flat_map(|k| fronts.iter().map(move |f| (*k, *f))).collect();
-    let (next, rows) = (AtomicUsize::new(0), Mutex::new(Vec::new()));
-    let cores = std::thread::available_parallelism().map_or(1, usize::from);
-    std::thread::scope(|scope| {
-        for _ in 0..cores {
-            scope.spawn(|| loop {
-                let place = next.fetch_add(1, Ordering::Relaxed);
-                let Some(&(kind, fronts)) = jobs.get(place) else { return };
-                let row = row(base, kind, fronts, seeds);
-                rows.lock().unwrap_or_else(|e| e.into_inner()).push((place, row));
-            });
-        }
-    });
-    let mut rows = rows.into_inner().unwrap_or_else(|e| e.into_inner());
-    rows.sort_by_key(|r| r.0);
-    Table { rows: rows.into_iter().map(|r| r.1).collect(), seeds }
+    let rows = parallel::each(&jobs, parallel::cores(), |_, &(kind, fronts)| row(base, kind, fronts, seeds));
+    Table { rows, seeds }
 }
 
 fn row(base: &Scenario, kind: Option<TroubleKind>, fronts: usize, seeds: u64) -> Row {
--- a/crates/lab/src/summary.rs
+++ b/crates/lab/src/summary.rs
@@ -1,9 +1,12 @@
 //! What a run came to: the summary line and the figures behind it.
 
+use crate::plan::Action;
+use crate::sim::Run;
 use hdrhistogram::Histogram;
 use serde::Serialize;
 use shalespindle_standin::callers::{Callers, Dialled};
 use shalespindle_standin::checker::Verdict;
+use shalespindle_standin::feed::Listed;
 use std::collections::BTreeMap;
 
 /// The last line of standard output, as JSON; the keys are fixed.
@@ -113,6 +116,12 @@
     Report { summary, by_procedure, by_tenant, verdict }
 }
 
+/// Of moments in order of time, how many lie within one second of the first of them, at most.
+fn most_in_a_second(moments: &[f64]) -> usize {
+    let within = |(place, from): (usize, &f64)| moments[place..].partition_point(|at| *at <= from + 1.0);
+    moments.iter().enumerate().map(within).max().unwrap_or(0)
+}
+
 /// What a run's changes of level come to.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LevelSteps {
@@ -129,7 +138,6 @@
     /// Of changes in order of time: when, of which front, from, to.
     pub fn of(changes: &[(f64, usize, usize, usize)], fronts: usize) -> LevelSteps {
         let ups: Vec<f64> = changes.iter().filter(|c| c.3 > c.2).map(|c| c.0).collect();
-        let within = |from: f64| ups.iter().filter(|at| (from..=from + 1.0).contains(*at)).count();
         let mut last = vec![f64::NEG_INFINITY; fronts];
         let mut least_apart = f64::INFINITY;
         for &(at, front, _, _) in changes {
@@ -139,7 +147,7 @@
         LevelSteps {
             changes: changes.len(),
             fronts,
-            together: ups.iter().map(|at| within(*at)).max().unwrap_or(0),
+            together: most_in_a_second(&ups),
             least_apart,
             deepest: changes.iter().map(|c| c.3).max().unwrap_or(0),
         }
@@ -179,6 +187,18 @@
 }
 
 impl Knowledge {
+    /// Of a run: of all that was done to its servers, what a source can tell before they are gone.
+    pub fn of_run(run: &Run, fronts: usize) -> Knowledge {
+        let told = |(at, action): &(f64, Action)| match action {
+            Action::List { server, state, .. } if *state != Listed::Gone => {
+                Some((*at, *server, *state == Listed::Ready))
+            }
+            _ => None,
+        };
+        let changes: Vec<(f64, usize, bool)> = run.actions.iter().filter_map(told).collect();
+        Knowledge::of(&changes, &run.verdicts, &run.asked, fronts)
+    }
+
     /// `changes` are servers that came or went, with when; `verdicts` what fronts ruled; `asked` when name
     /// servers were asked; all in order of time.
     pub fn of(
@@ -203,12 +223,9 @@
             all.half = all.half.max(knew.get(knew.len() / 2).copied().unwrap_or(0.0));
             all.last = all.last.max(knew.last().copied().unwrap_or(0.0));
         }
-        let most = |times: &[f64]| {
-            let within = |from: f64| times.iter().filter(|t| **t >= from && **t < from + 1.0).count();
-            times.iter().map(|t| within(*t)).max().unwrap_or(0)
-        };
         let minute = asked.partition_point(|t| *t < 60.0);
-        (all.first_minute, all.later) = (most(&asked[..minute]), most(&asked[minute..]));
+        (all.first_minute, all.later) =
+            (most_in_a_second(&asked[..minute]), most_in_a_second(&asked[minute..]));
         all
     }
 }
--- a/crates/standin/src/feed.rs
+++ b/crates/standin/src/feed.rs
@@ -51,7 +51,7 @@
     /// Seconds that a push is late.
     pub delay: f64,
     /// Says nothing, neither of changes nor to whom connects.
-    pub stopped: bool,
+    stopped: bool,
     out: VecDeque<FeedOut>,
     seen: Vec<Entry>,
     connected: BTreeMap<FrontId, bool>,
