First choices are dealt once a ruling; members wait in one slot for their writer

Need: for groups that DNS deals, each attach sorted all members anew; while the writer of the last known members was busy, the owner built the list of them at each turn, to be refused; the settling of members asked all rulings once for each; a name's last answer was kept and never read, and a question repeated its want.

Change: first_choices gives all groups' pools, and the front keeps them from one ruling to the next; the writer's newest list replaces what waits; the question is its want with an id. Comments say what now counts as a start that was seen.

--- a/crates/front/src/sources.rs
+++ b/crates/front/src/sources.rs
@@ -8,7 +8,7 @@
 use crate::told::Told;
 use shalespindle_control::interface::PoolEntry;
 use shalespindle_membership::{
-    first_choice, Answer, Change, Found, Member, Membership, Numbers, Remembered, Verdict,
+    first_choices, Answer, Change, Found, Member, Membership, Numbers, Remembered, Verdict,
 };
 use shalespindle_srv::{In, Out, Outcome, Resolver, Step};
 use std::net::SocketAddr;
@@ -24,6 +24,8 @@
     pub list: PoolList,
     pub members: Membership,
     dns: Option<Dns>,
+    /// First choices of the trunk groups that DNS deals, by their places; dealt anew at each ruling.
+    dealt: Vec<u16>,
     wake: f64,
     /// Something was reported since the last ruling.
     stirred: bool,
@@ -51,7 +53,14 @@
     pub fn new(params: &Params, seed: u64, now: f64) -> Sources {
         let dns = params.dns.as_ref().map(|dns| Dns::new(dns, seed, now));
         let members = Membership::new(params.membership.clone(), now);
-        Sources { list: PoolList::default(), members, dns, wake: f64::INFINITY, stirred: true }
+        Sources {
+            list: PoolList::default(),
+            members,
+            dns,
+            dealt: Vec::new(),
+            wake: f64::INFINITY,
+            stirred: true,
+        }
     }
 }
 
@@ -153,7 +162,7 @@
         self.event(Event::Feed { what: "lost", detail: "the last known list stands".into() });
     }
 
-    /// A server answers again where nobody did.
+    /// A server that ended its connection is up again.
     pub(crate) fn came_back(&mut self, now: f64, server: SocketAddr) {
         self.sources.stirred = true;
         self.sources.members.came_back(now, server);
@@ -173,6 +182,7 @@
         }
         self.heed_resolver(now);
         self.sources.members.settle(now);
+        self.sources.dealt = first_choices(self.sources.members.members(), self.params.dealt_groups);
         let mut entries = Vec::new();
         let mut changes = Vec::new();
         while let Some(change) = self.sources.members.next_change() {
@@ -240,10 +250,7 @@
         let Some(group) = group else { return NO_POOL };
         match self.params.trunk_groups.get(group) {
             Some(FirstChoice::Pool(pool)) => *pool,
-            Some(FirstChoice::Dealt(place)) => {
-                let groups = self.params.dealt_groups;
-                first_choice(self.sources.members.members(), *place, groups).unwrap_or(NO_POOL)
-            }
+            Some(FirstChoice::Dealt(place)) => self.sources.dealt.get(*place).copied().unwrap_or(NO_POOL),
             None => {
                 self.counters.unknown_trunk_group += 1;
                 NO_POOL
--- a/crates/membership/src/choices.rs
+++ b/crates/membership/src/choices.rs
@@ -8,16 +8,12 @@
 
 use crate::{Member, Verdict};
 
-/// The pool that is the first choice of trunk group number `group` of `groups` that name none themselves;
-/// none while DNS names nobody in service.
-pub fn first_choice<'a>(
-    members: impl Iterator<Item = &'a Member>,
-    group: usize,
-    groups: usize,
-) -> Option<u16> {
+/// The pools that are the first choices of `groups` trunk groups that name none themselves, in their order;
+/// empty while DNS names nobody in service.
+pub fn first_choices<'a>(members: impl Iterator<Item = &'a Member>, groups: usize) -> Vec<u16> {
     let named = |m: &Member| m.rank().filter(|_| m.verdict() == Verdict::In).map(|r| (r, m.pool()));
     let named: Vec<((u16, u16), u16)> = members.filter_map(named).collect();
-    let best = named.iter().map(|n| n.0 .0).min()?;
+    let Some(best) = named.iter().map(|n| n.0 .0).min() else { return Vec::new() };
     let shares: Vec<(u16, f64)> =
         named.iter().filter(|n| n.0 .0 == best).map(|n| (n.1, f64::from(n.0 .1))).collect();
     let all: f64 = shares.iter().map(|s| s.1).sum();
@@ -32,12 +28,5 @@
     for place in order.into_iter().cycle().take(missing) {
         seats[place] += 1;
     }
-    let mut left = group;
-    for (place, count) in seats.iter().enumerate() {
-        if left < *count {
-            return Some(shares[place].0);
-        }
-        left -= count;
-    }
-    shares.first().map(|s| s.0)
+    shares.iter().zip(seats).flat_map(|(share, count)| std::iter::repeat_n(share.0, count)).collect()
 }
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -13,7 +13,7 @@
 mod sources;
 pub mod table;
 
-pub use choices::first_choice;
+pub use choices::first_choices;
 pub use durable::{read, write, DurableError, Remembered, VERSION};
 pub use members::{Member, Membership};
 pub use numbers::Numbers;
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -28,7 +28,7 @@
     remembered_until: f64,
     /// As the list told; none where it never did.
     told_start: Option<f64>,
-    /// When this front saw it come back from where nobody answered, if no later start has been told since.
+    /// When this front saw what may have been a start, if the list has not told of that one since.
     seen_start: Option<f64>,
     /// As the router is told.
     started: f64,
@@ -247,8 +247,8 @@
         self.sources.feed.away_since.get_or_insert(now);
     }
 
-    /// A connection was lost, nobody answered there for a while, and now somebody does: a processor that
-    /// started anew, as far as this front can see. Guards rule 4 while the sources are late or away.
+    /// Its server ended a connection, and now another is up: a processor that started anew, as far as this
+    /// front can see. Guards rule 4 while the sources are late or away.
     pub fn came_back(&mut self, now: f64, address: SocketAddr) {
         if let Some(member) = self.members.get_mut(&address) {
             member.seen_start = Some(now.max(f64::MIN_POSITIVE));
@@ -257,16 +257,15 @@
 
     /// A look-up of the name at place `name` in the settings has ended.
     pub fn answered(&mut self, now: f64, name: usize, answer: &Answer) {
-        let state = self.sources.names.entry(name).or_insert(NameState { answered: None, empty_since: None });
+        let state = self.sources.names.entry(name).or_default();
         match answer {
             // What was known stands until its own time is up.
             Answer::Failed => {}
             Answer::Servers { found, lifetime } if !found.is_empty() => {
-                *state = NameState { answered: Some((now, false)), empty_since: None };
+                state.empty_since = None;
                 self.found(now, name, found, *lifetime);
             }
             Answer::Servers { .. } | Answer::Empty => {
-                state.answered = Some((now, true));
                 state.empty_since.get_or_insert(now);
             }
         }
@@ -369,6 +368,7 @@
             rulings.push(ruled(now, member, params));
         }
         let held = |m: &Member| m.verdict != Verdict::In && now < m.flaps.hold_until;
+        let wanted = rulings.iter().any(|r| r.wants_in);
         let served = self.members.values().zip(&rulings).any(|(m, r)| r.wants_in && !held(m));
         for (member, ruling) in self.members.values_mut().zip(&rulings) {
             // Once let in, it stays: to go out again when another comes back would be a flap of our own.
@@ -380,7 +380,7 @@
                 (Verdict::In, if resort { Because::LastResort } else { Because::Row })
             } else if ruling.wants_in {
                 (Verdict::Draining, Because::Flapping)
-            } else if ruling.soft && !served && !rulings.iter().any(|r| r.wants_in) {
+            } else if ruling.soft && !wanted {
                 (Verdict::In, Because::LastResort)
             } else {
                 (ruling.otherwise, Because::Row)
--- a/crates/membership/src/sources.rs
+++ b/crates/membership/src/sources.rs
@@ -107,10 +107,8 @@
 }
 
 /// One name's last answers, whatever server they named.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(crate) struct NameState {
-    /// The last answer that was one: when it came, and whether it was empty.
-    pub answered: Option<(f64, bool)>,
     /// Since when answers have been empty.
     pub empty_since: Option<f64>,
 }
--- a/crates/srv/src/lookup.rs
+++ b/crates/srv/src/lookup.rs
@@ -116,7 +116,7 @@
         self.targets.push(pending);
     }
 
-    /// Records for an address question; false where it was asked for no target.
+    /// Records for an address question; where its aliases loop, the name at which they do.
     pub fn address(&mut self, want: &Want, records: &[Record]) -> Option<Name> {
         let mut looped = None;
         for pending in &mut self.targets {
--- a/crates/srv/src/resolver.rs
+++ b/crates/srv/src/resolver.rs
@@ -4,7 +4,7 @@
 use crate::chain::End;
 use crate::lookup::{Lookup, Progress, Want};
 use crate::upstreams::Upstreams;
-use crate::wire::{self, Question, Reply};
+use crate::wire::{self, Reply};
 use crate::{
     chain, Counters, Dropped, In, Name, Out, Outcome, RecordType, ResolverParams, Step, Target, Ticket,
 };
@@ -27,7 +27,7 @@
 struct Query {
     want: Want,
     ticket: Ticket,
-    question: Question,
+    id: u16,
     upstream: usize,
     tried: Vec<usize>,
     tcp: bool,
@@ -191,7 +191,8 @@
     }
 
     fn bytes(&mut self, now: f64, place: usize, bytes: &[u8]) {
-        match wire::read(&self.queries[place].question, bytes, self.params.most_records) {
+        let query = &self.queries[place];
+        match wire::read(query.id, &query.want, bytes, self.params.most_records) {
             Err(why) => self.drop_answer(why),
             Ok(reply) => self.reply(now, place, reply),
         }
@@ -396,14 +397,13 @@
     // ---- tries ----
 
     fn ask(&mut self, now: f64, want: Want) {
-        let question = Question { id: 0, name: want.name.clone(), kind: want.kind };
         let Some(upstream) = self.upstreams.choose(now, &[]) else {
             return self.gave_up(now, &want);
         };
         self.queries.push(Query {
             want,
             ticket: 0,
-            question,
+            id: 0,
             upstream,
             tried: Vec::new(),
             tcp: false,
@@ -421,7 +421,7 @@
         let ticket = self.next_ticket;
         let id = self.rng.random();
         let query = &mut self.queries[place];
-        query.question.id = id;
+        query.id = id;
         query.ticket = ticket;
         query.due = now + self.params.try_within;
         query.stream.clear();
@@ -431,7 +431,7 @@
         let to = self.upstreams.address(upstream);
         let size = Some(self.params.udp_size).filter(|_| !self.upstreams.is_plain(upstream));
         // A name that was read or parsed can be written; were it not, the try ends by its time.
-        let mut bytes = wire::write(&self.queries[place].question, size).unwrap_or_default();
+        let mut bytes = wire::write(id, &self.queries[place].want, size).unwrap_or_default();
         if tcp {
             let length = (bytes.len() as u16).to_be_bytes();
             bytes.splice(0..0, length);
--- a/crates/srv/src/wire.rs
+++ b/crates/srv/src/wire.rs
@@ -1,16 +1,9 @@
 //! Questions and answers as bytes (RFC 1035 section 4), with the checks that an answer must pass.
 
+use crate::lookup::Want;
 use crate::Dropped;
 use hickory_proto::op::{Edns, Message, MessageType, OpCode, Query, ResponseCode};
-use hickory_proto::rr::{DNSClass, Name, RData, Record, RecordType};
-
-/// What was asked.
-#[derive(Clone, Debug, PartialEq)]
-pub(crate) struct Question {
-    pub id: u16,
-    pub name: Name,
-    pub kind: RecordType,
-}
+use hickory_proto::rr::{DNSClass, RData, Record, RecordType};
 
 /// An answer that belongs to its question.
 #[derive(Clone, Debug)]
@@ -26,14 +19,14 @@
 }
 
 /// The question's bytes; without EDNS for servers that do not know it (RFC 6891 section 6.2.2).
-pub(crate) fn write(question: &Question, udp_size: Option<u16>) -> Option<Vec<u8>> {
+pub(crate) fn write(id: u16, want: &Want, udp_size: Option<u16>) -> Option<Vec<u8>> {
     let mut message = Message::new();
     message
-        .set_id(question.id)
+        .set_id(id)
         .set_message_type(MessageType::Query)
         .set_op_code(OpCode::Query)
         .set_recursion_desired(true)
-        .add_query(Query::query(question.name.clone(), question.kind));
+        .add_query(Query::query(want.name.clone(), want.kind));
     if let Some(size) = udp_size {
         let mut edns = Edns::new();
         edns.set_max_payload(size);
@@ -43,10 +36,10 @@
 }
 
 /// Reads an answer and checks that it is one to this question.
-pub(crate) fn read(question: &Question, bytes: &[u8], most_records: usize) -> Result<Reply, Dropped> {
+pub(crate) fn read(id: u16, want: &Want, bytes: &[u8], most_records: usize) -> Result<Reply, Dropped> {
     // The id alone first: what is not ours is not worth reading.
-    let id = bytes.get(..2).map(|b| u16::from_be_bytes([b[0], b[1]])).ok_or(Dropped::Malformed)?;
-    if id != question.id {
+    let told = bytes.get(..2).map(|b| u16::from_be_bytes([b[0], b[1]])).ok_or(Dropped::Malformed)?;
+    if told != id {
         return Err(Dropped::WrongId);
     }
     let message = Message::from_vec(bytes).map_err(|_| Dropped::Malformed)?;
@@ -54,9 +47,8 @@
         return Err(Dropped::NoAnswer);
     }
     let [asked] = message.queries() else { return Err(Dropped::WrongQuestion) };
-    let same = asked.name() == &question.name
-        && asked.query_type() == question.kind
-        && asked.query_class() == DNSClass::IN;
+    let same =
+        asked.name() == &want.name && asked.query_type() == want.kind && asked.query_class() == DNSClass::IN;
     if !same {
         return Err(Dropped::WrongQuestion);
     }
--- a/crates/transport/src/owner.rs
+++ b/crates/transport/src/owner.rs
@@ -173,10 +173,12 @@
         }
     }
 
-    /// Offers the last known members to be written, until they are taken.
+    /// Offers the last known members to be written, once a change.
     fn keep(&mut self) {
-        if let Some(memory) = self.memory.as_ref().filter(|_| self.unkept) {
-            self.unkept = !memory.offer(self.front.remember());
+        if std::mem::take(&mut self.unkept) {
+            if let Some(memory) = &self.memory {
+                memory.offer(self.front.remember());
+            }
         }
     }
 
