What became of a question is told to the front in the resolver's own words

Need: three variants of a question's report stood in the resolver, again in the front's inputs, and were mapped in the owner and once more in `resolve`.

Change: Input::Name carries the resolver's report; transport's as_in turns the sockets' report into it, for the owner and for `shalespindle resolve`.

--- a/crates/cli/src/resolve.rs
+++ b/crates/cli/src/resolve.rs
@@ -1,8 +1,9 @@
 //! One look-up, step by step.
 
 use crate::commands::BAD_INPUT;
-use shalespindle_sockets::{Questions, Report};
-use shalespindle_srv::{In, Name, Out, Outcome, Resolver, ResolverParams, Step};
+use shalespindle_sockets::Questions;
+use shalespindle_srv::{Name, Out, Outcome, Resolver, ResolverParams, Step};
+use shalespindle_transport::as_in;
 use std::io;
 use std::net::SocketAddr;
 use std::process::ExitCode;
@@ -50,14 +51,9 @@
             }
         }
         let wait = Duration::from_secs_f64((resolver.due() - now()).clamp(0.0, 60.0));
-        match from.recv_timeout(wait) {
-            Ok(Report::Datagram { ticket, from, bytes }) => {
-                resolver.take(now(), In::Datagram { ticket, from, bytes: &bytes });
-            }
-            Ok(Report::Bytes { ticket, bytes }) => resolver.take(now(), In::Stream { ticket, bytes: &bytes }),
-            Ok(Report::Lost { ticket }) => resolver.take(now(), In::Lost { ticket }),
-            // Nothing came: what is due is done below.
-            Err(_) => {}
+        // Nothing came: what is due is done below.
+        if let Ok(report) = from.recv_timeout(wait) {
+            resolver.take(now(), as_in(&report));
         }
         resolver.tick(now());
     }
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -14,7 +14,6 @@
 use shalespindle_signalling::transaction::{Client, InviteServer};
 use shalespindle_signalling::write::ResponseHead;
 use shalespindle_signalling::Framer;
-use shalespindle_srv::In;
 use slab::Slab;
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
@@ -298,11 +297,7 @@
             Input::FeedConnected => self.sources.list.connected(),
             Input::FeedBytes { bytes } => self.feed_bytes(now, bytes),
             Input::FeedLost => self.feed_lost(now),
-            Input::NameDatagram { ticket, from, bytes } => {
-                self.dns(now, In::Datagram { ticket, from, bytes });
-            }
-            Input::NameBytes { ticket, bytes } => self.dns(now, In::Stream { ticket, bytes }),
-            Input::NameLost { ticket } => self.dns(now, In::Lost { ticket }),
+            Input::Name(report) => self.dns(now, report),
             Input::End => self.end(now),
         }
     }
--- a/crates/front/src/io.rs
+++ b/crates/front/src/io.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 use shalespindle_levels::Why;
 use shalespindle_membership::Change;
-use shalespindle_srv::{Step, Ticket};
+use shalespindle_srv::{In, Step, Ticket};
 use std::net::SocketAddr;
 
 /// Where a caller's message came from, and where its answers go.
@@ -60,21 +60,8 @@
         bytes: &'a [u8],
     },
     FeedLost,
-    /// An answer to a question for a name, from that address.
-    NameDatagram {
-        ticket: Ticket,
-        from: SocketAddr,
-        bytes: &'a [u8],
-    },
-    /// The same over a stream, in any parts.
-    NameBytes {
-        ticket: Ticket,
-        bytes: &'a [u8],
-    },
-    /// That question's socket could not be opened or has ended.
-    NameLost {
-        ticket: Ticket,
-    },
+    /// What became of a question to a name server.
+    Name(In<'a>),
     /// Take no new attaches, answer those in hand, then be done.
     End,
 }
--- a/crates/front/tests/names.rs
+++ b/crates/front/tests/names.rs
@@ -6,7 +6,7 @@
 use shalespindle_front::params::{DnsParams, FirstChoice};
 use shalespindle_front::{Front, Input, Params};
 use shalespindle_membership::Verdict;
-use shalespindle_srv::{Name, ResolverParams};
+use shalespindle_srv::{In, Name, ResolverParams};
 use shalespindle_standin::nameserver::{Entry, NameServer, Script};
 use std::net::SocketAddr;
 
@@ -71,9 +71,9 @@
         for reply in core.ask(b.now, question, tcp) {
             if tcp {
                 let framed = [&(reply.bytes.len() as u16).to_be_bytes()[..], &reply.bytes].concat();
-                b.take(Input::NameBytes { ticket, bytes: &framed });
+                b.take(Input::Name(In::Stream { ticket, bytes: &framed }));
             } else {
-                b.take(Input::NameDatagram { ticket, from: to, bytes: &reply.bytes });
+                b.take(Input::Name(In::Datagram { ticket, from: to, bytes: &reply.bytes }));
             }
         }
     }
--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -12,6 +12,7 @@
 use shalespindle_front::{Counters, Event, Front, Input, LinkId, Output};
 use shalespindle_membership::Verdict;
 use shalespindle_signalling::timers::Timers;
+use shalespindle_srv::In;
 use shalespindle_standin::callers::Callers;
 use shalespindle_standin::checker::check;
 use shalespindle_standin::feed::Feed;
@@ -446,9 +447,11 @@
             {
                 return;
             }
-            FrontNews::Name { ticket, tcp: true, bytes, .. } => Input::NameBytes { ticket: *ticket, bytes },
+            FrontNews::Name { ticket, tcp: true, bytes, .. } => {
+                Input::Name(In::Stream { ticket: *ticket, bytes })
+            }
             FrontNews::Name { ticket, place, bytes, .. } => {
-                Input::NameDatagram { ticket: *ticket, from: name_server(*place), bytes }
+                Input::Name(In::Datagram { ticket: *ticket, from: name_server(*place), bytes })
             }
         };
         made.take(now, arrived, input);
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -4,10 +4,12 @@
 mod answers;
 mod log;
 mod memory;
+mod names;
 mod owner;
 mod readers;
 mod service;
 
 pub use log::log_event;
+pub use names::as_in;
 pub use service::Service;
 pub use shalespindle_console::Snapshot;
--- a/crates/transport/src/owner.rs
+++ b/crates/transport/src/owner.rs
@@ -2,6 +2,7 @@
 
 use crate::answers::{answer, Host};
 use crate::memory::Memory;
+use crate::names::as_in;
 use crate::readers;
 use hdrhistogram::Histogram;
 use may::net::UdpSocket;
@@ -232,13 +233,7 @@
             Letter::FeedConnected => front.take(now, now, Input::FeedConnected),
             Letter::FeedBytes { bytes } => front.take(now, now, Input::FeedBytes { bytes: &bytes }),
             Letter::FeedLost => front.take(now, now, Input::FeedLost),
-            Letter::Name(Report::Datagram { ticket, from, bytes }) => {
-                front.take(now, now, Input::NameDatagram { ticket, from, bytes: &bytes });
-            }
-            Letter::Name(Report::Bytes { ticket, bytes }) => {
-                front.take(now, now, Input::NameBytes { ticket, bytes: &bytes });
-            }
-            Letter::Name(Report::Lost { ticket }) => front.take(now, now, Input::NameLost { ticket }),
+            Letter::Name(report) => front.take(now, now, Input::Name(as_in(&report))),
             Letter::Console(ask, to) => {
                 let host = Host { lag: &self.lag, datagrams_dropped: self.dropped };
                 // Whoever asked may have gone; there is nobody to tell then.
