--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -1,9 +1,9 @@
 //! Hosts the instances: turns a batch's records into calls on the module and its decisions into records.
 
 use crate::codec::{Batch, Fields, Reply, ENTRY};
-use crate::settings::{self, Reading};
 use shalespindle_control::control::Control;
 use shalespindle_control::interface::{Decision, Ended, NewAttach, PoolEntry, Report};
+use shalespindle_startup::{decode, Reading, Startup};
 use std::collections::BTreeMap;
 
 struct Instance {
@@ -62,7 +62,7 @@
         }
         let number = target.ok_or_else(|| format!("event {} comes before any target", event.u8(0)))?;
         if event.u8(0) == 10 {
-            let (deployment, reading) = settings::decode(batch.tail(event, 9, 1)?)?;
+            let Startup { deployment, reading, .. } = decode(batch.tail(event, 9, 1)?)?;
             let control = Control::new(event.u64(1), deployment, now);
             self.instances.insert(number, Instance { control, reading, called: true });
             return Ok(());
--- a/crates/adapter/src/main.rs
+++ b/crates/adapter/src/main.rs
@@ -2,7 +2,6 @@
 
 mod codec;
 mod host;
-mod settings;
 
 use std::io::{self, Write};
 use std::process::ExitCode;
--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -1,6 +1,6 @@
 //! The command line.
 
-use crate::{console, lab, resolve, run};
+use crate::{console, lab, live, resolve, run};
 use clap::{Args, Parser, Subcommand};
 use shalespindle_console::Ask;
 use std::path::PathBuf;
@@ -24,6 +24,18 @@
         #[arg(long)]
         config: PathBuf,
     },
+    /// One live front on the operators' platform, as its environment says.
+    Live {
+        /// The file that tells of the front, as JSON.
+        #[arg(long, env = "ROUTER_CONFIG")]
+        config: PathBuf,
+        /// Where callers connect; the file's address where it is left out.
+        #[arg(long, env = "ROUTER_LISTEN")]
+        listen: Option<std::net::SocketAddr>,
+        /// The front's name in the log; the file's where it is left out.
+        #[arg(long, env = "ROUTER_NAME")]
+        name: Option<String>,
+    },
     /// Checks settings and starts nothing.
     Check {
         #[arg(long)]
@@ -189,6 +201,7 @@
     pub fn run(self) -> ExitCode {
         let done = match self.command {
             Command::Run { config } => run::run(&config),
+            Command::Live { config, listen, name } => live::run(&config, listen, name),
             Command::Check { config } => run::check(&config),
             Command::Status { front, json } => console::ask(&front, &Ask::Status, json),
             Command::Members { front, json } => console::ask(&front, &Ask::Members, json),
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -3,6 +3,7 @@
 mod commands;
 mod console;
 mod lab;
+mod live;
 mod resolve;
 mod run;
 
--- /dev/null
+++ b/crates/platform-service/src/lib.rs
@@ -0,0 +1,8 @@
+//! The live front on sockets. One coroutine owns the core; readers send it what comes over one bounded
+//! mailbox; it writes without blocking and decides nothing.
+
+mod owner;
+mod readers;
+mod service;
+
+pub use service::{one_core, Service};
--- /dev/null
+++ b/crates/platform-service/src/owner.rs
@@ -0,0 +1,188 @@
+//! The coroutine that owns the core: letters in, turns, outputs out.
+
+use crate::readers;
+use shalespindle_platform::{Edge, Loss, Output, StartFile, Wire};
+use shalespindle_sockets::{Ground, Mail, Mailbox, Writing};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+use tracing::info;
+
+/// Letters handled before the core's turn.
+const BATCH: usize = 64;
+/// Bytes that may wait for a peer that does not read.
+const BACKLOG: usize = 256 * 1024;
+/// Wait before another try to write what waits.
+const AGAIN: f64 = 0.005;
+/// What readers get to read what came while the process stood still.
+const SETTLE: Duration = Duration::from_millis(5);
+/// Time between two lines of counters in the log.
+const COUNTERS: f64 = 5.0;
+
+/// What reaches the owner.
+pub(crate) enum Letter {
+    Accepted { wire: Wire, writing: Writing },
+    Connected { wire: Wire, writing: Writing },
+    Bytes { arrived: f64, wire: Wire, bytes: Vec<u8> },
+    Lost { wire: Wire, loss: Loss },
+    Reload(Box<StartFile>),
+    End,
+}
+
+struct Peer {
+    writing: Writing,
+    /// What did not fit into the socket yet.
+    waiting: Vec<u8>,
+}
+
+pub(crate) struct Owner {
+    edge: Edge,
+    ground: Ground,
+    mailbox: Mailbox<Letter>,
+    mail: Mail<Letter>,
+    peers: BTreeMap<Wire, Peer>,
+    dialled: BTreeSet<Wire>,
+    counted_at: f64,
+    /// The longest time that the owner was late since the last line of counters.
+    late: f64,
+}
+
+impl Owner {
+    pub fn new(edge: Edge, ground: Ground, mailbox: Mailbox<Letter>, mail: Mail<Letter>) -> Owner {
+        let (peers, dialled) = Default::default();
+        Owner { edge, ground, mailbox, mail, peers, dialled, counted_at: 0.0, late: 0.0 }
+    }
+
+    /// Runs until the end that was asked for.
+    pub fn run(mut self) {
+        loop {
+            let blocked = self.peers.values().any(|p| !p.waiting.is_empty());
+            let again = if blocked { self.ground.now() + AGAIN } else { f64::INFINITY };
+            let due = self.edge.wake_at().min(again);
+            let mut next = self.mail.next_within(self.ground.until(due));
+            if self.ground.just_went_on() {
+                // Guards rule 3 and callers' patience: all that came meanwhile is known before it decides.
+                may::coroutine::sleep(SETTLE);
+            }
+            let now = self.ground.now();
+            if next.is_none() && due.is_finite() {
+                self.late = self.late.max(now - due);
+            }
+            let mut taken = 0;
+            while let Some(letter) = next {
+                self.take(letter);
+                taken += 1;
+                next = if taken < BATCH { self.mail.try_next() } else { None };
+            }
+            let now = self.ground.now();
+            self.edge.turn(now);
+            if blocked {
+                self.write_on();
+            }
+            self.carry();
+            self.count(now);
+            if self.edge.is_done(now) {
+                return;
+            }
+            // Readers woken on this worker wait behind its owner: without this they wait for an idle moment.
+            may::coroutine::yield_now();
+        }
+    }
+
+    fn take(&mut self, letter: Letter) {
+        let now = self.ground.now();
+        match letter {
+            Letter::Accepted { wire, writing } => {
+                self.peers.insert(wire, Peer { writing, waiting: Vec::new() });
+                self.edge.accepted(now, wire);
+                // One that is closed to make room must be closed before the next is accepted.
+                self.carry();
+            }
+            Letter::Connected { wire, writing } => {
+                if self.dialled.remove(&wire) {
+                    self.peers.insert(wire, Peer { writing, waiting: Vec::new() });
+                    self.edge.connected(now, wire);
+                }
+            }
+            Letter::Bytes { arrived, wire, bytes } => {
+                if self.peers.contains_key(&wire) {
+                    self.late = self.late.max(now - arrived);
+                    self.edge.bytes(now, arrived, wire, &bytes);
+                }
+            }
+            Letter::Lost { wire, loss } => {
+                let known = self.peers.remove(&wire).is_some() | self.dialled.remove(&wire);
+                if known {
+                    self.edge.lost(now, wire, loss);
+                }
+            }
+            Letter::Reload(file) => self.edge.reconfigured(now, *file),
+            Letter::End => self.edge.end(now),
+        }
+    }
+
+    fn carry(&mut self) {
+        while let Some(output) = self.edge.next_output() {
+            match output {
+                Output::Dial { wire, to, within } => {
+                    self.dialled.insert(wire);
+                    let within = Duration::from_secs_f64(within);
+                    readers::dial(wire, to, within, &self.mailbox, &self.ground);
+                }
+                Output::Write { wire, bytes } => self.write(wire, &bytes),
+                Output::Close { wire, reset } => {
+                    self.dialled.remove(&wire);
+                    if let Some(peer) = self.peers.remove(&wire) {
+                        peer.writing.close(reset);
+                    }
+                }
+                Output::Belief { what, of, why } => {
+                    info!(target: "shalespindle::platform", of, why, "{what}")
+                }
+            }
+        }
+    }
+
+    fn write(&mut self, wire: Wire, bytes: &[u8]) {
+        let Some(peer) = self.peers.get_mut(&wire) else { return };
+        let written = if peer.waiting.is_empty() { peer.writing.write_some(bytes) } else { Ok(0) };
+        match written {
+            Ok(size) => peer.waiting.extend_from_slice(&bytes[size..]),
+            // Its reader reports the loss.
+            Err(_) => return,
+        }
+        if peer.waiting.len() > BACKLOG {
+            // Guards memory against peers that ask and never read.
+            self.shut(wire);
+        }
+    }
+
+    /// Writes on what waited.
+    fn write_on(&mut self) {
+        let mut lost = Vec::new();
+        for (wire, peer) in self.peers.iter_mut().filter(|p| !p.1.waiting.is_empty()) {
+            match peer.writing.write_some(&peer.waiting) {
+                Ok(size) => drop(peer.waiting.drain(..size)),
+                Err(_) => lost.push(*wire),
+            }
+        }
+        lost.into_iter().for_each(|wire| self.shut(wire));
+    }
+
+    fn shut(&mut self, wire: Wire) {
+        if let Some(peer) = self.peers.remove(&wire) {
+            peer.writing.close(true);
+            self.edge.lost(self.ground.now(), wire, Loss::Broken);
+        }
+    }
+
+    fn count(&mut self, now: f64) {
+        if now - self.counted_at < COUNTERS {
+            return;
+        }
+        self.counted_at = now;
+        let [in_hand, standing, doors, links] = self.edge.held();
+        let late_ms = (std::mem::take(&mut self.late) * 1000.0).round();
+        let counters = self.edge.counters();
+        info!(target: "shalespindle::platform", in_hand, standing, doors, links, late_ms, ?counters, "counters");
+    }
+}
--- /dev/null
+++ b/crates/platform-service/src/readers.rs
@@ -0,0 +1,73 @@
+//! Coroutines that accept, dial and read.
+
+use crate::owner::Letter;
+use may::net::{TcpListener, TcpStream};
+use shalespindle_platform::{Loss, Wire};
+use shalespindle_sockets::{read_all, share, start, Ground, Handle, Mailbox, SMALL_STACK};
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Bytes read at once: most messages are far shorter, and every connection has such a buffer.
+const READ: usize = 4 * 1024;
+/// Wait where a connection cannot be accepted: out of descriptors, most likely.
+const NO_PLACE: Duration = Duration::from_millis(5);
+
+pub(crate) fn accept(listener: TcpListener, mailbox: Mailbox<Letter>, ground: Ground) -> io::Result<Handle> {
+    start(SMALL_STACK, move || {
+        let mut last: Wire = 0;
+        loop {
+            let Ok((stream, _)) = listener.accept() else {
+                may::coroutine::sleep(NO_PLACE);
+                continue;
+            };
+            last += 2;
+            // A socket that has ended already says so to its reader.
+            let _ = stream.set_nodelay(true);
+            let wire = last;
+            let (mailbox_of, ground) = (mailbox.clone(), ground.clone());
+            let (mut reading, writing) = share(stream);
+            if mailbox.send(Letter::Accepted { wire, writing }).is_err() {
+                return;
+            }
+            let started = start(SMALL_STACK, move || {
+                read(&mut reading, wire, &mailbox_of, &ground);
+                drop(reading);
+                let _ = mailbox_of.send(Letter::Lost { wire, loss: Loss::Broken });
+            });
+            if started.is_err() {
+                let _ = mailbox.send(Letter::Lost { wire, loss: Loss::Broken });
+            }
+        }
+    })
+}
+
+fn read(reading: &mut shalespindle_sockets::Reading, wire: Wire, mailbox: &Mailbox<Letter>, ground: &Ground) {
+    read_all(reading, READ, |bytes| {
+        mailbox.send(Letter::Bytes { arrived: ground.arrival(), wire, bytes }).is_ok()
+    });
+}
+
+/// Dials and then reads.
+pub(crate) fn dial(wire: Wire, to: SocketAddr, within: Duration, mailbox: &Mailbox<Letter>, ground: &Ground) {
+    let (own, ground) = (mailbox.clone(), ground.clone());
+    let started = start(SMALL_STACK, move || {
+        let loss = match TcpStream::connect_timeout(&to, within) {
+            Ok(stream) => {
+                let _ = stream.set_nodelay(true);
+                let (mut reading, writing) = share(stream);
+                if own.send(Letter::Connected { wire, writing }).is_err() {
+                    return;
+                }
+                read(&mut reading, wire, &own, &ground);
+                Loss::Broken
+            }
+            Err(why) if why.kind() == io::ErrorKind::ConnectionRefused => Loss::Refused,
+            Err(_) => Loss::Broken,
+        };
+        let _ = own.send(Letter::Lost { wire, loss });
+    });
+    if started.is_err() {
+        let _ = mailbox.send_urgent(Letter::Lost { wire, loss: Loss::Broken });
+    }
+}
--- /dev/null
+++ b/crates/platform-service/src/service.rs
@@ -0,0 +1,72 @@
+//! A live front: its sockets, its coroutines, and the handle that asks it for things.
+
+use crate::owner::{Letter, Owner};
+use crate::readers;
+use may::net::TcpListener;
+use shalespindle_platform::{Edge, StartFile};
+use shalespindle_sockets::{end, mailbox, start, Ground, Handle, Mailbox, LARGE_STACK};
+use std::io;
+use std::net::SocketAddr;
+use std::time::{Duration, SystemTime};
+
+/// Letters that may wait for the owner; each holds one read at most.
+const ROOM: usize = 256;
+
+/// Fits the coroutines' scheduler to a machine of one core. Called once, before the first coroutine.
+pub fn one_core() {
+    may::config().set_workers(1);
+}
+
+/// A live front in service.
+pub struct Service {
+    address: SocketAddr,
+    mailbox: Mailbox<Letter>,
+    accepting: Option<Handle>,
+    owner: Option<Handle>,
+}
+
+impl Service {
+    /// Takes the list as far as it is known, then listens and starts.
+    pub fn start(file: StartFile) -> io::Result<Service> {
+        let ground = Ground::new();
+        let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or(Duration::ZERO);
+        let listen = file.listen;
+        let edge = Edge::new(file, ground.now(), unix.as_secs_f64()).map_err(io::Error::other)?;
+        let listener = TcpListener::bind(listen)?;
+        let address = listener.local_addr()?;
+        let (mailbox, mail) = mailbox(ROOM);
+        let accepting = readers::accept(listener, mailbox.clone(), ground.clone())?;
+        let owner = Owner::new(edge, ground, mailbox.clone(), mail);
+        let owner = start(LARGE_STACK, move || owner.run())?;
+        Ok(Service { address, mailbox, accepting: Some(accepting), owner: Some(owner) })
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// The file was replaced. An owner that has ended takes nothing more.
+    pub fn reload(&self, file: StartFile) {
+        let _ = self.mailbox.send_urgent(Letter::Reload(Box::new(file)));
+    }
+
+    /// Asks for an orderly end.
+    pub fn end(&self) {
+        let _ = self.mailbox.send_urgent(Letter::End);
+    }
+
+    pub fn is_over(&self) -> bool {
+        self.owner.as_ref().is_none_or(|o| o.is_done())
+    }
+}
+
+impl Drop for Service {
+    fn drop(&mut self) {
+        if let Some(accepting) = self.accepting.take() {
+            end(accepting);
+        }
+        if let Some(owner) = self.owner.take() {
+            end(owner);
+        }
+    }
+}
--- /dev/null
+++ b/crates/platform/src/callers.rs
@@ -0,0 +1,322 @@
+//! The callers' side of a front: what comes on their connections, and what goes out to them.
+
+use crate::calls::{InHand, Is, Stands};
+use crate::door::MOST_BAD;
+use crate::edge::{Edge, Output, Wire};
+use crate::lines;
+use crate::sip;
+use shalespindle_control::interface::{Ended, NewAttach, PoolName, Report, UeName};
+use shalespindle_signalling::write::{ResponseHead, Writer};
+use shalespindle_signalling::{Framer, Message, Method, Start};
+
+/// A release on its way to a caller is remembered for so long, should its connection end before it is heard.
+const BYE_HELD: f64 = 2.0;
+/// One that no connection could take is kept for as long as it is of use.
+const BYE_OWED: f64 = 8.0;
+/// Releases remembered.
+const MOST_BYES: usize = 4096;
+/// Cause of a release for a call that was cut.
+pub(crate) const CUT: u16 = 41;
+
+/// A release that goes to a caller.
+pub(crate) struct Bye {
+    id: u64,
+    cause: u16,
+    own: Wire,
+    /// The connection it went out on; none while no connection is there.
+    sent_on: Option<Wire>,
+    since: f64,
+}
+
+impl Edge {
+    pub(crate) fn door_bytes(&mut self, now: f64, arrived: f64, wire: Wire, bytes: &[u8]) {
+        let Some(door) = self.doors.all.get_mut(&wire) else { return };
+        let empty = Framer::with_longest_body(0);
+        let mut framer = std::mem::replace(&mut door.framer, empty);
+        framer.push(bytes);
+        loop {
+            match framer.next_frame() {
+                Ok(Some(frame)) => match Message::parse(frame) {
+                    Ok(message) => self.message(now, arrived, wire, &message),
+                    Err(_) => return self.unreadable(now, wire, 400),
+                },
+                Ok(None) => break,
+                Err(shalespindle_signalling::FrameError::Length) => return self.unreadable(now, wire, 413),
+                Err(shalespindle_signalling::FrameError::Head) => return self.unreadable(now, wire, 400),
+            }
+            if !self.doors.all.contains_key(&wire) {
+                return;
+            }
+        }
+        if let Some(door) = self.doors.all.get_mut(&wire) {
+            door.partial_since = (framer.held() > 0).then(|| door.partial_since.unwrap_or(now));
+            door.framer = framer;
+        }
+    }
+
+    /// What cannot be read ends its connection: nothing after it can be told apart.
+    fn unreadable(&mut self, now: f64, wire: Wire, status: u16) {
+        self.counters.unreadable += 1;
+        self.out.push_back(Output::Write { wire, bytes: sip::unreadable(status) });
+        self.close_door(now, wire);
+    }
+
+    fn message(&mut self, now: f64, arrived: f64, wire: Wire, message: &Message) {
+        if let Some(door) = self.doors.all.get_mut(&wire) {
+            // What is whole was no part of what is not.
+            door.partial_since = None;
+        }
+        match message.start {
+            Start::Request { method: Method::Invite, .. } => self.invite(now, arrived, wire, message),
+            Start::Request { method: Method::Ack, .. } => self.ack(now, wire, message),
+            Start::Request { method: Method::Cancel, .. } => self.cancel(now, wire, message),
+            Start::Request { method: Method::Bye, .. } => self.bye(now, wire, message),
+            Start::Request { method: Method::Options, .. } => {
+                self.doors.used(now, wire);
+                self.respond(wire, 200, message);
+            }
+            Start::Request { .. } => self.bad(now, wire, message, 405),
+            Start::Response { .. } => {
+                if let (Some(id), Ok((_, Method::Bye))) = (sip::id(message), message.cseq()) {
+                    self.byes.retain(|b| b.id != id || b.sent_on.is_none());
+                }
+            }
+        }
+    }
+
+    fn respond(&mut self, wire: Wire, status: u16, message: &Message) {
+        let bytes = Writer::response(status, &ResponseHead::of(message, "")).finish();
+        self.out.push_back(Output::Write { wire, bytes });
+    }
+
+    /// Of bad form: answered, and the connection closed when that goes on.
+    fn bad(&mut self, now: f64, wire: Wire, message: &Message, status: u16) {
+        self.counters.bad_form += 1;
+        self.respond(wire, status, message);
+        let Some(door) = self.doors.all.get_mut(&wire) else { return };
+        door.bad += 1;
+        if door.bad >= MOST_BAD {
+            self.close_door(now, wire);
+        }
+    }
+
+    fn invite(&mut self, now: f64, arrived: f64, wire: Wire, message: &Message) {
+        let Some(id) = sip::id(message) else { return self.bad(now, wire, message, 400) };
+        let Ok(route) = sip::route(message) else { return self.bad(now, wire, message, 400) };
+        if let Some(server) = route.at {
+            return self.handed_over(now, wire, id, server);
+        }
+        if let Some(call) = self.calls.by_id(id) {
+            let (ue, same, in_hand) = (call.ue, call.door == wire, matches!(call.is, Is::InHand(_)));
+            if same && in_hand {
+                // Two set-ups that one answer would belong to: the one answer is that neither is served.
+                self.client_left(now, ue);
+            }
+            return self.bad(now, wire, message, 482);
+        }
+        let asked = match sip::asked(message, &route, &self.procedures) {
+            Ok(asked) => asked,
+            Err(_) => return self.bad(now, wire, message, 400),
+        };
+        let full = self.calls.in_hand() >= self.most_held
+            || self.calls.bytes() + asked.description.len() > self.most_bytes;
+        if full || self.takes_no_more(now) {
+            self.counters.no_place += 1;
+            self.doors.used(now, wire);
+            return self.respond(wire, 503, message);
+        }
+        let gives_up_at = arrived + asked.patience;
+        let hand = InHand {
+            procedure: asked.procedure,
+            number: asked.number.into(),
+            description: asked.description.into(),
+            head: ResponseHead::of(message, ""),
+            gives_up_at,
+            tries: 0,
+            out: None,
+        };
+        let ue = self.calls.add(id, wire, Is::InHand(Box::new(hand)));
+        self.counters.attaches += 1;
+        self.doors.used(now, wire);
+        if let Some(door) = self.doors.all.get_mut(&wire) {
+            door.open.push(ue);
+        }
+        let new = NewAttach {
+            ue,
+            procedure: asked.procedure,
+            // One that no pool has where none is named.
+            first_choice: asked.first_choice.unwrap_or(u16::MAX),
+            number: sip::number(asked.number),
+            gives_up_at,
+        };
+        self.control.attach_arrived(now, new);
+        self.send_byes(now);
+    }
+
+    /// A call that stands already, set up by another front or by this one before it started.
+    fn handed_over(&mut self, now: f64, wire: Wire, id: u64, server: &str) {
+        if self.calls.by_id(id).is_some() {
+            return;
+        }
+        match self.servers.named(server) {
+            // Bounded like the attaches in hand; beyond that it is not held and its caller not told.
+            Some(pool) if self.calls.standing() < self.most_held => {
+                self.calls.add(id, wire, Is::Stands(Stands { pool, confirmed: true }));
+                if let Some(server) = self.servers.all.get_mut(&pool) {
+                    server.standing += 1;
+                }
+                self.doors.used(now, wire);
+                self.keep_linked(now, pool);
+                self.send_byes(now);
+            }
+            Some(_) => self.counters.no_place += 1,
+            // Of a server that is gone nothing stands.
+            None => self.send_bye(now, wire, id, CUT),
+        }
+    }
+
+    fn ack(&mut self, now: f64, wire: Wire, message: &Message) {
+        let Some(call) = sip::id(message).and_then(|id| self.calls.by_id(id)) else { return };
+        let (ue, door) = (call.ue, call.door);
+        if let Is::Stands(stands) = &mut call.is {
+            stands.confirmed = true;
+            if let Some(door) = self.doors.all.get_mut(&door) {
+                door.unconfirmed.retain(|u| *u != ue);
+            }
+            self.doors.used(now, wire);
+            self.send_byes(now);
+        }
+    }
+
+    fn cancel(&mut self, now: f64, wire: Wire, message: &Message) {
+        let Some(call) = sip::id(message).and_then(|id| self.calls.by_id(id)) else {
+            return self.respond(wire, 481, message);
+        };
+        let (ue, id) = (call.ue, call.id);
+        match &call.is {
+            Is::InHand(_) => {
+                self.doors.used(now, wire);
+                self.respond(wire, 200, message);
+                self.client_left(now, ue);
+            }
+            // It crossed the answer: its caller no longer waits for a call.
+            Is::Stands(Stands { confirmed: false, .. }) => {
+                let door = call.door;
+                self.respond(wire, 200, message);
+                self.released_by_caller(now, ue, 16);
+                self.send_bye(now, door, id, 16);
+            }
+            Is::Stands(_) => self.respond(wire, 200, message),
+        }
+    }
+
+    fn bye(&mut self, now: f64, wire: Wire, message: &Message) {
+        let Some(call) = sip::id(message).and_then(|id| self.calls.by_id(id)) else {
+            return self.respond(wire, 481, message);
+        };
+        let (ue, stands) = (call.ue, matches!(call.is, Is::Stands(_)));
+        self.doors.used(now, wire);
+        self.respond(wire, 200, message);
+        if stands {
+            self.released_by_caller(now, ue, message.q850_cause().unwrap_or(16));
+        } else {
+            self.client_left(now, ue);
+        }
+    }
+
+    /// The caller stopped waiting: no answer is owed, and its setup try is given up.
+    pub(crate) fn client_left(&mut self, now: f64, ue: UeName) {
+        self.counters.left += 1;
+        self.control.client_left(now, ue);
+        let Some((id, door, _)) = self.calls.hand(ue) else { return };
+        if let Some(out) = self.take_try(now, ue) {
+            if let Some(wire) = out.link {
+                self.out.push_back(Output::Write { wire, bytes: lines::release(id, 16) });
+            }
+            self.count(Ended::Cancelled);
+            self.control.try_ended(now, ue, out.pool, Ended::Cancelled, true, Report::default());
+        }
+        self.leave_door(now, door, ue);
+        self.calls.remove(ue);
+    }
+
+    fn released_by_caller(&mut self, now: f64, ue: UeName, cause: u16) {
+        let Some(call) = self.calls.remove(ue) else { return };
+        let Is::Stands(stands) = call.is else { return };
+        self.leave_door(now, call.door, ue);
+        self.control.try_ended(now, ue, stands.pool, Ended::Cancelled, true, Report::default());
+        self.release_to(now, stands.pool, call.id, cause);
+        self.stands_no_more(now, stands.pool);
+    }
+
+    /// A call that stood is over by its server's word or end: its caller is told.
+    pub(crate) fn over(&mut self, now: f64, ue: UeName, pool: PoolName, cause: u16) {
+        let Some(call) = self.calls.remove(ue) else { return };
+        self.leave_door(now, call.door, ue);
+        self.send_bye(now, call.door, call.id, cause);
+        self.stands_no_more(now, pool);
+    }
+
+    fn send_bye(&mut self, now: f64, own: Wire, id: u64, cause: u16) {
+        if self.byes.len() >= MOST_BYES {
+            self.byes.pop_front();
+        }
+        self.byes.push_back(Bye { id, cause, own, sent_on: None, since: now });
+        self.send_byes(now);
+    }
+
+    /// Sends what is owed, if there is a connection that can take it.
+    pub(crate) fn send_byes(&mut self, now: f64) {
+        for bye in self.byes.iter_mut().filter(|b| b.sent_on.is_none()) {
+            let Some(wire) = self.doors.towards(bye.own) else { return };
+            bye.sent_on = Some(wire);
+            bye.since = now;
+            self.out.push_back(Output::Write { wire, bytes: sip::bye(bye.id, bye.cause) });
+        }
+    }
+
+    pub(crate) fn leave_door(&mut self, now: f64, wire: Wire, ue: UeName) {
+        if let Some(door) = self.doors.all.get_mut(&wire) {
+            door.open.retain(|u| *u != ue);
+            door.unconfirmed.retain(|u| *u != ue);
+            door.last_at = now;
+        }
+    }
+
+    pub(crate) fn close_door(&mut self, now: f64, wire: Wire) {
+        self.out.push_back(Output::Close { wire, reset: false });
+        self.door_lost(now, wire);
+    }
+
+    pub(crate) fn door_lost(&mut self, now: f64, wire: Wire) {
+        let Some(door) = self.doors.all.remove(&wire) else { return };
+        if self.doors.latest == Some(wire) {
+            self.doors.latest = None;
+        }
+        for ue in door.open {
+            self.client_left(now, ue);
+        }
+        // Whether the answer was read is not known: neither side is left with half a call.
+        for ue in door.unconfirmed {
+            let Some(id) = self.calls.by_ue(ue).map(|c| c.id) else { continue };
+            self.released_by_caller(now, ue, CUT);
+            self.send_bye(now, wire, id, CUT);
+        }
+        for bye in self.byes.iter_mut().filter(|b| b.sent_on == Some(wire)) {
+            bye.sent_on = None;
+        }
+        self.send_byes(now);
+    }
+
+    pub(crate) fn sweep(&mut self, now: f64) {
+        for wire in self.doors.overdue(now) {
+            self.counters.doors_overdue += 1;
+            let useless = self.doors.all.get(&wire).is_some_and(|d| !d.useful || d.partial_since.is_some());
+            if useless {
+                self.out.push_back(Output::Write { wire, bytes: sip::unreadable(408) });
+            }
+            self.close_door(now, wire);
+        }
+        self.byes.retain(|b| now - b.since < if b.sent_on.is_some() { BYE_HELD } else { BYE_OWED });
+    }
+}
--- /dev/null
+++ b/crates/platform/src/calls.rs
@@ -0,0 +1,129 @@
+//! The calls of a front: attaches in hand and calls that stand, in one slab, found by id and by ue.
+
+use crate::edge::Wire;
+use shalespindle_control::interface::{PoolName, UeName};
+use shalespindle_signalling::write::ResponseHead;
+use slab::Slab;
+use std::collections::HashMap;
+
+/// A setup try that is out, or that waits for a link.
+pub struct Try {
+    pub pool: PoolName,
+    /// The link it went out on; none while it waits for one.
+    pub link: Option<Wire>,
+    pub sent_at: f64,
+}
+
+/// An attach that is owed its final answer.
+pub struct InHand {
+    pub procedure: usize,
+    pub number: Box<str>,
+    pub description: Box<str>,
+    pub head: ResponseHead,
+    pub gives_up_at: f64,
+    pub tries: u32,
+    pub out: Option<Try>,
+}
+
+/// A call that stands.
+pub struct Stands {
+    pub pool: PoolName,
+    /// Its caller has confirmed the answer.
+    pub confirmed: bool,
+}
+
+pub enum Is {
+    InHand(Box<InHand>),
+    Stands(Stands),
+}
+
+pub struct Call {
+    pub id: u64,
+    pub ue: UeName,
+    /// The connection its set-up came on.
+    pub door: Wire,
+    pub is: Is,
+}
+
+#[derive(Default)]
+pub struct Calls {
+    slab: Slab<Call>,
+    by_id: HashMap<u64, usize>,
+    by_ue: HashMap<UeName, usize>,
+    next_ue: UeName,
+    in_hand: usize,
+    /// Bytes of the descriptions held.
+    bytes: usize,
+}
+
+impl Calls {
+    /// Takes a call in; its ue is new.
+    pub fn add(&mut self, id: u64, door: Wire, is: Is) -> UeName {
+        self.next_ue = self.next_ue.wrapping_add(1);
+        let ue = self.next_ue;
+        if let Is::InHand(hand) = &is {
+            self.in_hand += 1;
+            self.bytes += hand.description.len();
+        }
+        let key = self.slab.insert(Call { id, ue, door, is });
+        self.by_id.insert(id, key);
+        self.by_ue.insert(ue, key);
+        ue
+    }
+
+    pub fn remove(&mut self, ue: UeName) -> Option<Call> {
+        let key = self.by_ue.remove(&ue)?;
+        let call = self.slab.remove(key);
+        self.by_id.remove(&call.id);
+        if let Is::InHand(hand) = &call.is {
+            self.in_hand -= 1;
+            self.bytes -= hand.description.len();
+        }
+        Some(call)
+    }
+
+    /// The attach's call stands from now on.
+    pub fn stands(&mut self, ue: UeName, pool: PoolName) {
+        let Some(&key) = self.by_ue.get(&ue) else { return };
+        if let Is::InHand(hand) = &self.slab[key].is {
+            self.in_hand -= 1;
+            self.bytes -= hand.description.len();
+        }
+        self.slab[key].is = Is::Stands(Stands { pool, confirmed: false });
+    }
+
+    pub fn by_id(&mut self, id: u64) -> Option<&mut Call> {
+        self.by_id.get(&id).map(|&key| &mut self.slab[key])
+    }
+
+    pub fn by_ue(&mut self, ue: UeName) -> Option<&mut Call> {
+        self.by_ue.get(&ue).map(|&key| &mut self.slab[key])
+    }
+
+    /// The attach in hand of that name.
+    pub fn hand(&mut self, ue: UeName) -> Option<(u64, Wire, &mut InHand)> {
+        let call = self.by_ue(ue)?;
+        match &mut call.is {
+            Is::InHand(hand) => Some((call.id, call.door, hand)),
+            Is::Stands(_) => None,
+        }
+    }
+
+    /// Those that stand at a pool, in the order of their places.
+    pub fn standing_at(&self, pool: PoolName) -> Vec<UeName> {
+        let there = |c: &Call| matches!(&c.is, Is::Stands(s) if s.pool == pool);
+        self.slab.iter().filter(|(_, c)| there(c)).map(|(_, c)| c.ue).collect()
+    }
+
+    pub fn in_hand(&self) -> usize {
+        self.in_hand
+    }
+
+    pub fn standing(&self) -> usize {
+        self.slab.len() - self.in_hand
+    }
+
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+}
--- /dev/null
+++ b/crates/platform/src/door.rs
@@ -0,0 +1,98 @@
+//! The connections that callers hold, and which of them is closed when there are too many.
+
+use crate::edge::Wire;
+use crate::lines::LONGEST;
+use shalespindle_control::interface::UeName;
+use shalespindle_signalling::Framer;
+use std::collections::BTreeMap;
+
+/// A caller's connection is owed a refusal, an error or its close within 3 s: one on which nothing of use
+/// has come by then is closed a little earlier.
+const USELESS: f64 = 2.4;
+/// Callers close a connection without a call after 4 s; one that is kept longer is kept for nothing.
+const IDLE: f64 = 6.0;
+/// Messages of bad form after which a connection is closed.
+pub const MOST_BAD: u32 = 4;
+
+pub struct Door {
+    pub framer: Framer,
+    pub opened_at: f64,
+    /// Something of use came on it: an attach taken, a test, a word on a call held.
+    pub useful: bool,
+    pub last_at: f64,
+    /// Since when part of a message has waited for the rest.
+    pub partial_since: Option<f64>,
+    /// Attaches in hand that came on it.
+    pub open: Vec<UeName>,
+    /// Calls whose answer went out on it and is not yet confirmed.
+    pub unconfirmed: Vec<UeName>,
+    pub bad: u32,
+}
+
+impl Door {
+    fn new(now: f64) -> Door {
+        Door {
+            framer: Framer::with_longest_body(LONGEST),
+            opened_at: now,
+            useful: false,
+            last_at: now,
+            partial_since: None,
+            open: Vec::new(),
+            unconfirmed: Vec::new(),
+            bad: 0,
+        }
+    }
+
+    fn is_idle(&self) -> bool {
+        self.open.is_empty()
+    }
+}
+
+#[derive(Default)]
+pub struct Doors {
+    pub all: BTreeMap<Wire, Door>,
+    /// Where something of use came last: the likeliest to bring a release to its caller.
+    pub latest: Option<Wire>,
+}
+
+impl Doors {
+    pub fn open(&mut self, now: f64, wire: Wire) {
+        self.all.insert(wire, Door::new(now));
+    }
+
+    pub fn used(&mut self, now: f64, wire: Wire) {
+        if let Some(door) = self.all.get_mut(&wire) {
+            door.useful = true;
+            door.last_at = now;
+            self.latest = Some(wire);
+        }
+    }
+
+    /// A connection to bring something to a caller on: its own, else one that proved of use.
+    pub fn towards(&self, own: Wire) -> Option<Wire> {
+        let useful = |w: &Wire| self.all.get(w).is_some_and(|d| d.useful);
+        [Some(own), self.latest].into_iter().flatten().find(useful).or_else(|| {
+            let newest =
+                self.all.iter().filter(|d| d.1.useful).max_by(|a, b| a.1.last_at.total_cmp(&b.1.last_at));
+            newest.map(|d| *d.0)
+        })
+    }
+
+    /// The one to close first where there are too many: of no use so far, oldest first; else longest idle.
+    pub fn least_useful(&self) -> Option<Wire> {
+        let idle = || self.all.iter().filter(|d| d.1.is_idle());
+        let useless = idle().filter(|d| !d.1.useful).min_by(|a, b| a.1.opened_at.total_cmp(&b.1.opened_at));
+        let longest = || idle().min_by(|a, b| a.1.last_at.total_cmp(&b.1.last_at));
+        useless.or_else(longest).or_else(|| self.all.iter().next_back()).map(|d| *d.0)
+    }
+
+    /// Those that have had their time.
+    pub fn overdue(&self, now: f64) -> Vec<Wire> {
+        let over = |d: &Door| {
+            let useless = !d.useful && d.is_idle() && now - d.opened_at > USELESS;
+            let partial = d.partial_since.is_some_and(|since| now - since > USELESS);
+            useless || partial || d.is_idle() && now - d.last_at > IDLE
+        };
+        self.all.iter().filter(|d| over(d.1)).map(|d| *d.0).collect()
+    }
+}
--- /dev/null
+++ b/crates/platform/src/edge.rs
@@ -0,0 +1,484 @@
+//! One front: what it is told, what it does about it. Inputs update what is known; [`Edge::turn`] then pulls
+//! the module's decisions and carries them out; [`Edge::next_output`] hands out what the host is to do.
+
+use crate::calls::{Calls, Is, Try};
+use crate::door::Doors;
+use crate::feed::{Event, Feed, Step, DIAL_WITHIN};
+use crate::file::StartFile;
+use crate::lines;
+use crate::link::{Phase, Servers};
+use crate::sip;
+use shalespindle_control::control::Control;
+use shalespindle_control::interface::{Decision, Ended, PoolName, Report, UeName};
+use shalespindle_signalling::timers::Timers;
+use shalespindle_startup::Reading;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+
+/// Name of a connection. The host gives even ones to those it accepts; the front dials odd ones.
+pub type Wire = u64;
+
+/// How a connection ended, or never came up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Loss {
+    /// Refused: proof that nothing ran.
+    Refused,
+    Broken,
+}
+
+/// What the host is to do.
+#[derive(Debug, PartialEq)]
+pub enum Output {
+    Dial {
+        wire: Wire,
+        to: SocketAddr,
+        within: f64,
+    },
+    Write {
+        wire: Wire,
+        bytes: Vec<u8>,
+    },
+    /// With `reset` what was not sent must not arrive any more.
+    Close {
+        wire: Wire,
+        reset: bool,
+    },
+    /// A belief changed: what, of whom, why.
+    Belief {
+        what: &'static str,
+        of: String,
+        why: String,
+    },
+}
+
+/// What has been counted since the start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counters {
+    pub attaches: u64,
+    pub stood: u64,
+    pub refused: u64,
+    pub aborted: u64,
+    pub left: u64,
+    pub bad_form: u64,
+    pub unreadable: u64,
+    pub no_place: u64,
+    pub tries: u64,
+    pub unreached: u64,
+    pub throttled: u64,
+    pub rejected: u64,
+    pub timed_out: u64,
+    pub cut: u64,
+    pub cancelled: u64,
+    pub links_spoilt: u64,
+    pub links_lost: u64,
+    pub late_answers: u64,
+    pub doors_evicted: u64,
+    pub doors_overdue: u64,
+    pub tests: u64,
+}
+
+/// What falls due.
+pub(crate) enum Due {
+    Wake,
+    /// A setup try's time is up.
+    Try(UeName, u32),
+    /// So long may a setup try wait for a link.
+    Waited(UeName, u32),
+    /// A link must be up by now.
+    Link(Wire),
+    /// Another dial to that server.
+    Dial(PoolName),
+    /// What stands at a server that was removed is over.
+    Gone(PoolName),
+    Sweep,
+}
+
+/// Time between two looks at what may be overdue.
+const SWEEP: f64 = 0.1;
+/// A platform's time limits are longer by this on sockets; the guard is kept by that much longer too.
+const SOCKET_SLACK: f64 = 0.05;
+/// After SIGTERM set-ups still come for so long; later ones are refused at once.
+const STILL_TAKES: f64 = 0.7;
+/// And after so long a front with nothing in hand ends.
+const STILL_LISTENS: f64 = 0.85;
+/// The least time that a front is left after SIGTERM, beside `STILL_TAKES`.
+const LEAST_END: f64 = 3.0;
+/// Descriptors kept for all that is not a caller's connection.
+const OWN_DESCRIPTORS: usize = 72;
+/// Part of the memory limit that descriptions in hand may fill.
+const HELD_PART: f64 = 0.125;
+
+pub struct Edge {
+    pub(crate) control: Control,
+    pub(crate) reading: Reading,
+    /// Names of the procedures and the longest time that a caller of each may wait.
+    pub(crate) procedures: Vec<(String, f64)>,
+    pub(crate) most_held: usize,
+    pub(crate) most_bytes: usize,
+    pub(crate) most_doors: usize,
+    pub(crate) dial_within: f64,
+    /// Unix time of the clock's zero, seconds.
+    pub(crate) zero: f64,
+    pub(crate) calls: Calls,
+    pub(crate) doors: Doors,
+    pub(crate) byes: VecDeque<crate::callers::Bye>,
+    pub(crate) servers: Servers,
+    pub(crate) feed: Feed,
+    pub(crate) timers: Timers<Due>,
+    pub(crate) out: VecDeque<Output>,
+    pub(crate) counters: Counters,
+    pub(crate) ending: Option<f64>,
+    last_wire: Wire,
+    last_test: u64,
+}
+
+impl Edge {
+    /// A front as its file says; `unix` is the Unix time now, seconds. The list as far as it is known is taken
+    /// at once.
+    pub fn new(file: StartFile, now: f64, unix: f64) -> Result<Edge, String> {
+        let startup = file.settings.take()?;
+        let mut deployment = startup.deployment;
+        deployment.release_guard += SOCKET_SLACK;
+        let longest = deployment.procedures.iter().map(|p| p.t_timer);
+        let procedures = startup.place.procedures.into_iter().zip(longest).collect();
+        let mut edge = Edge {
+            control: Control::new(file.seed, deployment, now),
+            reading: startup.reading,
+            procedures,
+            most_held: startup.place.most_held,
+            most_bytes: (file.limits.memory_mb * 1e6 * HELD_PART) as usize,
+            most_doors: file.limits.sockets.saturating_sub(OWN_DESCRIPTORS).max(file.limits.sockets / 2),
+            dial_within: startup.place.dial_within,
+            zero: unix - now,
+            calls: Calls::default(),
+            doors: Doors::default(),
+            byes: VecDeque::new(),
+            servers: Servers::default(),
+            feed: Feed::new(file.feed, now),
+            timers: Timers::default(),
+            out: VecDeque::new(),
+            counters: Counters::default(),
+            ending: None,
+            last_wire: 1,
+            last_test: file.seed,
+        };
+        edge.know(now, file.known.n, file.known.events);
+        edge.timers.set(now + SWEEP, Due::Sweep);
+        Ok(edge)
+    }
+
+    /// Events that a file brings along, and the number that the feed goes on from.
+    fn know(&mut self, now: f64, n: u64, events: Vec<Event>) {
+        let taken = self.feed.taken;
+        for event in events.into_iter().filter(|e| e.n > taken) {
+            self.listed(now, event);
+        }
+        self.feed.taken = self.feed.taken.max(n);
+    }
+
+    // ---- what the host tells ----
+
+    /// A caller's connection was accepted.
+    pub fn accepted(&mut self, now: f64, wire: Wire) {
+        if self.doors.all.len() >= self.most_doors {
+            if let Some(least) = self.doors.least_useful() {
+                self.counters.doors_evicted += 1;
+                self.close_door(now, least);
+            }
+        }
+        self.doors.open(now, wire);
+    }
+
+    /// A connection that the front dialled is made.
+    pub fn connected(&mut self, now: f64, wire: Wire) {
+        if self.feed.wire == Some(wire) {
+            let bytes = self.feed.connected(now);
+            self.belief("feed connected", self.feed.to, format!("after event {}", self.feed.taken));
+            self.out.push_back(Output::Write { wire, bytes });
+        } else {
+            self.link_made(wire);
+        }
+    }
+
+    /// A connection ended, or never came up.
+    pub fn lost(&mut self, now: f64, wire: Wire, loss: Loss) {
+        if self.feed.wire == Some(wire) {
+            if self.feed.is_up() {
+                self.belief("feed lost", self.feed.to, "connection ended".into());
+            }
+            self.feed.lost(now);
+        } else if self.doors.all.contains_key(&wire) {
+            self.door_lost(now, wire);
+        } else {
+            self.link_lost(now, wire, loss);
+        }
+    }
+
+    /// Bytes came; `arrived` is the earliest time at which they can have come.
+    pub fn bytes(&mut self, now: f64, arrived: f64, wire: Wire, bytes: &[u8]) {
+        if self.doors.all.contains_key(&wire) {
+            self.door_bytes(now, arrived, wire, bytes);
+        } else if self.servers.links.contains_key(&wire) {
+            self.link_bytes(now, wire, bytes);
+        } else if self.feed.wire == Some(wire) {
+            let mut news = Vec::new();
+            let good = self.feed.bytes(now, bytes, &mut news);
+            for event in news {
+                self.listed(now, event);
+            }
+            if !good {
+                self.belief("feed left", self.feed.to, "a gap, or what cannot be read".into());
+                self.out.push_back(Output::Close { wire, reset: false });
+                self.feed.lost(now);
+            }
+        }
+    }
+
+    /// The file was replaced: the feed goes on at the address it names.
+    pub fn reconfigured(&mut self, now: f64, file: StartFile) {
+        self.belief("configuration taken", file.feed, format!("known to {}", file.known.n));
+        // Only what follows without a gap, or begins anew with the whole list, may be taken from the file.
+        let first = file.known.events.iter().map(|e| e.n).find(|n| *n > self.feed.taken);
+        if first == Some(self.feed.taken + 1) {
+            self.know(now, file.known.n, file.known.events);
+        }
+        self.feed.moved(now, file.feed);
+    }
+
+    /// An orderly end is asked for.
+    pub fn end(&mut self, now: f64) {
+        self.ending.get_or_insert(now);
+    }
+
+    /// Nothing is left to do after an end was asked for.
+    pub fn is_done(&self, now: f64) -> bool {
+        let Some(since) = self.ending else { return false };
+        let longest = self.procedures.iter().fold(LEAST_END, |l, p| l.max(p.1));
+        let quiet = self.calls.in_hand() == 0 && now - since > STILL_LISTENS;
+        quiet || now - since > longest + STILL_TAKES / 2.0
+    }
+
+    /// A set-up that comes now is refused at once: the front ends.
+    pub(crate) fn takes_no_more(&self, now: f64) -> bool {
+        self.ending.is_some_and(|since| now - since > STILL_TAKES)
+    }
+
+    // ---- what it does ----
+
+    /// When [`Edge::turn`] is due again at the latest.
+    pub fn wake_at(&self) -> f64 {
+        self.timers.next().min(self.feed.due())
+    }
+
+    pub fn next_output(&mut self) -> Option<Output> {
+        self.out.pop_front()
+    }
+
+    pub fn counters(&self) -> Counters {
+        self.counters
+    }
+
+    /// Attaches in hand, calls standing, callers' connections, links.
+    pub fn held(&self) -> [usize; 4] {
+        [self.calls.in_hand(), self.calls.standing(), self.doors.all.len(), self.servers.links.len()]
+    }
+
+    /// Deals with what is due, then decides and carries out until there is nothing more.
+    pub fn turn(&mut self, now: f64) {
+        while let Some(due) = self.timers.pop(now) {
+            self.due(now, due);
+        }
+        if let Step::Ask(old) = self.feed.step(now) {
+            if let Some(wire) = old {
+                self.belief("feed left", self.feed.to, "silent, or moved".into());
+                self.out.push_back(Output::Close { wire, reset: false });
+            }
+            let wire = self.new_wire();
+            self.feed.asked(now, wire);
+            self.out.push_back(Output::Dial { wire, to: self.feed.to, within: DIAL_WITHIN });
+        }
+        while let Some(decision) = self.control.next_decision(now) {
+            self.carry(now, decision);
+        }
+    }
+
+    fn due(&mut self, now: f64, due: Due) {
+        match due {
+            Due::Wake => self.control.wake(now),
+            Due::Try(ue, number) => self.try_due(now, ue, number),
+            Due::Waited(ue, number) => {
+                let waits = |t: &Try| t.link.is_none();
+                let hand = self.calls.hand(ue).map(|c| c.2);
+                if hand.is_some_and(|h| h.tries == number && h.out.as_ref().is_some_and(waits)) {
+                    self.try_over(now, ue, Ended::Unreached, Report::default());
+                }
+            }
+            Due::Link(wire) => self.link_due(now, wire),
+            Due::Dial(pool) => self.dial_due(now, pool),
+            Due::Gone(pool) => self.server_gone(now, pool),
+            Due::Sweep => {
+                self.sweep(now);
+                self.timers.set(now + SWEEP, Due::Sweep);
+            }
+        }
+    }
+
+    fn carry(&mut self, now: f64, decision: Decision) {
+        match decision {
+            Decision::SetUp { ue, pool, time_out } => self.set_up(now, ue, pool, time_out),
+            Decision::Cancel { ue, setup_try } => {
+                if self.calls.hand(ue).is_some_and(|c| c.2.out.is_some() && c.2.tries == setup_try + 1) {
+                    self.try_given_up(now, ue, Ended::Cancelled);
+                }
+            }
+            Decision::Refuse { ue, pause } => {
+                self.counters.refused += 1;
+                self.final_answer(now, ue, 503, Some(pause));
+            }
+            Decision::Abort { ue } => {
+                self.counters.aborted += 1;
+                self.final_answer(now, ue, 504, None);
+            }
+            Decision::Probe { pool } => self.test(now, pool),
+            Decision::Wake { after } => self.timers.set(now + after, Due::Wake),
+        }
+    }
+
+    fn set_up(&mut self, now: f64, ue: UeName, pool: PoolName, time_out: f64) {
+        let Some((_, _, hand)) = self.calls.hand(ue) else { return };
+        hand.tries += 1;
+        hand.out = Some(Try { pool, link: None, sent_at: now });
+        let (number, until) = (hand.tries, (now + time_out).min(hand.gives_up_at));
+        self.counters.tries += 1;
+        self.timers.set(until, Due::Try(ue, number));
+        if self.servers.all.get(&pool).is_none_or(|s| s.phase != Phase::Up) {
+            return self.try_over(now, ue, Ended::Unreached, Report::default());
+        }
+        match self.servers.best_link(now, pool, self.dial_within) {
+            Some(wire) => {
+                if !self.servers.links[&wire].open.is_empty() {
+                    // The next set-up finds a link of its own: one that is spoilt takes few with it.
+                    self.dial(now, pool);
+                }
+                self.write_set_up(now, ue, wire);
+            }
+            None => {
+                if let Some(server) = self.servers.all.get_mut(&pool) {
+                    server.waiting.push_back(ue);
+                }
+                self.timers.set(now + self.dial_within, Due::Waited(ue, number));
+                self.dial(now, pool);
+            }
+        }
+    }
+
+    /// Puts a setup try on a link. Callers have checked that its server still takes what is new.
+    pub(crate) fn write_set_up(&mut self, now: f64, ue: UeName, wire: Wire) {
+        let Some((id, _, hand)) = self.calls.hand(ue) else { return };
+        let Some(out) = hand.out.as_mut() else { return };
+        out.link = Some(wire);
+        let class = &self.procedures[hand.procedure].0;
+        let bytes = lines::set_up(id, class, &hand.number, hand.gives_up_at - now, &hand.description);
+        if let Some(link) = self.servers.links.get_mut(&wire) {
+            link.open.push(ue);
+            link.asked(now);
+        }
+        self.out.push_back(Output::Write { wire, bytes });
+    }
+
+    /// Takes the setup try that is out off the books of its link and of its server; returns it.
+    pub(crate) fn take_try(&mut self, now: f64, ue: UeName) -> Option<Try> {
+        let out = self.calls.hand(ue)?.2.out.take()?;
+        match out.link {
+            Some(wire) => {
+                if let Some(link) = self.servers.links.get_mut(&wire) {
+                    link.open.retain(|u| *u != ue);
+                    if link.retired && link.open.is_empty() {
+                        self.drop_link(now, wire, "silent, nothing out on it any more");
+                    }
+                }
+            }
+            None => {
+                if let Some(server) = self.servers.all.get_mut(&out.pool) {
+                    server.waiting.retain(|u| *u != ue);
+                }
+            }
+        }
+        Some(out)
+    }
+
+    /// A setup try ended by its server or by its link; the attach is still owed its answer.
+    pub(crate) fn try_over(&mut self, now: f64, ue: UeName, ended: Ended, report: Report) {
+        let Some(out) = self.take_try(now, ue) else { return };
+        self.count(ended);
+        self.control.try_ended(now, ue, out.pool, ended, false, report);
+    }
+
+    pub(crate) fn count(&mut self, ended: Ended) {
+        let counters = &mut self.counters;
+        let counter = match ended {
+            Ended::Unreached => &mut counters.unreached,
+            Ended::Throttled { .. } | Ended::NoAgent => &mut counters.throttled,
+            Ended::Rejected => &mut counters.rejected,
+            Ended::TimedOut => &mut counters.timed_out,
+            Ended::Cut => &mut counters.cut,
+            Ended::Cancelled => &mut counters.cancelled,
+            Ended::Released => return,
+        };
+        *counter += 1;
+    }
+
+    /// The front itself ends a setup try: its server is told, so that nothing of it is left there.
+    fn try_given_up(&mut self, now: f64, ue: UeName, ended: Ended) {
+        let Some((id, _, hand)) = self.calls.hand(ue) else { return };
+        if let Some(wire) = hand.out.as_ref().and_then(|t| t.link) {
+            self.out.push_back(Output::Write { wire, bytes: lines::release(id, 16) });
+        }
+        self.try_over(now, ue, ended, Report::default());
+    }
+
+    fn try_due(&mut self, now: f64, ue: UeName, number: u32) {
+        let Some((_, _, hand)) = self.calls.hand(ue) else { return };
+        let Some(out) = hand.out.as_ref().filter(|_| hand.tries == number) else { return };
+        let Some(wire) = out.link else {
+            // Still waiting for a link: nothing of it has left.
+            return self.try_over(now, ue, Ended::Unreached, Report::default());
+        };
+        let sent_at = out.sent_at;
+        if let Some(link) = self.servers.links.get_mut(&wire) {
+            // Guards against open links to machines that are gone: nothing has come on it since.
+            if link.heard_at < sent_at {
+                link.retired = true;
+            }
+        }
+        self.try_given_up(now, ue, Ended::TimedOut);
+    }
+
+    /// The attach's one final answer, other than that its call stands.
+    fn final_answer(&mut self, now: f64, ue: UeName, status: u16, pause: Option<f64>) {
+        // The module answers only when no try is out; should one be, it must not be left behind.
+        if self.calls.hand(ue).is_some_and(|c| c.2.out.is_some()) {
+            self.try_given_up(now, ue, Ended::Cancelled);
+        }
+        let Some(call) = self.calls.remove(ue) else { return };
+        if let Is::InHand(hand) = call.is {
+            self.leave_door(now, call.door, ue);
+            let bytes = sip::refusal(status, &hand.head, pause);
+            self.out.push_back(Output::Write { wire: call.door, bytes });
+        }
+    }
+
+    pub(crate) fn new_wire(&mut self) -> Wire {
+        self.last_wire += 2;
+        self.last_wire
+    }
+
+    pub(crate) fn new_test(&mut self) -> u64 {
+        self.last_test = self.last_test.wrapping_add(1);
+        self.last_test
+    }
+
+    pub(crate) fn belief(&mut self, what: &'static str, of: impl ToString, why: String) {
+        self.out.push_back(Output::Belief { what, of: of.to_string(), why });
+    }
+}
--- /dev/null
+++ b/crates/platform/src/file.rs
@@ -0,0 +1,58 @@
+//! The configuration file of one front: where it listens, its limits, the feed, the list as far as it is
+//! known, and the start-up settings.
+
+use crate::feed::Event;
+use serde::Deserialize;
+use shalespindle_startup::Text;
+use std::net::SocketAddr;
+
+/// The file, read and checked.
+#[derive(Clone, Debug, Deserialize)]
+pub struct StartFile {
+    pub name: String,
+    pub listen: SocketAddr,
+    #[serde(deserialize_with = "hexadecimal")]
+    pub seed: u64,
+    pub limits: Limits,
+    pub feed: SocketAddr,
+    pub known: Known,
+    pub settings: Text,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Limits {
+    pub memory_mb: f64,
+    pub sockets: usize,
+}
+
+/// What the feed has told up to now.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Known {
+    pub n: u64,
+    pub events: Vec<Event>,
+}
+
+fn hexadecimal<'d, D: serde::Deserializer<'d>>(from: D) -> Result<u64, D::Error> {
+    let text = String::deserialize(from)?;
+    u64::from_str_radix(&text, 16).map_err(|_| serde::de::Error::custom("up to 16 hex digits are allowed"))
+}
+
+/// Least limits that a front can serve within.
+const LEAST_SOCKETS: usize = 64;
+const LEAST_MEMORY_MB: f64 = 8.0;
+
+/// Reads the file's text; a fault names its place and what is allowed there.
+pub fn read_file(text: &[u8]) -> Result<StartFile, String> {
+    let json = &mut serde_json::Deserializer::from_slice(text);
+    let file: StartFile = serde_path_to_error::deserialize(json).map_err(|e| e.to_string())?;
+    if file.limits.sockets < LEAST_SOCKETS {
+        return Err(format!("limits.sockets is {}; {LEAST_SOCKETS} or more is allowed", file.limits.sockets));
+    }
+    if file.limits.memory_mb < LEAST_MEMORY_MB {
+        let found = file.limits.memory_mb;
+        return Err(format!("limits.memory_mb is {found}; {LEAST_MEMORY_MB} or more is allowed"));
+    }
+    // Checked here so that nothing starts, or is taken over, on settings that cannot be used.
+    file.settings.clone().take()?;
+    Ok(file)
+}
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,18 @@
+//! A front on the operators' platform, without I/O: SIP over TCP from callers, JSON lines to signalling
+//! servers, server-sent events for the list of them. [`Edge`] is told of bytes and of time and says what to
+//! dial, write and close; every choice about traffic is the decision module's.
+
+mod callers;
+mod calls;
+mod door;
+mod edge;
+mod feed;
+mod file;
+mod lines;
+mod link;
+mod servers;
+mod sip;
+mod sse;
+
+pub use edge::{Counters, Edge, Loss, Output, Wire};
+pub use file::{read_file, StartFile};
--- /dev/null
+++ b/crates/platform/src/lines.rs
@@ -0,0 +1,220 @@
+//! JSON lines to and from signalling servers.
+
+use memchr::memchr;
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use shalespindle_control::interface::{Ended, Report};
+use shalespindle_startup::Reading;
+use std::borrow::Cow;
+
+/// No message is longer; a line beyond it does not end.
+pub const LONGEST: usize = 16 * 1024;
+
+/// Bytes of one connection that are not yet a whole line.
+#[derive(Default)]
+pub struct Lines {
+    bytes: Vec<u8>,
+    from: usize,
+    seen: usize,
+}
+
+/// A line that is too long.
+#[derive(Debug, PartialEq, Eq)]
+pub struct TooLong;
+
+impl Lines {
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.bytes.drain(..self.from);
+        self.seen -= self.from;
+        self.from = 0;
+        self.bytes.extend_from_slice(bytes);
+    }
+
+    pub fn next_line(&mut self) -> Result<Option<&[u8]>, TooLong> {
+        let Some(end) = memchr(b'\n', &self.bytes[self.seen..]).map(|at| self.seen + at) else {
+            self.seen = self.bytes.len();
+            return if self.seen - self.from > LONGEST { Err(TooLong) } else { Ok(None) };
+        };
+        let from = self.from;
+        (self.from, self.seen) = (end + 1, end + 1);
+        if end - from > LONGEST {
+            Err(TooLong)
+        } else {
+            Ok(Some(&self.bytes[from..end]))
+        }
+    }
+}
+
+/// What a line of a signalling server is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    Answer,
+    Release,
+    Ping,
+    Pong,
+    State,
+    /// Progress, a release heard, or what nobody here acts on.
+    Other,
+}
+
+/// A line of a signalling server.
+#[derive(Debug, PartialEq)]
+pub struct Line<'a> {
+    pub kind: Kind,
+    /// Of the call; none where the line belongs to no call.
+    pub id: Option<u64>,
+    pub cause: u16,
+    pub note: Option<String>,
+    load: Option<String>,
+    pub description: Cow<'a, str>,
+}
+
+#[derive(Deserialize)]
+struct Written<'a> {
+    #[serde(borrow, rename = "type")]
+    kind: Cow<'a, str>,
+    #[serde(borrow, default)]
+    id: Cow<'a, str>,
+    #[serde(default)]
+    fields: Fields,
+    cause: Option<u16>,
+    #[serde(borrow)]
+    sdp: Option<Cow<'a, str>>,
+}
+
+#[derive(Default, Deserialize)]
+struct Fields {
+    note: Option<Value>,
+    load: Option<Value>,
+}
+
+fn text(value: Option<Value>) -> Option<String> {
+    match value? {
+        Value::String(text) => Some(text),
+        other => Some(other.to_string()),
+    }
+}
+
+/// Sixteen hex digits in their one spelling, so that an id goes on unchanged.
+pub fn call_id(text: &str) -> Option<u64> {
+    let hex = |b: u8| b.is_ascii_digit() || (b'a'..=b'f').contains(&b);
+    (text.len() == 16 && text.bytes().all(hex)).then(|| u64::from_str_radix(text, 16).ok())?
+}
+
+/// Reads a line; none where it cannot be read or lacks what it needs.
+pub fn read(line: &[u8]) -> Option<Line<'_>> {
+    let written: Written = serde_json::from_slice(line).ok()?;
+    let kind = match &*written.kind {
+        "answer" => Kind::Answer,
+        "release" => Kind::Release,
+        "ping" => Kind::Ping,
+        "pong" => Kind::Pong,
+        "state" => Kind::State,
+        _ => Kind::Other,
+    };
+    let id = call_id(&written.id);
+    if matches!(kind, Kind::Answer | Kind::Release | Kind::Pong) && id.is_none()
+        || kind == Kind::Answer && written.sdp.is_none()
+        || matches!(kind, Kind::Release | Kind::Pong) && written.cause.is_none()
+    {
+        return None;
+    }
+    Some(Line {
+        kind,
+        id,
+        cause: written.cause.unwrap_or(0),
+        note: text(written.fields.note),
+        load: text(written.fields.load),
+        description: written.sdp.unwrap_or_default(),
+    })
+}
+
+impl Line<'_> {
+    /// What it says of its sender, as far as the settings name it.
+    pub fn report(&self, reading: &Reading) -> Report {
+        let mut report = Report::default();
+        for (name, value) in self.load.iter().flat_map(|l| l.split(';')).filter_map(|p| p.split_once(':')) {
+            let Some(value) = value.trim().parse::<f64>().ok().filter(|v| v.is_finite() && *v >= 0.0) else {
+                continue;
+            };
+            match name.trim() {
+                "x0" | "free" if reading.free_at.is_some() => report.free_agents = Some(value),
+                "x1" | "size" if reading.agents_at.is_some() => report.agents = Some(value),
+                "latency_ms" if reading.wait_at.is_some() => report.wait = Some(value / 1000.0),
+                _ => {}
+            }
+        }
+        report
+    }
+
+    /// How a release before the answer ends a setup try.
+    pub fn ended(&self) -> Ended {
+        match (self.cause, self.note.as_deref()) {
+            (34, Some("congestion")) => Ended::NoAgent,
+            (34, _) => Ended::Throttled { wait: None },
+            (17 | 47, _) => Ended::Rejected,
+            (102, _) => Ended::Unreached,
+            _ => Ended::Cut,
+        }
+    }
+}
+
+#[derive(Serialize)]
+struct SetUp<'a> {
+    #[serde(rename = "type")]
+    kind: &'a str,
+    id: &'a str,
+    fields: SetUpFields<'a>,
+    sdp: &'a str,
+}
+
+#[derive(Serialize)]
+struct SetUpFields<'a> {
+    class: &'a str,
+    left: &'a str,
+    key: &'a str,
+}
+
+#[derive(Serialize)]
+struct Plain<'a> {
+    #[serde(rename = "type")]
+    kind: &'a str,
+    id: &'a str,
+    fields: Nothing,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    cause: Option<u16>,
+}
+
+#[derive(Serialize)]
+struct Nothing {}
+
+fn line(value: &impl Serialize) -> Vec<u8> {
+    // Strings and numbers only: writing them to memory cannot fail.
+    let mut bytes = serde_json::to_vec(value).unwrap_or_default();
+    bytes.push(b'\n');
+    bytes
+}
+
+/// A set-up: id, procedure, number called, time left in seconds, description.
+pub fn set_up(id: u64, class: &str, number: &str, left: f64, description: &str) -> Vec<u8> {
+    let left = format!("{}", (left * 1000.0).floor().max(1.0) as u64);
+    let fields = SetUpFields { class, left: &left, key: number };
+    line(&SetUp { kind: "setup", id: &format!("{id:016x}"), fields, sdp: description })
+}
+
+pub fn release(id: u64, cause: u16) -> Vec<u8> {
+    line(&Plain { kind: "release", id: &format!("{id:016x}"), fields: Nothing {}, cause: Some(cause) })
+}
+
+pub fn released(id: u64) -> Vec<u8> {
+    line(&Plain { kind: "released", id: &format!("{id:016x}"), fields: Nothing {}, cause: None })
+}
+
+/// A test that asks for a report.
+pub fn ping(id: u64) -> Vec<u8> {
+    line(&Plain { kind: "ping", id: &format!("{id:016x}"), fields: Nothing {}, cause: Some(1) })
+}
+
+pub fn pong(id: u64) -> Vec<u8> {
+    line(&Plain { kind: "pong", id: &format!("{id:016x}"), fields: Nothing {}, cause: Some(1) })
+}
--- /dev/null
+++ b/crates/platform/src/servers.rs
@@ -0,0 +1,383 @@
+//! The signalling servers' side of a front: the list, links, and what comes on them.
+
+use crate::callers::CUT;
+use crate::calls::Is;
+use crate::edge::{Due, Edge, Loss, Output, Wire};
+use crate::feed::Event;
+use crate::lines::{self, Kind, Line};
+use crate::link::{Link, LinkState, Phase, MOST_LINKS};
+use crate::sip;
+use shalespindle_control::interface::{Ended, PoolEntry, PoolName, Report};
+use std::collections::HashSet;
+
+/// Pauses between dials to a server that cannot be reached, doubling.
+const FIRST_PAUSE: f64 = 0.05;
+const LONGEST_PAUSE: f64 = 1.0;
+/// So long after a server was removed what stood there is over, unless it said so itself.
+const LAST_WORDS: f64 = 0.5;
+/// So long a server refuses every connection before what stood there counts as over.
+const DEAD_AFTER: f64 = 2.0;
+/// Releases that wait for a link to one server.
+const MOST_OWED: usize = 4096;
+
+impl Edge {
+    // ---- the list ----
+
+    pub(crate) fn listed(&mut self, now: f64, event: Event) {
+        let Some(news) = event.members else { return };
+        let mut entries = Vec::new();
+        if news.complete {
+            let named: HashSet<&str> = news.members.iter().map(|m| m.id.as_str()).collect();
+            let gone = self.servers.all.values().filter(|s| !named.contains(s.id.as_str()));
+            for pool in gone.map(|s| s.pool).collect::<Vec<_>>() {
+                self.phase(now, pool, Phase::Removed);
+            }
+        }
+        for member in news.members {
+            let phase = match member.phase.as_str() {
+                "up" => Phase::Up,
+                "removed" => Phase::Removed,
+                _ => Phase::Draining,
+            };
+            let unix = member.up_since_ms / 1000.0;
+            // On the front's clock; what began before it did is long ago.
+            let started = if unix > 0.0 { (unix - self.zero).max(0.0) } else { 0.0 };
+            let pool = match (self.servers.named(&member.id), member.host_port) {
+                (Some(pool), address) => {
+                    let server = self.servers.all.get_mut(&pool);
+                    let anew = server.is_some_and(|s| {
+                        let anew = started > s.started || address.is_some_and(|a| a != s.address);
+                        s.started = s.started.max(started);
+                        s.address = address.unwrap_or(s.address);
+                        anew
+                    });
+                    if anew {
+                        self.server_anew(now, pool);
+                    }
+                    pool
+                }
+                (None, Some(address)) if phase != Phase::Removed => {
+                    self.servers.add(&member.id, address, member.cell, started)
+                }
+                (None, _) => continue,
+            };
+            let number = self.servers.all.get(&pool).map_or(member.cell, |s| s.number);
+            entries.push(PoolEntry { name: pool, number, started, ready: phase == Phase::Up });
+            self.belief("server listed", &member.id, format!("{phase:?}, pool {number}, event {}", event.n));
+            self.phase(now, pool, phase);
+        }
+        self.control.pools_listed(now, &entries, news.complete);
+    }
+
+    fn phase(&mut self, now: f64, pool: PoolName, phase: Phase) {
+        let Some(server) = self.servers.all.get_mut(&pool) else { return };
+        let before = std::mem::replace(&mut server.phase, phase);
+        if phase == Phase::Up {
+            return self.keep_linked(now, pool);
+        }
+        // Guards rule 3: what waits for a link must not go out after the grace.
+        for ue in std::mem::take(&mut server.waiting) {
+            self.try_over(now, ue, Ended::Unreached, Report::default());
+        }
+        if phase == Phase::Removed && before != Phase::Removed {
+            self.timers.set(now + LAST_WORDS, Due::Gone(pool));
+        }
+    }
+
+    /// Another process under the same name: what was there is over.
+    fn server_anew(&mut self, now: f64, pool: PoolName) {
+        let Some(server) = self.servers.all.get(&pool) else { return };
+        for wire in server.links.clone() {
+            self.drop_link(now, wire, "its server started anew");
+        }
+        self.ends_at(now, pool);
+    }
+
+    /// A server that was removed has had the time for its last words.
+    pub(crate) fn server_gone(&mut self, now: f64, pool: PoolName) {
+        let Some(server) = self.servers.all.get(&pool).filter(|s| s.phase == Phase::Removed) else { return };
+        for wire in server.links.clone() {
+            self.drop_link(now, wire, "its server was removed");
+        }
+        self.ends_at(now, pool);
+        self.servers.forget(pool);
+    }
+
+    /// What stands at a server is over.
+    fn ends_at(&mut self, now: f64, pool: PoolName) {
+        for ue in self.calls.standing_at(pool) {
+            self.control.try_ended(now, ue, pool, Ended::Cut, true, Report::default());
+            self.over(now, ue, pool, CUT);
+        }
+        if let Some(server) = self.servers.all.get_mut(&pool) {
+            server.owed.clear();
+        }
+    }
+
+    pub(crate) fn stands_no_more(&mut self, _now: f64, pool: PoolName) {
+        if let Some(server) = self.servers.all.get_mut(&pool) {
+            server.standing = server.standing.saturating_sub(1);
+        }
+    }
+
+    // ---- links ----
+
+    /// Sees to it that a server which is up, or at which calls stand, has a link or is dialled.
+    pub(crate) fn keep_linked(&mut self, now: f64, pool: PoolName) {
+        let Some(server) = self.servers.all.get(&pool) else { return };
+        let wanted = server.phase == Phase::Up
+            || server.phase == Phase::Draining && (server.standing > 0 || !server.owed.is_empty());
+        if wanted && server.links.is_empty() {
+            self.dial(now, pool);
+        }
+    }
+
+    /// Dials one more link, if none is being dialled and there is room.
+    pub(crate) fn dial(&mut self, now: f64, pool: PoolName) {
+        if self.servers.is_dialling(pool) {
+            return;
+        }
+        let count = self.servers.all.get(&pool).map_or(MOST_LINKS, |s| s.links.len());
+        if count >= MOST_LINKS {
+            match self.servers.spare(now, pool, self.dial_within) {
+                Some(wire) => self.drop_link(now, wire, "silent, another takes its place"),
+                None => return,
+            }
+        }
+        let Some(to) = self.servers.all.get(&pool).map(|s| s.address) else { return };
+        let wire = self.new_wire();
+        if let Some(server) = self.servers.all.get_mut(&pool) {
+            server.links.push(wire);
+        }
+        self.servers.links.insert(wire, Link::new(now, pool));
+        self.timers.set(now + self.dial_within, Due::Link(wire));
+        self.out.push_back(Output::Dial { wire, to, within: self.dial_within });
+    }
+
+    pub(crate) fn dial_due(&mut self, now: f64, pool: PoolName) {
+        let Some(server) = self.servers.all.get(&pool) else { return };
+        if !server.waiting.is_empty() || server.test_waits {
+            self.dial(now, pool);
+        } else {
+            self.keep_linked(now, pool);
+        }
+    }
+
+    pub(crate) fn link_made(&mut self, wire: Wire) {
+        if let Some(link) = self.servers.links.get_mut(&wire) {
+            link.state = LinkState::Made;
+        }
+    }
+
+    /// A link that is not up by now will not come up.
+    pub(crate) fn link_due(&mut self, now: f64, wire: Wire) {
+        if self.servers.links.get(&wire).is_some_and(|l| l.state != LinkState::Up) {
+            self.out.push_back(Output::Close { wire, reset: true });
+            self.link_lost(now, wire, Loss::Broken);
+        }
+    }
+
+    /// The front gives a link up; what has not left it must not arrive.
+    pub(crate) fn drop_link(&mut self, now: f64, wire: Wire, why: &'static str) {
+        if let Some(link) = self.servers.links.get(&wire) {
+            let of = self.servers.all.get(&link.pool).map_or(String::new(), |s| s.id.clone());
+            self.belief("link given up", of, why.into());
+            self.out.push_back(Output::Close { wire, reset: true });
+            self.link_lost(now, wire, Loss::Broken);
+        }
+    }
+
+    pub(crate) fn link_lost(&mut self, now: f64, wire: Wire, loss: Loss) {
+        let Some(link) = self.servers.links.remove(&wire) else { return };
+        let pool = link.pool;
+        if link.state == LinkState::Up {
+            self.counters.links_lost += 1;
+        }
+        for ue in link.open {
+            self.try_over(now, ue, Ended::Cut, Report::default());
+        }
+        let Some(server) = self.servers.all.get_mut(&pool) else { return };
+        server.links.retain(|w| *w != wire);
+        let id = server.id.clone();
+        let dead = match (link.state, loss) {
+            (LinkState::Up, _) => false,
+            (_, Loss::Refused) => now - *server.refused_since.get_or_insert(now) >= DEAD_AFTER,
+            (_, Loss::Broken) => false,
+        };
+        if link.state == LinkState::Up {
+            server.pause = 0.0;
+        }
+        let pause = server.pause;
+        server.pause = (2.0 * pause).clamp(FIRST_PAUSE, LONGEST_PAUSE);
+        // Refused, nothing that waits can be sent; reset while new, another dial may still bring it there.
+        let refused = link.state != LinkState::Up && loss == Loss::Refused;
+        let waiting = if refused { std::mem::take(&mut server.waiting) } else { Default::default() };
+        for ue in waiting {
+            self.try_over(now, ue, Ended::Unreached, Report::default());
+        }
+        self.belief("link down", id, format!("{:?}, {loss:?}", link.state));
+        if dead {
+            self.ends_at(now, pool);
+        }
+        if pause > 0.0 {
+            self.timers.set(now + pause, Due::Dial(pool));
+        } else {
+            self.dial_due(now, pool);
+        }
+    }
+
+    /// Its first line came: the process behind it is there.
+    fn link_up(&mut self, now: f64, wire: Wire) {
+        let Some(link) = self.servers.links.get_mut(&wire) else { return };
+        link.state = LinkState::Up;
+        let pool = link.pool;
+        let Some(server) = self.servers.all.get_mut(&pool) else { return };
+        (server.pause, server.refused_since) = (0.0, None);
+        let (owed, waiting) = (std::mem::take(&mut server.owed), std::mem::take(&mut server.waiting));
+        let test_waits = std::mem::take(&mut server.test_waits);
+        let id = server.id.clone();
+        for (id, cause) in owed {
+            self.out.push_back(Output::Write { wire, bytes: lines::release(id, cause) });
+        }
+        for ue in waiting {
+            self.write_set_up(now, ue, wire);
+        }
+        if test_waits {
+            self.test_on(now, wire);
+        }
+        self.belief("link up", id, String::new());
+    }
+
+    pub(crate) fn link_bytes(&mut self, now: f64, wire: Wire, bytes: &[u8]) {
+        let Some(link) = self.servers.links.get_mut(&wire) else { return };
+        let mut framer = std::mem::take(&mut link.lines);
+        framer.push(bytes);
+        loop {
+            let line = match framer.next_line() {
+                Ok(Some(line)) => lines::read(line),
+                Ok(None) => break,
+                Err(lines::TooLong) => None,
+            };
+            let Some(line) = line else {
+                self.counters.links_spoilt += 1;
+                return self.drop_link(now, wire, "a line that cannot be read");
+            };
+            self.line(now, wire, &line);
+            match self.servers.links.get_mut(&wire) {
+                Some(link) => link.heard(now),
+                None => return,
+            }
+        }
+        if let Some(link) = self.servers.links.get_mut(&wire) {
+            link.lines = framer;
+        }
+    }
+
+    fn line(&mut self, now: f64, wire: Wire, line: &Line) {
+        let Some(link) = self.servers.links.get(&wire) else { return };
+        let pool = link.pool;
+        if link.state != LinkState::Up {
+            self.link_up(now, wire);
+        }
+        let report = line.report(&self.reading);
+        match (line.kind, line.id) {
+            (Kind::Answer, Some(id)) => self.answered(now, wire, pool, id, line),
+            (Kind::Release, Some(id)) => self.released(now, wire, pool, id, line, report),
+            (Kind::Pong, Some(id)) => {
+                let known = self.servers.links.get_mut(&wire).is_some_and(|l| l.test_back(id));
+                if known {
+                    self.control.pool_heard(now, pool, line.cause == 1, report);
+                }
+            }
+            (Kind::Ping, Some(id)) => {
+                self.out.push_back(Output::Write { wire, bytes: lines::pong(id) });
+            }
+            (Kind::State, _) => self.control.pool_heard(now, pool, false, report),
+            _ => {}
+        }
+    }
+
+    fn answered(&mut self, now: f64, wire: Wire, pool: PoolName, id: u64, line: &Line) {
+        let call = self.calls.by_id(id);
+        let ue = call.map(|call| (call.ue, call.door, &call.is));
+        let (ue, door) = match ue {
+            Some((ue, door, Is::InHand(hand)))
+                if hand.out.as_ref().is_some_and(|t| t.link == Some(wire)) && now <= hand.gives_up_at =>
+            {
+                (ue, door)
+            }
+            // A second copy.
+            Some((_, _, Is::Stands(stands))) if stands.pool == pool => return,
+            // Late, or for a try that is over: nothing may be left standing of it.
+            _ => {
+                self.counters.late_answers += 1;
+                self.out.push_back(Output::Write { wire, bytes: lines::release(id, 16) });
+                return;
+            }
+        };
+        let Some(out) = self.take_try(now, ue) else { return };
+        let Some((_, _, hand)) = self.calls.hand(ue) else { return };
+        let bytes = sip::answer(&hand.head, &line.description);
+        self.counters.stood += 1;
+        self.control.attach_stands(now, ue, pool, now - out.sent_at);
+        self.calls.stands(ue, pool);
+        if let Some(server) = self.servers.all.get_mut(&pool) {
+            server.standing += 1;
+        }
+        self.leave_door(now, door, ue);
+        if let Some(door) = self.doors.all.get_mut(&door) {
+            door.unconfirmed.push(ue);
+        }
+        self.out.push_back(Output::Write { wire: door, bytes });
+    }
+
+    fn released(&mut self, now: f64, wire: Wire, pool: PoolName, id: u64, line: &Line, report: Report) {
+        let call = self.calls.by_id(id).map(|call| (call.ue, &call.is));
+        match call {
+            Some((ue, Is::InHand(hand))) if hand.out.as_ref().is_some_and(|t| t.link == Some(wire)) => {
+                self.try_over(now, ue, line.ended(), report);
+            }
+            Some((ue, Is::Stands(stands))) if stands.pool == pool => {
+                let ended = if line.cause == 16 { Ended::Released } else { Ended::Cut };
+                self.control.try_ended(now, ue, pool, ended, true, report);
+                self.out.push_back(Output::Write { wire, bytes: lines::released(id) });
+                self.over(now, ue, pool, line.cause);
+            }
+            _ => self.control.pool_heard(now, pool, false, report),
+        }
+    }
+
+    /// Releases a call at its server, now or as soon as there is a link.
+    pub(crate) fn release_to(&mut self, now: f64, pool: PoolName, id: u64, cause: u16) {
+        if let Some(wire) = self.servers.any_link(now, pool, self.dial_within) {
+            self.out.push_back(Output::Write { wire, bytes: lines::release(id, cause) });
+        } else if let Some(server) = self.servers.all.get_mut(&pool) {
+            if server.owed.len() < MOST_OWED {
+                server.owed.push_back((id, cause));
+            }
+            self.keep_linked(now, pool);
+        }
+    }
+
+    /// The module's probe.
+    pub(crate) fn test(&mut self, now: f64, pool: PoolName) {
+        match self.servers.best_link(now, pool, self.dial_within) {
+            Some(wire) => self.test_on(now, wire),
+            None => {
+                if let Some(server) = self.servers.all.get_mut(&pool) {
+                    server.test_waits = true;
+                }
+                self.dial(now, pool);
+            }
+        }
+    }
+
+    fn test_on(&mut self, now: f64, wire: Wire) {
+        let id = self.new_test();
+        if let Some(link) = self.servers.links.get_mut(&wire) {
+            link.test_sent(now, id);
+            self.counters.tests += 1;
+            self.out.push_back(Output::Write { wire, bytes: lines::ping(id) });
+        }
+    }
+}
--- /dev/null
+++ b/crates/platform/src/sip.rs
@@ -0,0 +1,176 @@
+//! What callers say in SIP, read strictly, and what is written to them.
+
+use crate::lines::call_id;
+use shalespindle_signalling::message::Called;
+use shalespindle_signalling::write::{ResponseHead, Writer};
+use shalespindle_signalling::{Message, Method};
+
+/// Why a set-up is turned away by its form alone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BadForm(pub &'static str);
+
+/// A set-up as its caller wrote it.
+#[derive(Debug, PartialEq)]
+pub struct Asked<'a> {
+    pub number: &'a str,
+    pub procedure: usize,
+    /// How long the caller waits, seconds.
+    pub patience: f64,
+    pub first_choice: Option<u16>,
+    pub description: &'a str,
+}
+
+/// The figures of `X-Route`.
+#[derive(Debug, Default, PartialEq)]
+pub struct Route<'a> {
+    pub first_choice: Option<u16>,
+    /// The call stands at that signalling server already.
+    pub at: Option<&'a str>,
+}
+
+pub fn route<'a>(message: &Message<'a>) -> Result<Route<'a>, BadForm> {
+    let mut route = Route::default();
+    let Some(text) = message.header("X-Route") else { return Ok(route) };
+    for part in text.split(';').map(str::trim).filter(|p| !p.is_empty()) {
+        let (name, value) = part.split_once(':').ok_or(BadForm("X-Route"))?;
+        match name {
+            "dest" => route.first_choice = Some(value.parse().map_err(|_| BadForm("X-Route dest"))?),
+            "at" if value.is_empty() => return Err(BadForm("X-Route at")),
+            "at" => route.at = Some(value),
+            "width" => {
+                let width: f64 = value.parse().map_err(|_| BadForm("X-Route width"))?;
+                if !(width > 0.0 && width <= f64::from(u16::MAX)) {
+                    return Err(BadForm("X-Route width"));
+                }
+            }
+            "via" => {
+                let via: f64 = value.parse().map_err(|_| BadForm("X-Route via"))?;
+                if !(-1.0..=f64::from(u16::MAX)).contains(&via) {
+                    return Err(BadForm("X-Route via"));
+                }
+            }
+            "again" if !matches!(value, "0" | "1") => return Err(BadForm("X-Route again")),
+            _ => {}
+        }
+    }
+    Ok(route)
+}
+
+/// The id of the call a message belongs to.
+pub fn id(message: &Message) -> Option<u64> {
+    message.call_id().ok().and_then(call_id)
+}
+
+/// Reads a set-up; `procedures` are names and longest times a caller may wait.
+pub fn asked<'a>(
+    message: &Message<'a>,
+    route: &Route,
+    procedures: &[(String, f64)],
+) -> Result<Asked<'a>, BadForm> {
+    if message.cseq().map(|c| c.1) != Ok(Method::Invite) {
+        return Err(BadForm("CSeq"));
+    }
+    let class = message.header("X-Service").ok_or(BadForm("X-Service"))?;
+    let procedure = procedures.iter().position(|p| p.0 == class).ok_or(BadForm("X-Service"))?;
+    let ms = message.header("X-Setup-Ms").and_then(|v| v.parse::<f64>().ok()).ok_or(BadForm("X-Setup-Ms"))?;
+    // Past the T-timer no caller waits; a figure beyond it is no figure.
+    if !(ms > 0.0 && ms <= 1000.0 * procedures[procedure].1 + 1.0) {
+        return Err(BadForm("X-Setup-Ms"));
+    }
+    let Some(Called { number, .. }) = message.called() else { return Err(BadForm("Request-URI")) };
+    let description = std::str::from_utf8(message.body).map_err(|_| BadForm("description"))?;
+    if description.is_empty() {
+        return Err(BadForm("description"));
+    }
+    Ok(Asked { number, procedure, patience: ms / 1000.0, first_choice: route.first_choice, description })
+}
+
+/// The number called as the module is told it: 0 where it is not of the usual form.
+pub fn number(text: &str) -> u64 {
+    u64::from_str_radix(text, 16).unwrap_or(0)
+}
+
+pub fn answer(head: &ResponseHead, description: &str) -> Vec<u8> {
+    Writer::response(200, head).finish_with(description.as_bytes())
+}
+
+/// A final answer other than that the call stands; with when to come back, seconds, where one is named.
+pub fn refusal(status: u16, head: &ResponseHead, pause: Option<f64>) -> Vec<u8> {
+    let mut writer = Writer::response(status, head);
+    if let Some(pause) = pause.filter(|p| *p > 0.0) {
+        writer = writer.with_args("Retry-After-Ms", format_args!("{}", (pause * 1000.0).ceil() as u64));
+    }
+    writer.finish()
+}
+
+/// For what cannot be read: an answer to nothing in particular.
+pub fn unreadable(status: u16) -> Vec<u8> {
+    Writer::response(status, &ResponseHead::none()).finish()
+}
+
+pub fn bye(id: u64, cause: u16) -> Vec<u8> {
+    Writer::request(Method::Bye, "sip:peer@net")
+        .with_args("Via", format_args!("SIP/2.0/TCP peer;branch=z9hG4bK{id:016x}"))
+        .with_args("Call-ID", format_args!("{id:016x}"))
+        .with("CSeq", "2 BYE")
+        .with_args("Reason", format_args!("Q.850;cause={cause}"))
+        .finish()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    fn invite(from: &str, to: &str) -> String {
+        "INVITE sip:7f3a9c21e0b4d655@net SIP/2.0\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: 9b1f03aa5c7e2d41\r\n\
+         CSeq: 1 INVITE\r\nX-Service: voice\r\nX-Setup-Ms: 1500\r\nX-Route: dest:2;width:1;via:-1\r\n\
+         Content-Length: 4\r\n\r\na\r\nb"
+            .replace(from, to)
+    }
+
+    fn read(text: &str) -> Result<(f64, Option<u16>), BadForm> {
+        let message = Message::parse(text.as_bytes()).map_err(|_| BadForm("message"))?;
+        id(&message).ok_or(BadForm("Call-ID"))?;
+        let route = route(&message)?;
+        asked(&message, &route, &[("voice".into(), 9.0)]).map(|a| (a.patience, a.first_choice))
+    }
+
+    #[test]
+    fn a_set_up_is_read_strictly() {
+        assert_eq!(read(&invite("", "")), Ok((1.5, Some(2))));
+        for (from, to, what) in [
+            ("9b1f03aa5c7e2d41", "9b1f03aa5c7e2d4", "Call-ID"),
+            ("9b1f03aa5c7e2d41", "9B1F03AA5C7E2D41", "Call-ID"),
+            ("X-Service: voice", "X-Service: vice", "X-Service"),
+            ("X-Service: voice\r\n", "", "X-Service"),
+            ("1500", "NaN", "X-Setup-Ms"),
+            ("1500", "inf", "X-Setup-Ms"),
+            ("1500", "-5", "X-Setup-Ms"),
+            ("1500", "0", "X-Setup-Ms"),
+            ("1500", "99999999999", "X-Setup-Ms"),
+            ("dest:2", "dest:-2", "X-Route dest"),
+            ("dest:2", "dest:70000", "X-Route dest"),
+            ("width:1", "width:nan", "X-Route width"),
+            ("via:-1", "via:1e99", "X-Route via"),
+            ("dest:2", "dest", "X-Route"),
+            ("1 INVITE", "1 BYE", "CSeq"),
+            ("a\r\nb", "\u{0}\u{0}\u{0}\u{0}", ""),
+        ] {
+            let got = read(&invite(from, to));
+            match what {
+                "" => assert!(got.is_ok(), "{to:?}"),
+                _ => assert_eq!(got, Err(BadForm(what)), "{to}"),
+            }
+        }
+        assert_eq!(read(&invite("Content-Length: 4", "Content-Length: 0")), Err(BadForm("description")));
+    }
+
+    proptest! {
+        #[test]
+        fn noise_in_any_header_never_panics(noise in "\\PC{0,60}", place in 0usize..5) {
+            let at = ["9b1f03aa5c7e2d41", "voice", "1500", "dest:2;width:1;via:-1", "7f3a9c21e0b4d655"][place];
+            let _ = read(&invite(at, &noise));
+        }
+    }
+}
--- /dev/null
+++ b/crates/platform/src/sse.rs
@@ -0,0 +1,183 @@
+//! Server-sent events out of an HTTP/1.1 response, its body plain or in chunks.
+
+use memchr::memchr;
+
+/// Longest head, line and event; a stream beyond them is given up.
+const LONGEST_HEAD: usize = 8 * 1024;
+const LONGEST_EVENT: usize = 1 << 20;
+
+/// Why a stream is given up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Spoilt {
+    Head,
+    Chunk,
+    TooLong,
+}
+
+enum Body {
+    /// The head is not whole yet.
+    Head,
+    Plain,
+    /// Bytes left of the present chunk with its line end; 0: a size line comes next.
+    Chunks(usize),
+}
+
+/// Bytes of one response that are not yet an event. Holds at most one event and one read.
+pub struct Events {
+    body: Body,
+    raw: Vec<u8>,
+    text: Vec<u8>,
+    data: Vec<u8>,
+}
+
+impl Default for Events {
+    fn default() -> Events {
+        Events { body: Body::Head, raw: Vec::new(), text: Vec::new(), data: Vec::new() }
+    }
+}
+
+impl Events {
+    /// Takes bytes in; `told` gets the data of each whole event. What is left of an event that the stream
+    /// breaks off in is never told.
+    pub fn push(&mut self, bytes: &[u8], mut told: impl FnMut(&[u8])) -> Result<(), Spoilt> {
+        self.raw.extend_from_slice(bytes);
+        if let Body::Head = self.body {
+            if !self.head()? {
+                return Ok(());
+            }
+        }
+        self.unwrap_body()?;
+        let mut from = 0;
+        while let Some(end) = memchr(b'\n', &self.text[from..]) {
+            let line =
+                self.text[from..from + end].strip_suffix(b"\r").unwrap_or(&self.text[from..from + end]);
+            from += end + 1;
+            if line.is_empty() {
+                if !self.data.is_empty() {
+                    told(&self.data);
+                    self.data.clear();
+                }
+            } else if let Some(value) = line.strip_prefix(b"data:") {
+                if !self.data.is_empty() {
+                    self.data.push(b'\n');
+                }
+                self.data.extend_from_slice(value.strip_prefix(b" ").unwrap_or(value));
+            }
+        }
+        self.text.drain(..from);
+        // Guards memory against an event without end.
+        if self.text.len() > LONGEST_EVENT || self.data.len() > LONGEST_EVENT {
+            return Err(Spoilt::TooLong);
+        }
+        Ok(())
+    }
+
+    fn head(&mut self) -> Result<bool, Spoilt> {
+        let mut headers = [httparse::EMPTY_HEADER; 32];
+        let mut response = httparse::Response::new(&mut headers);
+        let size = match response.parse(&self.raw) {
+            Ok(httparse::Status::Complete(size)) => size,
+            Ok(httparse::Status::Partial) if self.raw.len() <= LONGEST_HEAD => return Ok(false),
+            _ => return Err(Spoilt::Head),
+        };
+        if response.code != Some(200) {
+            return Err(Spoilt::Head);
+        }
+        let chunked = |h: &httparse::Header| {
+            h.name.eq_ignore_ascii_case("transfer-encoding") && h.value.eq_ignore_ascii_case(b"chunked")
+        };
+        self.body = if response.headers.iter().any(chunked) { Body::Chunks(0) } else { Body::Plain };
+        self.raw.drain(..size);
+        Ok(true)
+    }
+
+    fn unwrap_body(&mut self) -> Result<(), Spoilt> {
+        let Body::Chunks(left) = &mut self.body else {
+            self.text.append(&mut self.raw);
+            return Ok(());
+        };
+        let mut from = 0;
+        while from < self.raw.len() {
+            if *left > 0 {
+                let size = (*left).min(self.raw.len() - from);
+                // The last two bytes of a chunk are its line end, no text.
+                let text = size.min(left.saturating_sub(2));
+                self.text.extend_from_slice(&self.raw[from..from + text]);
+                *left -= size;
+                from += size;
+                continue;
+            }
+            let Some(end) = memchr(b'\n', &self.raw[from..]) else { break };
+            let line = std::str::from_utf8(&self.raw[from..from + end]).map_err(|_| Spoilt::Chunk)?;
+            let digits = line.split(';').next().unwrap_or("").trim();
+            let size = usize::from_str_radix(digits, 16).map_err(|_| Spoilt::Chunk)?;
+            if size > LONGEST_EVENT {
+                return Err(Spoilt::TooLong);
+            }
+            *left = size + 2;
+            from += end + 1;
+        }
+        self.raw.drain(..from);
+        if self.raw.len() > LONGEST_HEAD {
+            Err(Spoilt::Chunk)
+        } else {
+            Ok(())
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    fn read(stream: &[u8], steps: &[usize]) -> Result<Vec<String>, Spoilt> {
+        let (mut events, mut out, mut from, mut step) = (Events::default(), Vec::new(), 0, 0);
+        while from < stream.len() {
+            let size = steps[step % steps.len()].clamp(1, stream.len() - from);
+            step += 1;
+            events.push(&stream[from..from + size], |data| out.push(String::from_utf8_lossy(data).into()))?;
+            from += size;
+        }
+        Ok(out)
+    }
+
+    const PLAIN: &str = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n\
+        : hello\n\nid: 4\ndata: {\"n\":4}\n\nid: 5\r\ndata: a\r\ndata:b\r\n\r\n: tick\n\ndata: half";
+
+    fn chunked() -> String {
+        let (head, body) = PLAIN.split_once("\r\n\r\n").unwrap();
+        let chunks: String = body
+            .as_bytes()
+            .chunks(7)
+            .map(|c| format!("{:x}\r\n{}\r\n", c.len(), std::str::from_utf8(c).unwrap()))
+            .collect();
+        format!("{head}\r\nTransfer-Encoding: chunked\r\n\r\n{chunks}")
+    }
+
+    #[test]
+    fn a_bad_head_and_a_bad_chunk_are_named() {
+        assert_eq!(read(b"HTTP/1.1 404 No\r\n\r\n", &[9]), Err(Spoilt::Head));
+        assert_eq!(read(&[b'x'; 9000], &[100]), Err(Spoilt::Head));
+        let bad = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n";
+        assert_eq!(read(bad.as_bytes(), &[3]), Err(Spoilt::Chunk));
+        let long = format!("HTTP/1.1 200 OK\r\n\r\ndata: {}", "x".repeat(LONGEST_EVENT + 1));
+        assert_eq!(read(long.as_bytes(), &[65_536]), Err(Spoilt::TooLong));
+    }
+
+    proptest! {
+        #[test]
+        fn any_split_and_either_body_tells_the_same(steps in proptest::collection::vec(1usize..40, 1..20)) {
+            let wanted = Ok(vec!["{\"n\":4}".to_string(), "a\nb".to_string()]);
+            prop_assert_eq!(&read(PLAIN.as_bytes(), &steps), &wanted);
+            prop_assert_eq!(&read(chunked().as_bytes(), &steps), &wanted);
+        }
+
+        #[test]
+        fn noise_never_panics(noise in proptest::collection::vec(any::<u8>(), 0..2000), step in 1usize..50) {
+            let _ = read(&noise, &[step]);
+            let stream = [b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", &noise[..]].concat();
+            let _ = read(&stream, &[step]);
+        }
+    }
+}
--- /dev/null
+++ b/crates/platform/tests/cases.rs
@@ -0,0 +1,285 @@
+//! Plain cases of the front: each message both ways, ends of setup tries, links, callers' ways to leave.
+
+mod common;
+
+use common::*;
+use shalespindle_platform::{read_file, Loss};
+
+#[test]
+fn a_call_stands_and_ends_from_either_side() {
+    let (mut w, links) = World::linked(2);
+    let door = w.door();
+    w.bytes(door, invite(1, 0).as_bytes());
+    let set_up = w.took(links[0]);
+    assert_eq!(
+        set_up,
+        "{\"type\":\"setup\",\"id\":\"0000000000000001\",\"fields\":{\"class\":\"voice\",\"left\":\"3000\",\
+         \"key\":\"7f3a9c21e0b4d001\"},\"sdp\":\"9d41\\r\\nc=IN\\r\\n\"}\n"
+    );
+    w.say(links[0], r#"{"type":"progress","id":"0000000000000001","fields":{}}"#);
+    assert_eq!(w.took(door), "");
+    w.say(links[0], &answer(1));
+    let text = w.took(door);
+    assert!(
+        text.starts_with("SIP/2.0 200 OK\r\n") && text.ends_with("\r\n\r\n77aa\r\nm=audio 1\r\n"),
+        "{text}"
+    );
+    assert!(text.contains("CSeq: 1 INVITE"));
+    // A second copy changes nothing.
+    w.say(links[0], &answer(1));
+    assert_eq!((w.took(door), w.took(links[0])), (String::new(), String::new()));
+    w.bytes(door, request("ACK", 1).as_bytes());
+    w.say(links[0], &release(1, 16, ""));
+    assert!(w.took(links[0]).contains(r#""type":"released""#));
+    let bye = w.took(door);
+    assert!(bye.starts_with("BYE ") && bye.contains("Reason: Q.850;cause=16"), "{bye}");
+
+    w.bytes(door, invite(2, 1).as_bytes());
+    w.say(links[1], &answer(2));
+    w.bytes(door, request("ACK", 2).as_bytes());
+    let other = w.door();
+    let bye = request("BYE", 2).replace("CSeq", "Reason: Q.850;cause=31\r\nCSeq");
+    w.took(links[1]);
+    w.bytes(other, bye.as_bytes());
+    assert_eq!(w.first(other), "200");
+    let told = w.took(links[1]);
+    assert!(told.contains(r#""type":"release""#) && told.contains(r#""cause":31"#), "{told}");
+    assert_eq!(w.edge.held()[..2], [0, 0]);
+}
+
+#[test]
+fn every_cause_before_the_answer_is_told_to_the_module() {
+    // Cause, fields, whether the attach may go elsewhere at once.
+    for (cause, fields, at_once) in [
+        (34, r#""note":"throttled""#, true),
+        (34, r#""note":"congestion","load":"x0:0;x1:40""#, true),
+        (17, "", true),
+        (47, "", true),
+        (102, "", true),
+        (41, "", false),
+        (16, "", false),
+        (99, "", false),
+    ] {
+        let (mut w, links) = World::linked(2);
+        let door = w.door();
+        w.bytes(door, invite(1, 0).as_bytes());
+        assert!(w.took(links[0]).contains("setup"));
+        w.say(links[0], &release(1, cause, fields));
+        assert_eq!(w.took(links[1]).contains("setup"), at_once, "cause {cause} {fields}");
+        if !at_once {
+            w.pass(0.5);
+            assert_eq!(w.took(links[1]), "", "cause {cause}: within the guard");
+            w.pass(0.06);
+            assert!(w.took(links[1]).contains("setup"), "cause {cause}");
+        }
+    }
+}
+
+#[test]
+fn a_time_out_releases_the_try_and_a_late_answer_is_released_too() {
+    let (mut w, links) = World::linked(1);
+    let door = w.door();
+    w.bytes(door, invite(1, 0).as_bytes());
+    w.took(links[0]);
+    w.pass(2.99);
+    let told = w.took(links[0]);
+    assert!(told.contains(r#""type":"release","id":"0000000000000001","fields":{},"cause":16"#), "{told}");
+    w.pass(0.02);
+    let status = w.first(door);
+    assert!(matches!(status.as_str(), "503" | "504"), "{status}");
+    w.say(links[0], &answer(1));
+    assert_eq!(w.took(door), "", "nothing after the final answer");
+    assert!(w.took(links[0]).contains(r#""cause":16"#));
+    assert_eq!(w.edge.held()[..2], [0, 0]);
+}
+
+#[test]
+fn cancel_and_answer_cross_in_both_orders() {
+    let (mut w, links) = World::linked(1);
+    let door = w.door();
+    w.bytes(door, invite(1, 0).as_bytes());
+    w.took(links[0]);
+    w.bytes(door, request("CANCEL", 1).as_bytes());
+    assert_eq!(w.first(door), "200");
+    assert!(w.took(links[0]).contains(r#""cause":16"#));
+    w.say(links[0], &answer(1));
+    assert_eq!(w.took(door), "");
+    assert!(w.took(links[0]).contains(r#""cause":16"#));
+
+    w.bytes(door, invite(2, 0).as_bytes());
+    w.say(links[0], &answer(2));
+    w.took(links[0]);
+    w.bytes(door, request("CANCEL", 2).as_bytes());
+    let answers: Vec<String> = w.answers(door).into_iter().map(|a| a.0).collect();
+    assert_eq!(answers, ["200", "200", "BYE"]);
+    assert!(w.took(links[0]).contains(r#""cause":16"#));
+    assert_eq!(w.edge.held()[..2], [0, 0]);
+}
+
+#[test]
+fn a_closed_caller_has_left_but_its_standing_call_stays() {
+    let (mut w, links) = World::linked(1);
+    let door = w.door();
+    w.bytes(door, invite(1, 0).as_bytes());
+    w.say(links[0], &answer(1));
+    w.bytes(door, request("ACK", 1).as_bytes());
+    w.bytes(door, invite(2, 0).as_bytes());
+    w.took(links[0]);
+    w.lose(door, Loss::Broken);
+    let told = w.took(links[0]);
+    assert!(told.contains(&id(2)) && !told.contains(&id(1)), "{told}");
+    assert_eq!(w.edge.held()[..2], [0, 1]);
+    // Its release waits for a connection that proves of use.
+    w.say(links[0], &release(1, 16, ""));
+    let other = w.door();
+    assert_eq!(w.took(other), "");
+    w.bytes(other, invite(3, 0).as_bytes());
+    assert_eq!(w.answers(other), [("BYE".into(), id(1))]);
+}
+
+#[test]
+fn a_set_up_waits_for_a_dial_and_a_drain_meanwhile_keeps_it_back() {
+    let mut w = World::new(1);
+    let feed = w.dialled_feed(4222);
+    w.edge.connected(w.now, feed);
+    let door = w.door();
+    w.bytes(door, invite(1, 0).as_bytes());
+    w.bytes(feed, b"HTTP/1.1 200 OK\r\n\r\n");
+    let drain = event(2, false, &[member("s0", 0, "draining", 0)]);
+    w.bytes(feed, format!("id: 2\ndata: {drain}\n\n").as_bytes());
+    assert_eq!(w.first(door), "503");
+    let wire = w.link(0);
+    assert!(!w.took(wire).contains("setup"));
+}
+
+#[test]
+fn a_refused_dial_proves_that_nothing_ran() {
+    let mut w = World::new(2);
+    let (dead, door) = (w.dialled(0), w.door());
+    let alive = w.link(1);
+    w.bytes(door, invite(1, 0).as_bytes());
+    w.lose(dead, Loss::Refused);
+    assert!(w.took(alive).contains("setup"), "at once, without the guard");
+}
+
+#[test]
+fn a_link_that_takes_connections_and_says_nothing_is_not_up() {
+    let mut w = World::new(2);
+    let (hung, door) = (w.dialled(0), w.door());
+    let alive = w.link(1);
+    w.edge.connected(w.now, hung);
+    w.bytes(door, invite(1, 0).as_bytes());
+    assert_eq!((w.took(hung), w.took(alive)), (String::new(), String::new()));
+    w.pass(0.51);
+    assert!(w.closed.contains(&(hung, true)));
+    assert!(w.took(alive).contains("setup"));
+}
+
+#[test]
+fn a_lost_link_cuts_its_set_ups_only_and_is_made_again_for_what_stands() {
+    let (mut w, links) = World::linked(2);
+    let door = w.door();
+    w.bytes(door, invite(1, 0).as_bytes());
+    w.say(links[0], &answer(1));
+    w.bytes(door, request("ACK", 1).as_bytes());
+    w.bytes(door, invite(2, 0).as_bytes());
+    w.took(door);
+    w.lose(links[0], Loss::Broken);
+    assert_eq!(w.edge.held()[..2], [1, 1]);
+    let again = w.link(0);
+    w.say(again, &release(1, 41, ""));
+    assert_eq!(w.answers(door), [("BYE".into(), id(1))]);
+    w.pass(0.56);
+    assert!(w.took(links[1]).contains(&id(2)), "after the guard, elsewhere");
+}
+
+#[test]
+fn a_new_server_at_an_old_address_gets_links_of_its_own() {
+    let (mut w, links) = World::linked(1);
+    let door = w.door();
+    w.bytes(door, invite(1, 0).as_bytes());
+    w.say(links[0], &answer(1));
+    w.bytes(door, request("ACK", 1).as_bytes());
+    w.took(door);
+    let feed = w.dialled_feed(4222);
+    w.edge.connected(w.now, feed);
+    w.bytes(feed, b"HTTP/1.1 200 OK\r\n\r\n");
+    let replaced = event(2, false, &[member("s0", 0, "removed", 0), member("t0", 0, "up", 0)]);
+    w.bytes(feed, format!("data: {replaced}\n\n").as_bytes());
+    let new = w.link(0);
+    w.took(links[0]);
+    w.bytes(door, invite(2, 0).as_bytes());
+    assert!(w.took(new).contains(&id(2)) && w.took(links[0]).is_empty());
+    // What stood at the old one is over when it has had time for its last words.
+    w.pass(0.6);
+    assert_eq!(w.answers(door), [("BYE".into(), id(1))]);
+    assert!(w.closed.contains(&(links[0], true)));
+}
+
+#[test]
+fn a_spoilt_line_costs_its_link_and_no_more() {
+    let endless = vec![b'x'; 17_000];
+    for spoilt in
+        [&b"noise\n"[..], b"{\"type\":\"answer\",\"id\":\"0000000000000001\",\"fields\":{}}\n", &endless]
+    {
+        let (mut w, links) = World::linked(2);
+        let door = w.door();
+        w.bytes(door, invite(1, 0).as_bytes());
+        w.took(links[0]);
+        w.bytes(links[0], spoilt);
+        assert!(w.closed.contains(&(links[0], true)));
+        assert_eq!(w.took(door), "");
+        w.link(0);
+        w.pass(0.56);
+        assert!(w.took(links[1]).contains(&id(1)));
+    }
+    // What belongs to nobody is passed over, and nothing is left standing of it.
+    let (mut w, links) = World::linked(1);
+    w.say(links[0], &answer(77));
+    assert!(w.took(links[0]).contains(r#""cause":16"#) && w.closed.is_empty());
+}
+
+#[test]
+fn probes_are_answered_on_their_link_and_doubt_comes_only_from_silence() {
+    let (mut w, links) = World::linked(1);
+    for _ in 0..120 {
+        w.pass(0.25);
+        for line in w.took(links[0]).lines() {
+            let ping = line.replace("ping", "pong").replace("{}", r#"{"load":"x0:1;x1:2;latency_ms:3"}"#);
+            w.say(links[0], &ping);
+        }
+    }
+    assert!(w.edge.counters().tests > 3, "{:?}", w.edge.counters());
+    assert!(!w.closed.contains(&(links[0], true)) && w.dials.iter().all(|d| d.1 == 4222));
+    // From here on silence: the next probe but one looks for another link.
+    w.pass(40.0);
+    assert!(w.dials.iter().any(|d| d.1 == 6000));
+}
+
+#[test]
+fn calls_handed_over_are_held_and_released() {
+    let (mut w, links) = World::linked(1);
+    let door = w.door();
+    let handed =
+        |call, at: &str| invite_with(call, &format!("X-Setup-Ms: 3000\r\nX-Route: at:{at}\r\n"), "x");
+    w.bytes(door, handed(1, "s0").as_bytes());
+    w.bytes(door, handed(1, "s0").as_bytes());
+    assert_eq!((w.took(door), w.took(links[0])), (String::new(), String::new()));
+    assert_eq!(w.edge.held()[1], 1);
+    w.say(links[0], &release(1, 16, ""));
+    assert_eq!(w.answers(door), [("BYE".into(), id(1))]);
+    w.bytes(door, handed(2, "nobody").as_bytes());
+    assert_eq!(w.answers(door), [("BYE".into(), id(2))]);
+}
+
+#[test]
+fn bad_files_are_named() {
+    let good = file(&[], 4222);
+    assert!(read_file(good.as_bytes()).is_ok());
+    let fails = |from: &str, to: &str| read_file(good.replace(from, to).as_bytes()).unwrap_err();
+    assert!(fails("8c1f30d27a5be964", "zebra").contains("seed"));
+    assert!(fails("\"sockets\":256", "\"sockets\":3").contains("limits.sockets is 3; 64 or more"));
+    assert!(fails("\"guard_s\": 0.5", "\"guard_s\": \"x\"").contains("settings.domain.guard_s"));
+    assert!(fails("127.0.0.1:4222", "nowhere").contains("feed"));
+    assert!(read_file(b"").is_err());
+}
--- a/crates/signalling/src/framer.rs
+++ b/crates/signalling/src/framer.rs
@@ -12,13 +12,25 @@
 }
 
 /// Bytes of one connection that are not yet a whole message. Holds at most one message and one read.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Framer {
     bytes: Vec<u8>,
     from: usize,
+    longest_body: usize,
+}
+
+impl Default for Framer {
+    fn default() -> Framer {
+        Framer::with_longest_body(LONGEST_BODY)
+    }
 }
 
 impl Framer {
+    /// For peers that agreed on less: a longer body is refused as soon as its length is read.
+    pub fn with_longest_body(longest_body: usize) -> Framer {
+        Framer { bytes: Vec::new(), from: 0, longest_body: longest_body.min(LONGEST_BODY) }
+    }
+
     pub fn push(&mut self, bytes: &[u8]) {
         if self.from > 0 {
             self.bytes.drain(..self.from);
@@ -43,7 +55,7 @@
             return if rest.len() > LONGEST_HEAD { Err(FrameError::Head) } else { Ok(None) };
         };
         let length = content_length(&rest[..end]).ok_or(FrameError::Length)?;
-        if length > LONGEST_BODY {
+        if length > self.longest_body {
             return Err(FrameError::Length);
         }
         if rest.len() < end + length {
@@ -105,5 +117,9 @@
         assert_eq!(fails(&[b'x'; LONGEST_HEAD + 1]), Err(FrameError::Head));
         assert_eq!(fails(b"BYE sip:a SIP/2.0\r\nA: b\r\n\r\n"), Err(FrameError::Length));
         assert_eq!(fails(b"BYE sip:a SIP/2.0\r\nl: 99999999\r\n\r\n"), Err(FrameError::Length));
+        assert_eq!(fails(b"BYE sip:a SIP/2.0\r\nl: -1\r\n\r\n"), Err(FrameError::Length));
+        let mut small = Framer::with_longest_body(2);
+        small.push(b"BYE sip:a SIP/2.0\r\nl: 3\r\n\r\n");
+        assert_eq!(small.next_frame(), Err(FrameError::Length));
     }
 }
--- a/crates/signalling/src/write.rs
+++ b/crates/signalling/src/write.rs
@@ -10,6 +10,11 @@
 pub struct ResponseHead(Box<str>);
 
 impl ResponseHead {
+    /// For an answer to what could not be read.
+    pub fn none() -> ResponseHead {
+        ResponseHead(Box::default())
+    }
+
     /// `own_tag` is added to a To that has none; empty: none is added.
     pub fn of(request: &Message, own_tag: &str) -> ResponseHead {
         let mut out = Writer(String::with_capacity(384));
@@ -112,14 +117,17 @@
         404 => "Not Found",
         405 => "Method Not Allowed",
         408 => "Request Timeout",
+        413 => "Request Entity Too Large",
         480 => "Temporarily Unavailable",
         481 => "Call/Transaction Does Not Exist",
+        482 => "Loop Detected",
         483 => "Too Many Hops",
         486 => "Busy Here",
         487 => "Request Terminated",
         488 => "Not Acceptable Here",
         500 => "Server Internal Error",
         503 => "Service Unavailable",
+        504 => "Server Time-out",
         _ => "Status",
     }
 }
--- a/crates/sockets/src/lib.rs
+++ b/crates/sockets/src/lib.rs
@@ -4,11 +4,13 @@
 pub mod ground;
 pub mod mailbox;
 pub mod questions;
+pub mod shared;
 pub mod stream;
 
 pub use ground::Ground;
 pub use mailbox::{mailbox, Gone, Mail, Mailbox};
 pub use questions::{Questions, Report};
+pub use shared::{share, Reading, Writing};
 pub use stream::{Outgoing, Sent};
 
 /// Stack of a coroutine that only carries bytes, in machine words.
@@ -21,6 +23,23 @@
 /// A handle on a coroutine.
 pub type Handle = may::coroutine::JoinHandle<()>;
 
+/// Hands on what is read, `size` bytes at most at once, until the end or until nobody wants it.
+pub fn read_all(stream: &mut impl std::io::Read, size: usize, mut hand_on: impl FnMut(Vec<u8>) -> bool) {
+    let mut buffer = vec![0; size];
+    loop {
+        match stream.read(&mut buffer) {
+            Ok(0) => return,
+            Ok(n) => {
+                if !hand_on(buffer[..n].to_vec()) {
+                    return;
+                }
+            }
+            Err(e) if e.kind() == std::io::ErrorKind::Interrupted => {}
+            Err(_) => return,
+        }
+    }
+}
+
 /// Starts a coroutine with a stack of that many words.
 pub fn start(stack: usize, run: impl FnOnce() + Send + 'static) -> std::io::Result<Handle> {
     may::go_with!(stack, run)
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod names;
 pub mod nameserver;
 pub mod net;
+pub mod platform;
 pub mod processor;
 pub mod server;
 pub mod trace;
--- /dev/null
+++ b/crates/standin/src/platform.rs
@@ -0,0 +1,161 @@
+//! Peers of a live front on sockets, from the platform's published pages: a signalling server of JSON lines
+//! and a control feed of server-sent events. A test says what they do; everything they get comes out of a
+//! channel.
+
+use serde_json::Value;
+use std::io::{self, BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::{channel, Receiver, RecvTimeoutError, Sender};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+type Shared<T> = Arc<Mutex<T>>;
+
+fn locked<T>(shared: &Shared<T>) -> std::sync::MutexGuard<'_, T> {
+    shared.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// A line that a signalling server got, and where to answer it.
+pub struct Got {
+    pub line: Value,
+    stream: TcpStream,
+}
+
+impl Got {
+    pub fn kind(&self) -> &str {
+        self.line["type"].as_str().unwrap_or("")
+    }
+
+    pub fn id(&self) -> &str {
+        self.line["id"].as_str().unwrap_or("")
+    }
+
+    /// Writes a line on the connection that this one came on.
+    pub fn reply(&self, line: &Value) -> io::Result<()> {
+        write_line(&self.stream, line)
+    }
+
+    /// Ends that connection.
+    pub fn cut(&self) -> io::Result<()> {
+        self.stream.shutdown(std::net::Shutdown::Both)
+    }
+}
+
+fn write_line(mut stream: &TcpStream, line: &Value) -> io::Result<()> {
+    stream.write_all(format!("{line}\n").as_bytes())
+}
+
+/// A signalling server: says its state first on every connection and answers tests by itself.
+pub struct LineServer {
+    pub address: SocketAddr,
+    got: Receiver<Got>,
+}
+
+impl LineServer {
+    pub fn start() -> io::Result<LineServer> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let address = listener.local_addr()?;
+        let (tell, got) = channel();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let tell = tell.clone();
+                std::thread::spawn(move || serve(stream, &tell));
+            }
+        });
+        Ok(LineServer { address, got })
+    }
+
+    /// The next line of that type; others before it are passed over.
+    pub fn expect(&self, kind: &str, within: Duration) -> Result<Got, RecvTimeoutError> {
+        loop {
+            let got = self.got.recv_timeout(within)?;
+            if got.kind() == kind {
+                return Ok(got);
+            }
+        }
+    }
+}
+
+/// Ends with its connection, whatever the reason.
+fn serve(stream: TcpStream, tell: &Sender<Got>) -> Option<()> {
+    let state = serde_json::json!({"type": "state", "id": "", "fields": {"load": "x0:40;x1:40"}});
+    write_line(&stream, &state).ok()?;
+    for line in BufReader::new(stream.try_clone().ok()?).lines() {
+        let line: Value = serde_json::from_str(&line.ok()?).ok()?;
+        if line["type"] == "ping" {
+            let fields = serde_json::json!({"load": "x0:40;x1:40;latency_ms:1"});
+            let pong = serde_json::json!({"type": "pong", "id": line["id"], "fields": fields, "cause": 1});
+            write_line(&stream, &pong).ok()?;
+            continue;
+        }
+        tell.send(Got { line, stream: stream.try_clone().ok()? }).ok()?;
+    }
+    Some(())
+}
+
+/// A control feed: keeps all events, and tells a front those after the number it names.
+pub struct EventFeed {
+    pub address: SocketAddr,
+    told: Shared<Told>,
+}
+
+#[derive(Default)]
+struct Told {
+    events: Vec<String>,
+    open: Vec<TcpStream>,
+    asked: Vec<usize>,
+}
+
+impl EventFeed {
+    /// A feed that has so many events behind it already.
+    pub fn start(events: Vec<String>) -> io::Result<EventFeed> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let address = listener.local_addr()?;
+        let told: Shared<Told> = Arc::new(Mutex::new(Told { events, ..Told::default() }));
+        let (asking, ticking) = (told.clone(), Arc::downgrade(&told));
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                asked(stream, &asking);
+            }
+        });
+        std::thread::spawn(move || {
+            while let Some(told) = ticking.upgrade() {
+                locked(&told).open.retain_mut(|stream| stream.write_all(b": tick\n\n").is_ok());
+                drop(told);
+                std::thread::sleep(Duration::from_millis(500));
+            }
+        });
+        Ok(EventFeed { address, told })
+    }
+
+    pub fn tell(&self, event: String) {
+        let mut told = locked(&self.told);
+        told.events.push(event);
+        let (number, text) = (told.events.len(), told.events[told.events.len() - 1].clone());
+        told.open.retain_mut(|stream| write!(stream, "id: {number}\ndata: {text}\n\n").is_ok());
+    }
+
+    /// The numbers after which fronts have asked so far.
+    pub fn asked(&self) -> Vec<usize> {
+        locked(&self.told).asked.clone()
+    }
+}
+
+fn asked(mut stream: TcpStream, told: &Shared<Told>) -> Option<()> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") && head.len() < 4096 {
+        let mut byte = [0];
+        stream.read_exact(&mut byte).ok()?;
+        head.extend(byte);
+    }
+    let text = String::from_utf8(head).ok()?;
+    let after = text.lines().find_map(|l| l.strip_prefix("Last-Event-ID: "))?.parse::<usize>().ok()?;
+    let mut told = locked(told);
+    told.asked.push(after);
+    write!(stream, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n").ok()?;
+    for (place, event) in told.events.iter().enumerate().skip(after) {
+        write!(stream, "id: {}\ndata: {event}\n\n", place + 1).ok()?;
+    }
+    told.open.push(stream);
+    Some(())
+}
--- /dev/null
+++ b/crates/startup/src/lib.rs
@@ -0,0 +1,182 @@
+//! The start-up settings as the operators write them, decoded once into what the decision module needs and
+//! what its hosts need beside it: the adapter on the simulator's wire, the live front on sockets.
+
+use serde::Deserialize;
+use shalespindle_control::interface::{ColdStart, Deployment, Procedure};
+
+/// The settings as they are written; keys that nobody here reads are passed over.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Text {
+    classes: Vec<Class>,
+    domain: Domain,
+    limits: Limits,
+    safety: Safety,
+    stats: Stats,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+struct Class {
+    #[serde(default)]
+    name: String,
+    aim_s: f64,
+    deadline_s: f64,
+    late_share: f64,
+    worth: f64,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+struct Domain {
+    class_cells: Vec<Vec<u16>>,
+    guard_s: f64,
+    tells_wait: bool,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+struct Limits {
+    cancelling: bool,
+    dial_timeout_s: f64,
+    max_attempts: u32,
+    max_retry_after_s: f64,
+    most_held: usize,
+    probes: bool,
+    retry_after: bool,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+struct Safety {
+    start_capacity: f64,
+    warm_after_s: f64,
+    tip_multiple: f64,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+struct Stats {
+    fields: Vec<String>,
+}
+
+/// Where the wire puts what the module is told; needed to decode later events.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Reading {
+    pub free_at: Option<usize>,
+    pub agents_at: Option<usize>,
+    pub wait_at: Option<usize>,
+    pub tells_wait: bool,
+}
+
+/// What a host needs to know itself.
+#[derive(Clone, Debug, Default)]
+pub struct Place {
+    /// Names of the procedures, in the deployment's order.
+    pub procedures: Vec<String>,
+    /// Attaches that may be in hand at once.
+    pub most_held: usize,
+    /// A connection that is not up within this counts as not made, seconds.
+    pub dial_within: f64,
+}
+
+/// The settings, taken apart by who needs them.
+#[derive(Clone, Debug, Default)]
+pub struct Startup {
+    pub deployment: Deployment,
+    pub reading: Reading,
+    pub place: Place,
+}
+
+/// From bytes; a fault names its line and column.
+pub fn decode(text: &[u8]) -> Result<Startup, String> {
+    let text: Text = serde_json::from_slice(text).map_err(|e| format!("boot: settings: {e}"))?;
+    text.take().map_err(|why| format!("boot: {why}"))
+}
+
+impl Text {
+    /// Checks the figures and takes them apart; a fault names its key and what is allowed.
+    pub fn take(self) -> Result<Startup, String> {
+        self.check()?;
+        let fields = &self.stats.fields;
+        let reading = Reading {
+            free_at: fields.iter().position(|f| f == "free"),
+            agents_at: fields.iter().position(|f| f == "size"),
+            wait_at: fields.iter().position(|f| f == "latency_ms"),
+            tells_wait: self.domain.tells_wait,
+        };
+        let place = Place {
+            procedures: self.classes.iter().map(|c| c.name.clone()).collect(),
+            most_held: self.limits.most_held,
+            dial_within: self.limits.dial_timeout_s,
+        };
+        let mut cells = self.domain.class_cells.into_iter();
+        let procedures = self.classes.iter().map(|c| Procedure {
+            latency_target: c.aim_s,
+            utility: c.worth,
+            late_share: c.late_share,
+            t_timer: c.deadline_s,
+            pools: cells.next().unwrap_or_default(),
+        });
+        let deployment = Deployment {
+            procedures: procedures.collect(),
+            may_cancel: self.limits.cancelling,
+            may_probe: self.limits.probes,
+            max_tries: self.limits.max_attempts,
+            release_guard: self.domain.guard_s,
+            longest_pause: if self.limits.retry_after { self.limits.max_retry_after_s } else { 0.0 },
+            cold: ColdStart {
+                start_capacity: self.safety.start_capacity,
+                warm_after: self.safety.warm_after_s,
+                tip_multiple: self.safety.tip_multiple,
+            },
+        };
+        Ok(Startup { deployment, reading, place })
+    }
+
+    fn check(&self) -> Result<(), String> {
+        let above = |place: String, value: f64| match value > 0.0 && value.is_finite() {
+            true => Ok(()),
+            false => Err(format!("settings.{place} is {value}; more than 0 is allowed")),
+        };
+        let from = |place: &str, value: f64| match value >= 0.0 && value.is_finite() {
+            true => Ok(()),
+            false => Err(format!("settings.{place} is {value}; 0 or more is allowed")),
+        };
+        if self.classes.is_empty() {
+            return Err("settings.classes is empty; one procedure at least is allowed".into());
+        }
+        for (place, class) in self.classes.iter().enumerate() {
+            above(format!("classes[{place}].aim_s"), class.aim_s)?;
+            above(format!("classes[{place}].deadline_s"), class.deadline_s)?;
+        }
+        above("limits.dial_timeout_s".into(), self.limits.dial_timeout_s)?;
+        above("safety.warm_after_s".into(), self.safety.warm_after_s)?;
+        from("domain.guard_s", self.domain.guard_s)?;
+        from("limits.max_retry_after_s", self.limits.max_retry_after_s)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const GOOD: &str = r#"{"classes": [{"aim_s": 2.0, "deadline_s": 9.0, "late_share": 0.25, "name": "login",
+        "worth": 1.0}], "domain": {"class_cells": [[0, 1]], "guard_s": 0.5, "tells_wait": false},
+        "limits": {"cancelling": true, "dial_timeout_s": 0.5, "max_attempts": 4, "max_retry_after_s": 2.0,
+        "most_held": 20000, "probes": true, "retry_after": true}, "safety": {"start_capacity": 0.29,
+        "tip_multiple": 2.0, "warm_after_s": 15.0}, "stats": {"fields": ["free", "size", "latency_ms"]}}"#;
+
+    #[test]
+    fn settings_are_taken_apart() {
+        let startup = decode(GOOD.as_bytes()).unwrap();
+        assert_eq!(startup.place.procedures, ["login"]);
+        assert_eq!((startup.reading.wait_at, startup.reading.tells_wait), (Some(2), false));
+        assert_eq!(startup.deployment.procedures[0].pools, [0, 1]);
+        assert_eq!((startup.place.most_held, startup.deployment.longest_pause), (20_000, 2.0));
+    }
+
+    #[test]
+    fn faults_name_their_place_and_what_is_allowed() {
+        let fails = |from: &str, to: &str| decode(GOOD.replace(from, to).as_bytes()).unwrap_err();
+        let why = fails("\"aim_s\": 2.0", "\"aim_s\": 0");
+        assert!(why.contains("classes[0].aim_s is 0; more than 0"), "{why}");
+        assert!(fails("\"guard_s\": 0.5", "\"guard_s\": -1").contains("domain.guard_s is -1; 0 or more"));
+        assert!(fails("\"guard_s\": 0.5, ", "").contains("guard_s"));
+        assert!(decode(b"nonsense").unwrap_err().contains("line 1"));
+    }
+}
--- a/crates/transport/src/readers.rs
+++ b/crates/transport/src/readers.rs
@@ -3,8 +3,10 @@
 use crate::owner::Letter;
 use may::net::{TcpListener, TcpStream, UdpSocket};
 use shalespindle_front::LinkId;
-use shalespindle_sockets::{start, Ground, Handle, Mailbox, Outgoing, LARGE_STACK, READ, SMALL_STACK};
-use std::io::{self, Read};
+use shalespindle_sockets::{
+    read_all, start, Ground, Handle, Mailbox, Outgoing, LARGE_STACK, READ, SMALL_STACK,
+};
+use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
@@ -72,29 +74,12 @@
             let letter = Letter::CallerBytes { arrived: ground.arrival(), stream, bytes };
             mailbox.send(letter).is_ok()
         };
-        read_all(&mut tcp, sent);
+        read_all(&mut tcp, READ, sent);
         open.fetch_sub(1, Ordering::Relaxed);
         let _ = mailbox.send(Letter::CallerClosed { stream });
     })
 }
 
-/// Hands on what is read until the end; the buffer lives on the heap.
-fn read_all(tcp: &mut TcpStream, mut hand_on: impl FnMut(Vec<u8>) -> bool) {
-    let mut buffer = vec![0; READ];
-    loop {
-        match tcp.read(&mut buffer) {
-            Ok(0) => return,
-            Ok(n) => {
-                if !hand_on(buffer[..n].to_vec()) {
-                    return;
-                }
-            }
-            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-            Err(_) => return,
-        }
-    }
-}
-
 /// Connects to a server and then reads from it.
 pub(crate) fn connect(
     id: LinkId,
@@ -113,7 +98,7 @@
             if mailbox.send(Letter::Connected { id, outgoing }).is_err() {
                 return;
             }
-            read_all(&mut stream, |bytes| {
+            read_all(&mut stream, READ, |bytes| {
                 let letter = Letter::LinkBytes { arrived: ground.arrival(), id, bytes };
                 mailbox.send(letter).is_ok()
             });
@@ -141,7 +126,7 @@
                     return;
                 }
                 pause = first;
-                read_all(&mut stream, |bytes| mailbox.send(Letter::FeedBytes { bytes }).is_ok());
+                read_all(&mut stream, READ, |bytes| mailbox.send(Letter::FeedBytes { bytes }).is_ok());
                 if mailbox.send(Letter::FeedLost).is_err() {
                     return;
                 }
