--- a/crates/cli/tests/live.rs
+++ b/crates/cli/tests/live.rs
@@ -112,7 +112,8 @@
     let servers = [LineServer::start().unwrap(), LineServer::start().unwrap()];
     let both = [("s-0", servers[0].address), ("s-1", servers[1].address)];
     let first = event(1, &both[..1]);
-    let feeds = [EventFeed::start(vec![first.clone()]).unwrap(), EventFeed::start(vec![first.clone()]).unwrap()];
+    let feeds =
+        [EventFeed::start(vec![first.clone()]).unwrap(), EventFeed::start(vec![first.clone()]).unwrap()];
     let listen = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
     let folder = tempfile::tempdir().unwrap();
     let config = folder.path().join("config.json");
