A server that never says its state first is asked, and its next links are up when made

Examined: the front's log showed every link to each new server of one pool as 'Made, Broken' and never up, while the other pool's new servers came up at once; addresses (now in the log) are new ones, so no address of one that went; dials were not refused; the module had no unreached tries to speak of, so it was not its silence rule. Probe: a ping on a link that was made and said nothing for 0.1 s. It was answered at once: the process is there and does not say its state unasked. The faulty line was link_due in platform/src/servers.rs, which took the missing first state for a missing process.

Change: such a link is asked by a test; a server that had to be asked has its next links taken as up when they are made.

Examined and excluded: that one set-up in line at a cold pool holds fronts of this size back (control.rs, Pool::closed).

--- a/crates/platform/src/edge.rs
+++ b/crates/platform/src/edge.rs
@@ -86,6 +86,8 @@
     Waited(UeName, u32),
     /// A link must be up by now.
     Link(Wire),
+    /// A link that is made and still silent is asked for a word.
+    Silent(Wire),
     /// Another dial to that server.
     Dial(PoolName),
     /// What stands at a server that was removed is over.
@@ -196,7 +198,7 @@
             self.belief("feed connected", self.feed.to, format!("after event {}", self.feed.taken));
             self.out.push_back(Output::Write { wire, bytes });
         } else {
-            self.link_made(wire);
+            self.link_made(now, wire);
         }
     }
 
@@ -314,6 +316,7 @@
                 }
             }
             Due::Link(wire) => self.link_due(now, wire),
+            Due::Silent(wire) => self.link_silent(now, wire),
             Due::Dial(pool) => self.dial_due(now, pool),
             Due::Gone(pool) => self.server_gone(now, pool),
             Due::Sweep => {
--- a/crates/platform/src/link.rs
+++ b/crates/platform/src/link.rs
@@ -102,6 +102,8 @@
     pub links: Vec<Wire>,
     /// Setup tries that wait for a link.
     pub waiting: VecDeque<UeName>,
+    /// It did not say its state first on a link that was made: the next ones are up when they are made.
+    pub mute: bool,
     /// A test waits for a link.
     pub test_waits: bool,
     /// Releases that wait for a link.
@@ -140,6 +142,7 @@
             phase: Phase::Up,
             links: Vec::new(),
             waiting: VecDeque::new(),
+            mute: false,
             test_waits: false,
             owed: VecDeque::new(),
             pause: 0.0,
--- a/crates/platform/src/servers.rs
+++ b/crates/platform/src/servers.rs
@@ -17,6 +17,8 @@
 const LAST_WORDS: f64 = 0.5;
 /// So long a server refuses every connection before what stood there counts as over.
 const DEAD_AFTER: f64 = 2.0;
+/// Part of the time for a dial that a server has to say its state unasked.
+const UNASKED: f64 = 0.2;
 /// Releases that wait for a link to one server.
 const MOST_OWED: usize = 4096;
 
@@ -63,7 +65,9 @@
             };
             let number = self.servers.all.get(&pool).map_or(member.cell, |s| s.number);
             entries.push(PoolEntry { name: pool, number, started, ready: phase == Phase::Up });
-            self.belief("server listed", &member.id, format!("{phase:?}, pool {number}, event {}", event.n));
+            let at = self.servers.all.get(&pool).map(|s| s.address);
+            let why = format!("{phase:?}, pool {number}, {at:?}, started {started}, event {}", event.n);
+            self.belief("server listed", &member.id, why);
             self.phase(now, pool, phase);
         }
         self.control.pools_listed(now, &entries, news.complete);
@@ -163,10 +167,23 @@
         }
     }
 
-    pub(crate) fn link_made(&mut self, wire: Wire) {
-        if let Some(link) = self.servers.links.get_mut(&wire) {
-            link.state = LinkState::Made;
+    pub(crate) fn link_made(&mut self, now: f64, wire: Wire) {
+        let Some(link) = self.servers.links.get_mut(&wire) else { return };
+        link.state = LinkState::Made;
+        if self.servers.all.get(&link.pool).is_some_and(|s| s.mute) {
+            self.link_up(now, wire);
+        } else {
+            self.timers.set(now + self.dial_within * UNASKED, Due::Silent(wire));
+        }
+    }
+
+    /// Guards against servers that do not say their state first: whether a process is there is asked.
+    pub(crate) fn link_silent(&mut self, now: f64, wire: Wire) {
+        let Some(link) = self.servers.links.get(&wire).filter(|l| l.state == LinkState::Made) else { return };
+        if let Some(server) = self.servers.all.get_mut(&link.pool) {
+            server.mute = true;
         }
+        self.test_on(now, wire);
     }
 
     /// A link that is not up by now will not come up.
--- a/crates/platform/tests/cases.rs
+++ b/crates/platform/tests/cases.rs
@@ -172,7 +172,27 @@
     assert_eq!((w.took(hung), w.took(alive)), (String::new(), String::new()));
     w.pass(0.51);
     assert!(w.closed.contains(&(hung, true)));
-    assert!(w.took(alive).contains("setup"));
+    assert!(w.took(alive).contains("setup") && !w.took(hung).contains("setup"));
+}
+
+#[test]
+fn a_server_that_never_says_its_state_is_asked_once_and_then_taken_as_it_is() {
+    let mut w = World::new(1);
+    let (mute, door) = (w.dialled(0), w.door());
+    w.edge.connected(w.now, mute);
+    w.bytes(door, invite(1, 0).as_bytes());
+    w.pass(0.11);
+    let asked = w.took(mute);
+    assert!(asked.contains(r#""type":"ping""#) && !asked.contains("setup"), "{asked}");
+    w.say(mute, &asked.trim().replace("ping", "pong"));
+    assert!(w.took(mute).contains(&id(1)));
+    // The next link: the set-up goes out as soon as it is made.
+    w.lose(mute, Loss::Broken);
+    w.bytes(door, invite(2, 0).as_bytes());
+    let next = w.dialled(0);
+    w.edge.connected(w.now, next);
+    w.turn();
+    assert!(w.took(next).contains(&id(2)));
 }
 
 #[test]
