A crowd of testers pushes no caller out; an ending front stays for what stands

Excluded: links (none lost), the owner (late 2 ms), handed-over calls (none came in the log), memory of releases (heard or not: no 200 came for these). Faulty lines: Doors::used, least_useful and towards in door.rs counted a test like a call; Edge::is_done ended 0.85 s after SIGTERM with calls standing, whose releases then had no way.

Change: three degrees of use, closed from the least on; releases go on connections that carry calls alone; an ending front stays while calls stand, up to 3.6 s. Tests: a_crowd_of_testers..., an_orderly_end..., an_ending_front....

--- a/crates/platform/src/callers.rs
+++ b/crates/platform/src/callers.rs
@@ -1,7 +1,7 @@
 //! The callers' side of a front: what comes on their connections, and what goes out to them.
 
 use crate::calls::{InHand, Is, Stands};
-use crate::door::MOST_BAD;
+use crate::door::{Use, MOST_BAD};
 use crate::edge::{Edge, Output, Wire};
 use crate::lines;
 use crate::sip;
@@ -72,7 +72,7 @@
             Start::Request { method: Method::Cancel, .. } => self.cancel(now, wire, message),
             Start::Request { method: Method::Bye, .. } => self.bye(now, wire, message),
             Start::Request { method: Method::Options, .. } => {
-                self.doors.used(now, wire);
+                self.doors.used(now, wire, Use::Tests);
                 self.respond(wire, 200, message);
             }
             Start::Request { .. } => self.bad(now, wire, message, 405),
@@ -122,7 +122,7 @@
             || self.calls.bytes() + asked.description.len() > self.most_bytes;
         if full || self.takes_no_more(now) {
             self.counters.no_place += 1;
-            self.doors.used(now, wire);
+            self.doors.used(now, wire, Use::Calls);
             return self.respond(wire, 503, message);
         }
         let gives_up_at = arrived + asked.patience;
@@ -137,7 +137,7 @@
         };
         let ue = self.calls.add(id, wire, Is::InHand(Box::new(hand)));
         self.counters.attaches += 1;
-        self.doors.used(now, wire);
+        self.doors.used(now, wire, Use::Calls);
         if let Some(door) = self.doors.all.get_mut(&wire) {
             door.open.push(ue);
         }
@@ -165,7 +165,7 @@
                 if let Some(server) = self.servers.all.get_mut(&pool) {
                     server.standing += 1;
                 }
-                self.doors.used(now, wire);
+                self.doors.used(now, wire, Use::Calls);
                 self.keep_linked(now, pool);
                 self.send_byes(now);
             }
@@ -183,7 +183,7 @@
             if let Some(door) = self.doors.all.get_mut(&door) {
                 door.unconfirmed.retain(|u| *u != ue);
             }
-            self.doors.used(now, wire);
+            self.doors.used(now, wire, Use::Calls);
             self.send_byes(now);
         }
     }
@@ -197,7 +197,7 @@
             Is::InHand(hand) => {
                 // No answer is owed, but RFC 3261 section 9.2 gives the set-up one.
                 let (door, bytes) = (call.door, sip::refusal(487, &hand.head, None));
-                self.doors.used(now, wire);
+                self.doors.used(now, wire, Use::Calls);
                 self.respond(wire, 200, message);
                 self.out.push_back(Output::Write { wire: door, bytes });
                 self.client_left(now, ue);
@@ -218,7 +218,7 @@
             return self.respond(wire, 481, message);
         };
         let (ue, stands) = (call.ue, matches!(call.is, Is::Stands(_)));
-        self.doors.used(now, wire);
+        self.doors.used(now, wire, Use::Calls);
         self.respond(wire, 200, message);
         if stands {
             self.released_by_caller(now, ue, message.q850_cause().unwrap_or(16));
@@ -314,7 +314,8 @@
     pub(crate) fn sweep(&mut self, now: f64) {
         for wire in self.doors.overdue(now) {
             self.counters.doors_overdue += 1;
-            let useless = self.doors.all.get(&wire).is_some_and(|d| !d.useful || d.partial_since.is_some());
+            let useless =
+                self.doors.all.get(&wire).is_some_and(|d| d.use_of == Use::None || d.partial_since.is_some());
             if useless {
                 self.out.push_back(Output::Write { wire, bytes: sip::unreadable(408) });
             }
--- a/crates/platform/src/door.rs
+++ b/crates/platform/src/door.rs
@@ -14,11 +14,20 @@
 /// Messages of bad form after which a connection is closed.
 pub const MOST_BAD: u32 = 4;
 
+/// What a connection has been of use for so far; the least of them is closed first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Use {
+    None,
+    /// Tests alone. Guards against a crowd that asks for nothing else and would push callers out.
+    Tests,
+    /// An attach taken, or a word on a call held.
+    Calls,
+}
+
 pub struct Door {
     pub framer: Framer,
     pub opened_at: f64,
-    /// Something of use came on it: an attach taken, a test, a word on a call held.
-    pub useful: bool,
+    pub use_of: Use,
     pub last_at: f64,
     /// Since when part of a message has waited for the rest.
     pub partial_since: Option<f64>,
@@ -34,7 +43,7 @@
         Door {
             framer: Framer::with_longest_body(LONGEST),
             opened_at: now,
-            useful: false,
+            use_of: Use::None,
             last_at: now,
             partial_since: None,
             open: Vec::new(),
@@ -60,36 +69,37 @@
         self.all.insert(wire, Door::new(now));
     }
 
-    pub fn used(&mut self, now: f64, wire: Wire) {
+    pub fn used(&mut self, now: f64, wire: Wire, use_of: Use) {
         if let Some(door) = self.all.get_mut(&wire) {
-            door.useful = true;
+            door.use_of = door.use_of.max(use_of);
             door.last_at = now;
-            self.latest = Some(wire);
+            if use_of == Use::Calls {
+                self.latest = Some(wire);
+            }
         }
     }
 
-    /// A connection to bring something to a caller on: its own, else one that proved of use.
+    /// A connection to bring something to a caller on: its own, else the one that calls came on last.
     pub fn towards(&self, own: Wire) -> Option<Wire> {
-        let useful = |w: &Wire| self.all.get(w).is_some_and(|d| d.useful);
-        [Some(own), self.latest].into_iter().flatten().find(useful).or_else(|| {
-            let newest =
-                self.all.iter().filter(|d| d.1.useful).max_by(|a, b| a.1.last_at.total_cmp(&b.1.last_at));
-            newest.map(|d| *d.0)
+        let carries = |w: &Wire| self.all.get(w).is_some_and(|d| d.use_of == Use::Calls);
+        [Some(own), self.latest].into_iter().flatten().find(carries).or_else(|| {
+            let carrying = self.all.iter().filter(|d| d.1.use_of == Use::Calls);
+            carrying.max_by(|a, b| a.1.last_at.total_cmp(&b.1.last_at)).map(|d| *d.0)
         })
     }
 
-    /// The one to close first where there are too many: of no use so far, oldest first; else longest idle.
+    /// The one to close first where there are too many: of least use so far, then longest idle.
     pub fn least_useful(&self) -> Option<Wire> {
-        let idle = || self.all.iter().filter(|d| d.1.is_idle());
-        let useless = idle().filter(|d| !d.1.useful).min_by(|a, b| a.1.opened_at.total_cmp(&b.1.opened_at));
-        let longest = || idle().min_by(|a, b| a.1.last_at.total_cmp(&b.1.last_at));
-        useless.or_else(longest).or_else(|| self.all.iter().next_back()).map(|d| *d.0)
+        let idle = self.all.iter().filter(|d| d.1.is_idle());
+        let least =
+            idle.min_by(|(_, a), (_, b)| a.use_of.cmp(&b.use_of).then(a.last_at.total_cmp(&b.last_at)));
+        least.or_else(|| self.all.iter().next_back()).map(|d| *d.0)
     }
 
     /// Those that have had their time.
     pub fn overdue(&self, now: f64) -> Vec<Wire> {
         let over = |d: &Door| {
-            let useless = !d.useful && d.is_idle() && now - d.opened_at > USELESS;
+            let useless = d.use_of == Use::None && d.is_idle() && now - d.opened_at > USELESS;
             let partial = d.partial_since.is_some_and(|since| now - since > USELESS);
             useless || partial || d.is_idle() && now - d.last_at > IDLE
         };
--- a/crates/platform/src/edge.rs
+++ b/crates/platform/src/edge.rs
@@ -103,8 +103,10 @@
 const STILL_TAKES: f64 = 0.7;
 /// And after so long a front with nothing in hand ends.
 const STILL_LISTENS: f64 = 0.85;
-/// The least time that a front is left after SIGTERM, beside `STILL_TAKES`.
-const LEAST_END: f64 = 3.0;
+/// A front is left for the longest time that a caller waits, at most so long, and `STILL_TAKES` beside.
+const LONGEST_END: f64 = 3.0;
+/// It ends by itself so long before.
+const END_MARGIN: f64 = 0.1;
 /// Descriptors kept for all that is not a caller's connection.
 const OWN_DESCRIPTORS: usize = 72;
 /// Part of the memory limit that descriptions in hand may fill.
@@ -255,9 +257,10 @@
     /// Nothing is left to do after an end was asked for.
     pub fn is_done(&self, now: f64) -> bool {
         let Some(since) = self.ending else { return false };
-        let longest = self.procedures.iter().fold(LEAST_END, |l, p| l.max(p.1));
-        let quiet = self.calls.in_hand() == 0 && now - since > STILL_LISTENS;
-        quiet || now - since > longest + STILL_TAKES / 2.0
+        let longest = self.procedures.iter().fold(0.0, |l: f64, p| l.max(p.1)).min(LONGEST_END);
+        // Calls that stand are released through this front for as long as it is there.
+        let quiet = self.calls.in_hand() == 0 && self.calls.standing() == 0 && self.byes.is_empty();
+        quiet && now - since > STILL_LISTENS || now - since > longest + STILL_TAKES - END_MARGIN
     }
 
     /// A set-up that comes now is refused at once: the front ends.
--- a/crates/platform/tests/callers.rs
+++ b/crates/platform/tests/callers.rs
@@ -86,6 +86,32 @@
     assert_eq!(w.first(late), "200");
 }
 
+/// Recorded day rae1b8b: a crowd that only tests pushed callers' connections out, and releases went to it.
+#[test]
+fn a_crowd_of_testers_neither_pushes_callers_out_nor_gets_their_releases() {
+    let (mut w, links) = World::linked(1);
+    let caller = w.door();
+    w.bytes(caller, invite(1, 0).as_bytes());
+    w.say(links[0], &answer(1));
+    w.bytes(caller, request("ACK", 1).as_bytes());
+    w.took(caller);
+    for _ in 0..1000 {
+        w.pass(0.001);
+        let tester = w.door();
+        w.bytes(tester, request("OPTIONS", 9).as_bytes());
+        assert_eq!(w.first(tester), "200");
+    }
+    assert!(!w.closed.contains(&(caller, false)));
+    // With its own connection gone, the release waits for one that carries calls.
+    w.lose(caller, Loss::Broken);
+    w.written.clear();
+    w.say(links[0], &release(1, 16, ""));
+    assert!(w.written.keys().all(|wire| *wire == links[0]));
+    let other = w.door();
+    w.bytes(other, invite(2, 0).as_bytes());
+    assert_eq!(w.answers(other), [("BYE".into(), id(1))]);
+}
+
 #[test]
 fn more_than_may_be_held_is_refused_at_the_door() {
     let (mut w, _) = World::linked(1);
@@ -185,6 +211,27 @@
     assert!(!w.edge.is_done(w.now), "one is in hand");
     w.say(links[0], &answer(1));
     assert_eq!(w.first(door), "200");
+    w.bytes(door, request("ACK", 1).as_bytes());
+    // Recorded day rae1b8b: it stays to bring the release of what stands, as long as it is left.
+    assert!(!w.edge.is_done(w.now), "one stands");
+    w.say(links[0], &release(1, 16, ""));
+    assert_eq!(w.answers(door), [("BYE".into(), id(1))]);
+    w.bytes(door, b"SIP/2.0 200 OK\r\nCall-ID: 0000000000000001\r\nCSeq: 2 BYE\r\nContent-Length: 0\r\n\r\n");
+    assert!(w.edge.is_done(w.now));
+}
+
+#[test]
+fn an_ending_front_leaves_what_still_stands_before_it_is_killed() {
+    let (mut w, links) = World::linked(1);
+    let door = w.door();
+    w.bytes(door, invite(1, 0).as_bytes());
+    w.say(links[0], &answer(1));
+    w.bytes(door, request("ACK", 1).as_bytes());
+    w.took(links[0]);
+    w.edge.end(w.now);
+    w.pass(3.5);
+    assert!(!w.edge.is_done(w.now));
+    w.pass(0.15);
     assert!(w.edge.is_done(w.now));
     assert!(!w.took(links[0]).contains("release"), "calls that stand are left standing");
 }
