--- a/crates/platform/src/callers.rs
+++ b/crates/platform/src/callers.rs
@@ -249,7 +249,7 @@
         self.leave_door(now, call.door, ue);
         self.control.try_ended(now, ue, stands.pool, Ended::Cancelled, true, Report::default());
         self.release_to(now, stands.pool, call.id, cause);
-        self.stands_no_more(now, stands.pool);
+        self.stands_no_more(stands.pool);
     }
 
     /// A call that stood is over by its server's word or end: its caller is told.
@@ -257,7 +257,7 @@
         let Some(call) = self.calls.remove(ue) else { return };
         self.leave_door(now, call.door, ue);
         self.send_bye(now, call.door, call.id, cause);
-        self.stands_no_more(now, pool);
+        self.stands_no_more(pool);
     }
 
     fn send_bye(&mut self, now: f64, own: Wire, id: u64, cause: u16) {
--- a/crates/platform/src/servers.rs
+++ b/crates/platform/src/servers.rs
@@ -118,7 +118,7 @@
         }
     }
 
-    pub(crate) fn stands_no_more(&mut self, _now: f64, pool: PoolName) {
+    pub(crate) fn stands_no_more(&mut self, pool: PoolName) {
         if let Some(server) = self.servers.all.get_mut(&pool) {
             server.standing = server.standing.saturating_sub(1);
         }
