--- a/crates/platform/src/lines.rs
+++ b/crates/platform/src/lines.rs
@@ -223,6 +223,7 @@
 mod tests {
     use super::*;
     use proptest::prelude::*;
+    use proptest::test_runner::RngSeed;
 
     fn all(stream: &[u8], steps: &[usize]) -> Result<Vec<Vec<u8>>, TooLong> {
         let (mut lines, mut out, mut from, mut step) = (Lines::default(), Vec::new(), 0, 0);
@@ -279,6 +280,9 @@
     }
 
     proptest! {
+        // The same cases each time.
+        #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(1), failure_persistence: None, ..ProptestConfig::default() })]
+
         #[test]
         fn any_split_gives_the_same_lines(
             wanted in proptest::collection::vec("[a-z]{0,30}", 0..20),
--- a/crates/platform/src/sip.rs
+++ b/crates/platform/src/sip.rs
@@ -121,6 +121,7 @@
 mod tests {
     use super::*;
     use proptest::prelude::*;
+    use proptest::test_runner::RngSeed;
 
     fn invite(from: &str, to: &str) -> String {
         "INVITE sip:7f3a9c21e0b4d655@net SIP/2.0\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: 9b1f03aa5c7e2d41\r\n\
@@ -167,6 +168,9 @@
     }
 
     proptest! {
+        // The same cases each time.
+        #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(1), failure_persistence: None, ..ProptestConfig::default() })]
+
         #[test]
         fn noise_in_any_header_never_panics(noise in "\\PC{0,60}", place in 0usize..5) {
             let at = ["9b1f03aa5c7e2d41", "voice", "1500", "dest:2;width:1;via:-1", "7f3a9c21e0b4d655"][place];
--- a/crates/platform/src/sse.rs
+++ b/crates/platform/src/sse.rs
@@ -130,6 +130,7 @@
 mod tests {
     use super::*;
     use proptest::prelude::*;
+    use proptest::test_runner::RngSeed;
 
     fn read(stream: &[u8], steps: &[usize]) -> Result<Vec<String>, Spoilt> {
         let (mut events, mut out, mut from, mut step) = (Events::default(), Vec::new(), 0, 0);
@@ -166,6 +167,9 @@
     }
 
     proptest! {
+        // The same cases each time.
+        #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(1), failure_persistence: None, ..ProptestConfig::default() })]
+
         #[test]
         fn any_split_and_either_body_tells_the_same(steps in proptest::collection::vec(1usize..40, 1..20)) {
             let wanted = Ok(vec!["{\"n\":4}".to_string(), "a\nb".to_string()]);
