Live front read over: one question to the feed, one judgement of a refused link

Cause: read over as a whole.

Change: Feed::asks answers yes or no; link_lost judges once; the test uses Front and until of the other suites. No behaviour and no assertion changes.

--- a/crates/cli/tests/live.rs
+++ b/crates/cli/tests/live.rs
@@ -1,34 +1,24 @@
 //! The binary as a live front: a configuration on loopback, stand-in callers, servers and feeds, a new
 //! configuration under SIGHUP, an orderly end under SIGTERM.
 
+#[path = "common/process.rs"]
+#[allow(dead_code)]
+mod process;
+
 use nix::sys::signal::{kill, Signal};
 use nix::unistd::Pid;
+use process::{until, Front, PATIENCE};
 use serde_json::{json, Value};
 use shalespindle_signalling::{Framer, Message, Start};
 use shalespindle_standin::platform::{EventFeed, LineServer};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::Path;
-use std::process::{Child, Command, Stdio};
+use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
 
-const PATIENCE: Duration = Duration::from_secs(20);
-
-/// A front, killed when the test leaves it.
-struct Front(Child);
-
-impl Drop for Front {
-    fn drop(&mut self) {
-        // Ended by itself already in the good case.
-        let _ = self.0.kill();
-        let _ = self.0.wait();
-    }
-}
-
-impl Front {
-    fn signal(&self, signal: Signal) {
-        kill(Pid::from_raw(self.0.id() as i32), signal).unwrap();
-    }
+fn signal(front: &Front, signal: Signal) {
+    kill(Pid::from_raw(front.0.id() as i32), signal).unwrap();
 }
 
 fn event(n: u64, servers: &[(&str, SocketAddr)]) -> String {
@@ -135,13 +125,9 @@
     caller.send("ACK", CALLS[0], "");
 
     write_config(&config, listen, feeds[1].address, &first);
-    front.signal(Signal::SIGHUP);
+    signal(&front, Signal::SIGHUP);
     // The new feed alone tells of the second server, and that the first is gone.
-    let begin = Instant::now();
-    while feeds[1].asked().is_empty() {
-        assert!(begin.elapsed() < PATIENCE, "the front never asks its new feed");
-        std::thread::sleep(Duration::from_millis(5));
-    }
+    until("the front's question to its new feed", || !feeds[1].asked().is_empty());
     assert_eq!(feeds[1].asked(), [1]);
     let moved = event(2, &[("s-1", servers[1].address)]);
     feeds[1].tell(moved);
@@ -150,17 +136,12 @@
     caller.send("INVITE", CALLS[1], "9d42\r\n");
     let set_up = servers[1].expect("setup", PATIENCE).unwrap();
 
-    front.signal(Signal::SIGTERM);
+    signal(&front, Signal::SIGTERM);
     let answer = json!({"type": "answer", "id": CALLS[1], "fields": {}, "sdp": "78"});
     set_up.reply(&answer).unwrap();
     assert_eq!(caller.next(), ("200".into(), "78".into()));
-    let status = loop {
-        if let Some(status) = front.0.try_wait().unwrap() {
-            break status;
-        }
-        assert!(begin.elapsed() < PATIENCE, "the front never ends");
-        std::thread::sleep(Duration::from_millis(5));
-    };
+    until("the front's end", || front.0.try_wait().unwrap().is_some());
+    let status = front.0.wait().unwrap();
     assert!(status.success());
 }
 
--- a/crates/platform/src/edge.rs
+++ b/crates/platform/src/edge.rs
@@ -3,7 +3,7 @@
 
 use crate::calls::{Calls, Is, Try};
 use crate::door::Doors;
-use crate::feed::{Event, Feed, Step, DIAL_WITHIN};
+use crate::feed::{Event, Feed, DIAL_WITHIN};
 use crate::file::StartFile;
 use crate::lines;
 use crate::link::{Phase, Servers};
@@ -293,8 +293,8 @@
         while let Some(due) = self.timers.pop(now) {
             self.due(now, due);
         }
-        if let Step::Ask(old) = self.feed.step(now) {
-            if let Some(wire) = old {
+        if self.feed.asks(now) {
+            if let Some(wire) = self.feed.wire {
                 self.belief("feed left", self.feed.to, "silent, or moved".into());
                 self.out.push_back(Output::Close { wire, reset: false });
             }
--- a/crates/platform/src/feed.rs
+++ b/crates/platform/src/feed.rs
@@ -41,13 +41,6 @@
     pub up_since_ms: f64,
 }
 
-/// What the owner of a feed does next.
-pub enum Step {
-    Nothing,
-    /// Close that connection, if any, and ask on a new one.
-    Ask(Option<Wire>),
-}
-
 /// A front's place in the feed.
 pub struct Feed {
     pub to: SocketAddr,
@@ -133,17 +126,10 @@
         self.ask_at.min(silent)
     }
 
-    pub fn step(&mut self, now: f64) -> Step {
-        if now < self.due() {
-            return Step::Nothing;
-        }
-        if now >= self.ask_at {
-            return Step::Ask(self.wire.take());
-        }
-        // Guards against a feed that stops while its connection stays open.
-        let wire = self.wire.take();
-        self.ask_at = now;
-        Step::Ask(wire)
+    /// Whether the feed is to be asked on a new connection now: after a pause or a move, or because it stopped
+    /// while its connection stayed open. That connection is the owner's to close.
+    pub fn asks(&self, now: f64) -> bool {
+        now >= self.due()
     }
 
     pub fn is_up(&self) -> bool {
--- a/crates/platform/src/servers.rs
+++ b/crates/platform/src/servers.rs
@@ -207,27 +207,22 @@
     pub(crate) fn link_lost(&mut self, now: f64, wire: Wire, loss: Loss) {
         let Some(link) = self.servers.links.remove(&wire) else { return };
         let pool = link.pool;
-        if link.state == LinkState::Up {
-            self.counters.links_lost += 1;
-        }
+        let was_up = link.state == LinkState::Up;
+        self.counters.links_lost += u64::from(was_up);
         for ue in link.open {
             self.try_over(now, ue, Ended::Cut, Report::default());
         }
         let Some(server) = self.servers.all.get_mut(&pool) else { return };
         server.links.retain(|w| *w != wire);
         let id = server.id.clone();
-        let dead = match (link.state, loss) {
-            (LinkState::Up, _) => false,
-            (_, Loss::Refused) => now - *server.refused_since.get_or_insert(now) >= DEAD_AFTER,
-            (_, Loss::Broken) => false,
-        };
-        if link.state == LinkState::Up {
+        let refused = !was_up && loss == Loss::Refused;
+        let dead = refused && now - *server.refused_since.get_or_insert(now) >= DEAD_AFTER;
+        if was_up {
             server.pause = 0.0;
         }
         let pause = server.pause;
         server.pause = (2.0 * pause).clamp(FIRST_PAUSE, LONGEST_PAUSE);
         // Refused, nothing that waits can be sent; reset while new, another dial may still bring it there.
-        let refused = link.state != LinkState::Up && loss == Loss::Refused;
         let waiting = if refused { std::mem::take(&mut server.waiting) } else { Default::default() };
         for ue in waiting {
             self.try_over(now, ue, Ended::Unreached, Report::default());
