--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -1,6 +1,6 @@
 //! The command line.
 
-use crate::{console, lab, live, resolve, run};
+use crate::{console, kept, lab, live, resolve, run};
 use clap::{Args, Parser, Subcommand};
 use shalespindle_console::Ask;
 use std::path::PathBuf;
@@ -129,6 +129,14 @@
         #[arg(long)]
         json: bool,
     },
+    /// What a front that is not running has kept on disk (`fleet.keep_file`), all of it checked; exit code 1 where
+    /// something of it would not be taken.
+    Kept {
+        #[arg(long)]
+        config: PathBuf,
+        #[arg(long)]
+        json: bool,
+    },
 }
 
 #[derive(Subcommand)]
@@ -259,6 +267,7 @@
             Command::Fleet { command: Fleet::Status { front, json } } => {
                 console::ask(&front, &Ask::Fleet, json)
             }
+            Command::Fleet { command: Fleet::Kept { config, json } } => kept::kept(&config, json),
             Command::Fleet { command: Fleet::Diff { front, json } } => console::diff(&front, json),
             Command::Resolve { name, servers, within } => resolve::resolve(&name, &servers, *within),
             Command::Schema { feed } => run::schema(feed),
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -2,6 +2,7 @@
 
 mod commands;
 mod console;
+mod kept;
 mod lab;
 mod live;
 mod resolve;
--- a/crates/cli/tests/calls.rs
+++ b/crates/cli/tests/calls.rs
@@ -2,86 +2,19 @@
 
 #[allow(dead_code)]
 mod common;
+#[path = "common/place.rs"]
+#[allow(dead_code)]
+mod place;
 
-use common::{reply, status, within, Caller, Server};
-use shalespindle_rig::{Fleet, FleetShape, Row, State};
+use common::{reply, status, within, Caller};
+use place::{bye_elsewhere, call_id, Place};
 use shalespindle_signalling::Method;
-use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-const PROGRAM: &str = env!("CARGO_BIN_EXE_shalespindle");
-
-struct Place {
-    fleet: Fleet,
-    server: Server,
-    /// Connections that the server has from fronts so far.
-    links: usize,
-}
-
-impl Place {
-    /// Three fronts and one server that all are connected to.
-    fn new(hold: &str) -> Place {
-        let mut shape = FleetShape::new(PROGRAM, 3, 1);
-        shape.more = format!("hold_calls = \"{hold}\"");
-        let mut place = Place { fleet: Fleet::new(&shape, None).unwrap(), server: Server::start(), links: 0 };
-        for feed in &place.fleet.feeds {
-            feed.set(place.server.address, Row { pool: 0, state: State::Ready, incarnation: 1 });
-        }
-        (0..3).for_each(|front| place.start(front));
-        place.until("all fronts hear each other", |fleet| {
-            (0..3).all(|f| fleet.standing(f).unwrap().peers.iter().all(|p| p.state == "alive"))
-        });
-        place
-    }
-
-    fn start(&mut self, front: usize) {
-        self.fleet.start(front).unwrap();
-        self.links += 1;
-        self.server.connected();
-    }
-
-    fn until(&self, what: &str, holds: impl Fn(&Fleet) -> bool) {
-        common::until(what, || holds(&self.fleet));
-    }
-
-    fn front(&self, n: usize) -> SocketAddr {
-        self.fleet.listen(n)
-    }
-
-    /// A call that stands at a front: the caller's answer and the server's set-up.
-    fn stands(&mut self, caller: &Caller, nth: usize, front: usize) -> (String, String) {
-        let (at, set_up) = self.server.expect(Method::Invite);
-        let more = format!("Contact: <sip:s@{}>\r\n", self.server.address);
-        self.server.send(at, &reply(&set_up, 200, &more));
-        let ok = caller.next_but("");
-        assert_eq!(status(&ok), 200);
-        self.server.expect(Method::Ack);
-        caller.send(&within(&ok, "ACK"));
-        self.until("the call is known to all", |fleet| {
-            (0..3).filter(|f| *f != front && fleet.is_up(*f)).all(|f| {
-                let peers = fleet.standing(f).unwrap().peers;
-                // Beside the server on its list.
-                peers.iter().any(|p| p.name == format!("f{front}") && p.facts == 1 + nth)
-            })
-        });
-        (ok, set_up)
-    }
-}
-
-fn call_id(message: &str) -> &str {
-    message.lines().find_map(|l| l.strip_prefix("Call-ID: ")).unwrap().trim()
-}
-
-/// The caller's BYE goes to another front.
-fn bye_elsewhere(caller: &Caller, to: SocketAddr, ok: &str) -> String {
-    caller.socket.send_to(within(ok, "BYE").as_bytes(), to).unwrap();
-    caller.next_but(ok)
-}
-
 #[test]
 fn a_release_that_reaches_another_front_finds_its_server_whether_its_own_front_lives_or_not() {
     for dies in [false, true] {
-        let mut place = Place::new("60s");
+        let mut place = Place::new("hold_calls = \"60s\"");
         let caller = Caller::new(place.front(0));
         caller.send(&caller.invite("1", "idukki"));
         let (ok, set_up) = place.stands(&caller, 1, 0);
@@ -114,7 +47,7 @@
 
 #[test]
 fn a_front_that_is_killed_and_returns_has_its_calls_again() {
-    let mut place = Place::new("60s");
+    let mut place = Place::new("hold_calls = \"60s\"");
     let caller = Caller::new(place.front(0));
     caller.send(&caller.invite("1", "idukki"));
     let (ok, set_up) = place.stands(&caller, 1, 0);
@@ -132,7 +65,7 @@
 
 #[test]
 fn a_server_that_releases_a_call_of_a_dead_front_is_heard_and_the_caller_told() {
-    let mut place = Place::new("60s");
+    let mut place = Place::new("hold_calls = \"60s\"");
     let caller = Caller::new(place.front(0));
     caller.send(&caller.invite("1", "idukki"));
     let (ok, set_up) = place.stands(&caller, 1, 0);
@@ -154,7 +87,7 @@
 
 #[test]
 fn the_calls_of_a_front_that_stays_away_are_released_in_both_directions_once() {
-    let mut place = Place::new("500ms");
+    let mut place = Place::new("hold_calls = \"500ms\"");
     let caller = Caller::new(place.front(0));
     let mut calls = Vec::new();
     for nth in 1..5 {
@@ -198,7 +131,7 @@
 fn killed_fifty_times() {
     const ROUNDS: usize = 50;
     const CALLS: usize = 20;
-    let mut place = Place::new("60s");
+    let mut place = Place::new("hold_calls = \"60s\"");
     let (mut stood, mut released, mut longest) = (0, 0, Duration::ZERO);
     for round in 0..ROUNDS {
         let caller = Caller::new(place.front(0));
--- a/crates/console/src/words.rs
+++ b/crates/console/src/words.rs
@@ -1,7 +1,7 @@
 //! Answers as operators read them.
 
 use crate::{LevelState, MemberState, Members, Reply, Snapshot};
-use shalespindle_peer_service::Standing;
+use shalespindle_peer_service::{KeepState, Standing};
 use std::fmt;
 
 impl fmt::Display for Reply {
@@ -58,6 +58,11 @@
             p.name, p.state, p.quiet_for, p.facts, p.behind
         )?;
     }
+    match &s.kept {
+        KeepState::Off => writeln!(f, "nothing is kept on disk")?,
+        KeepState::Good => writeln!(f, "what is known here is kept on disk")?,
+        KeepState::Failing(why) => writeln!(f, "nothing is kept on disk now: {why}")?,
+    }
     writeln!(f, "{} servers differ now, copies that differ met {} times", s.differ.len(), s.met)?;
     for (name, count) in &s.counts {
         writeln!(f, "  {name:26} {count}")?;
--- /dev/null
+++ b/crates/peer-service/src/keep.rs
@@ -0,0 +1,161 @@
+//! Carries what is to be kept to its file, and says how that stands.
+
+use serde::{Deserialize, Serialize};
+use shalespindle_peer_store::{Outcome, Store};
+use shalespindle_peers::{FrontId, Life};
+use shalespindle_replica::{Fleet, Keeping, Kept, Restored};
+use std::collections::BTreeMap;
+use std::path::{Path, PathBuf};
+use std::time::{Duration, SystemTime};
+use tracing::{info, warn};
+
+/// What is kept on disk.
+#[derive(Clone, Debug)]
+pub struct Keep {
+    pub file: PathBuf,
+    /// Between two steps, seconds.
+    pub every: f64,
+}
+
+/// How the keeping stands, for operators.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum KeepState {
+    /// No file is set.
+    Off,
+    /// The last step was written, or none was due yet.
+    Good,
+    /// The last step was not written, or there is no file to write to.
+    Failing(String),
+}
+
+pub(crate) fn wall() -> f64 {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    since.unwrap_or(Duration::ZERO).as_secs_f64()
+}
+
+/// The file and when it is written. Without a file nothing is kept, and the front goes on as one that returns empty.
+pub(crate) struct Keeper {
+    store: Option<Store>,
+    keeping: Keeping,
+    state: KeepState,
+    restored: Restored,
+    saves: u64,
+    failed: u64,
+    facts: u64,
+}
+
+impl Keeper {
+    /// What an earlier process of this front kept, if there is any.
+    pub fn open(keep: Option<&Keep>, own: FrontId, now: f64) -> (Keeper, Option<Kept>) {
+        let every = keep.map_or(1.0, |k| k.every);
+        let (store, state, kept) = match keep {
+            None => (None, KeepState::Off, None),
+            Some(keep) => match open(&keep.file, own) {
+                Ok((store, kept)) => (Some(store), KeepState::Good, kept),
+                Err(why) => {
+                    let file = keep.file.display();
+                    warn!(target: "shalespindle::fleet", %file, why, "nothing is kept on disk");
+                    (None, KeepState::Failing(why), None)
+                }
+            },
+        };
+        let keeping = Keeping::new(every, now);
+        let restored = Restored::default();
+        (Keeper { store, keeping, state, restored, saves: 0, failed: 0, facts: 0 }, kept)
+    }
+
+    /// The fleet takes what was kept, and remembers from now on what changes.
+    pub fn restore(&mut self, now: f64, fleet: &mut Fleet, kept: Option<Kept>) {
+        if self.store.is_none() {
+            return;
+        }
+        fleet.keep_changes();
+        let Some(kept) = kept else { return };
+        let ago = wall() - kept.saved_at;
+        self.restored = fleet.restore(now, wall(), kept);
+        let Restored { lives, facts, refused, too_old } = self.restored;
+        match too_old {
+            true => {
+                warn!(target: "shalespindle::fleet", ago, "what was kept is too old, or its clock differs: not taken")
+            }
+            false => {
+                info!(target: "shalespindle::fleet", ago, lives, facts, refused, "what was kept is taken")
+            }
+        }
+    }
+
+    /// Hands over what changed, if that is due, and hears what became of it; waits for nothing.
+    pub fn turn(&mut self, now: f64, fleet: &mut Fleet) {
+        let Some(store) = &self.store else { return };
+        while let Some(outcome) = store.outcome() {
+            match outcome {
+                Outcome::Saved { facts } => {
+                    if self.state != KeepState::Good {
+                        info!(target: "shalespindle::fleet", "the file is written again");
+                    }
+                    (self.state, self.saves, self.facts) =
+                        (KeepState::Good, self.saves + 1, self.facts + facts as u64);
+                    self.keeping.saved(now);
+                }
+                Outcome::Failed(why) => {
+                    let pause = self.keeping.failed(now);
+                    warn!(target: "shalespindle::fleet", why, pause, "what is to be kept was not written; all of it is tried again");
+                    (self.state, self.failed) = (KeepState::Failing(why), self.failed + 1);
+                }
+            }
+        }
+        if let Some(whole) = self.keeping.due(now) {
+            let changes = fleet.changes(now, wall(), whole);
+            if self.keeping.is_worth(now, &changes) && !store.offer(changes) {
+                // Its thread has ended: what was taken from the fleet is lost, so the next step is a whole one.
+                self.keeping.failed(now);
+                self.state = KeepState::Failing("whoever writes has ended".into());
+            }
+        }
+    }
+
+    /// The last step of all; whoever drops the store waits until it is written.
+    pub fn end(self, now: f64, fleet: &mut Fleet) -> Option<Store> {
+        let store = self.store?;
+        // A whole one where the step before failed.
+        store.offer(fleet.changes(now, wall(), self.saves == 0 || self.state != KeepState::Good));
+        Some(store)
+    }
+
+    pub fn state(&self) -> KeepState {
+        self.state.clone()
+    }
+
+    pub fn count(&self, now: f64, counts: &mut BTreeMap<String, u64>) {
+        let since = self.keeping.saved_at().map(|at| ((now - at) * 1000.0) as u64);
+        let counted = [
+            ("steps_kept", Some(self.saves)),
+            ("steps_not_kept", Some(self.failed)),
+            ("facts_kept", Some(self.facts)),
+            ("kept_ms_ago", since),
+            ("lives_restored", Some(self.restored.lives)),
+            ("facts_restored", Some(self.restored.facts)),
+            ("lives_not_restored", Some(self.restored.refused)),
+        ];
+        counts.extend(counted.into_iter().filter_map(|(name, n)| Some((name.to_string(), n?))));
+    }
+}
+
+fn open(file: &Path, own: FrontId) -> Result<(Store, Option<Kept>), String> {
+    let opened = Store::open(file, own).map_err(|e| e.to_string())?;
+    if let Some((aside, why)) = opened.aside {
+        let aside = aside.display();
+        warn!(target: "shalespindle::fleet", %aside, why, "what was kept cannot be read: put aside, begun anew");
+    }
+    if opened.bad.0 > 0 {
+        warn!(target: "shalespindle::fleet", facts = opened.bad.0, "facts that were kept have wrong checksums");
+    }
+    Ok((opened.store, opened.kept))
+}
+
+/// This process's life: above any that is known from before.
+pub(crate) fn life(kept: Option<&Kept>, own: FrontId, nonce: u64) -> Life {
+    // A clock that was set back gives a life that the others know to be over, and say so.
+    let wished = Life { number: (wall() * 1000.0) as u64, nonce };
+    kept.map_or(wished, |kept| kept.next_life(own, wished))
+}
--- a/crates/peer-service/src/lib.rs
+++ b/crates/peer-service/src/lib.rs
@@ -2,20 +2,23 @@
 //! core. What becomes known goes to a callback; what this front tells comes over a bounded mailbox, and no
 //! sender of it ever waits. Nothing is decided here.
 
+mod keep;
 mod owner;
 
+pub use keep::{Keep, KeepState};
 pub use owner::{Heard, Saying, Standing};
 
+use keep::Keeper;
 use may::net::UdpSocket;
 use owner::{Directory, Letter, Owner};
+use shalespindle_peer_store::Store;
 use shalespindle_peer_wire::{front_id, Codec};
-use shalespindle_peers::Life;
 use shalespindle_replica::{Fleet, FleetParams};
 use shalespindle_sockets::{end, mailbox, start, Ground, Handle, Mailbox, LARGE_STACK, SMALL_STACK};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::mpsc;
-use std::time::{Duration, SystemTime};
+use std::time::Duration;
 
 /// Letters that may wait for the owner; past that datagrams wait in their socket and are lost there.
 const ROOM: usize = 1024;
@@ -33,6 +36,8 @@
     pub params: FleetParams,
     /// Draws the order in which others are told, and the nonce of this life.
     pub seed: u64,
+    /// None: nothing outlives the process.
+    pub keep: Option<Keep>,
 }
 
 /// A front among others; dropping it leaves in order and leaves nothing running.
@@ -41,6 +46,8 @@
     mailbox: Mailbox<Letter>,
     reader: Option<Handle>,
     owner: Option<Handle>,
+    /// What is kept, once the owner has ended.
+    store: mpsc::Receiver<Store>,
 }
 
 /// Tells the others; cheap to clone.
@@ -78,16 +85,18 @@
         let writer = udp.try_clone()?;
         let own = front_id(&what.name);
         let directory = Directory::new(&what.name, what.peers);
-        // A clock that was set back gives a life that the others know to be over, and say so.
-        let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or(Duration::ZERO);
-        let life = Life { number: unix.as_millis() as u64, nonce: what.seed };
+        let now = ground.now();
+        let (mut keeper, kept) = Keeper::open(what.keep.as_ref(), own, now);
+        let life = keep::life(kept.as_ref(), own, what.seed);
         let most = what.params.peers.most;
-        let fleet = Fleet::new(what.params, own, life, &directory.listed(), what.seed, ground.now());
+        let mut fleet = Fleet::new(what.params, own, life, &directory.listed(), what.seed, now);
+        keeper.restore(now, &mut fleet, kept);
         let codec = Codec::new(what.key, own, most);
         let (sending, mail) = mailbox(ROOM);
         let reader = read(udp, sending.clone())?;
+        let (last, store) = mpsc::channel();
         let (udp, heard, traffic) = (writer, Box::new(heard), Default::default());
-        let owner = Owner { fleet, codec, udp, directory, ground, mail, heard, traffic };
+        let owner = Owner { fleet, keeper, codec, udp, directory, ground, mail, heard, traffic, last };
         let owner = match start(LARGE_STACK, move || owner.run()) {
             Ok(owner) => owner,
             Err(why) => {
@@ -95,7 +104,7 @@
                 return Err(why);
             }
         };
-        Ok(Fronts { address, mailbox: sending, reader: Some(reader), owner: Some(owner) })
+        Ok(Fronts { address, mailbox: sending, reader: Some(reader), owner: Some(owner), store })
     }
 
     pub fn address(&self) -> SocketAddr {
@@ -130,5 +139,7 @@
         if let Some(reader) = self.reader.take() {
             end(reader);
         }
+        // The last step is waited for here, on the caller's thread.
+        drop(self.store.try_recv());
     }
 }
--- a/crates/peer-service/src/owner.rs
+++ b/crates/peer-service/src/owner.rs
@@ -1,7 +1,9 @@
 //! The coroutine that owns the core: letters in, turns, frames out.
 
+use crate::keep::{KeepState, Keeper};
 use may::net::UdpSocket;
 use serde::{Deserialize, Serialize};
+use shalespindle_peer_store::Store;
 use shalespindle_peer_wire::{front_id, Codec, DropCounts};
 use shalespindle_peers::{Change, FrontId, State};
 use shalespindle_replica::{CallWord, Fleet, News, Out, ServerWord};
@@ -71,6 +73,8 @@
     /// Calls that two or more fronts released: name, fronts.
     pub doubles: Vec<(String, Vec<String>)>,
     pub counts: BTreeMap<String, u64>,
+    /// What outlives the process.
+    pub kept: KeepState,
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -140,6 +144,7 @@
 
 pub(crate) struct Owner {
     pub fleet: Fleet,
+    pub keeper: Keeper,
     pub codec: Codec,
     pub udp: UdpSocket,
     pub directory: Directory,
@@ -147,6 +152,8 @@
     pub mail: Mail<Letter>,
     pub heard: Box<dyn FnMut(Heard) + Send>,
     pub traffic: Traffic,
+    /// Takes what is to be waited for on a thread, when this has ended.
+    pub last: mpsc::Sender<Store>,
 }
 
 impl Owner {
@@ -156,12 +163,17 @@
             let mut taken = 0;
             while let Some(letter) = next {
                 if !self.take(letter) {
+                    if let Some(store) = self.keeper.end(self.ground.now(), &mut self.fleet) {
+                        // Nobody waits for it: then it is dropped here.
+                        let _ = self.last.send(store);
+                    }
                     return;
                 }
                 taken += 1;
                 next = if taken < BATCH { self.mail.try_next() } else { None };
             }
             self.fleet.turn(self.ground.now());
+            self.keeper.turn(self.ground.now(), &mut self.fleet);
             self.carry();
             may::coroutine::yield_now();
         }
@@ -311,6 +323,9 @@
         let doubles = status.doubles.iter().map(|(call, fronts)| {
             (format!("{call:016x}"), fronts.iter().map(|f| self.directory.name(*f)).collect::<Vec<String>>())
         });
+        let mut counts: BTreeMap<String, u64> =
+            counted.into_iter().map(|(name, n)| (name.to_string(), n)).collect();
+        self.keeper.count(now, &mut counts);
         Standing {
             name: self.directory.name(self.fleet.copies().own()),
             life: (status.life.number, status.life.nonce),
@@ -323,7 +338,8 @@
             met: status.met,
             differ: differ.collect(),
             doubles: doubles.collect(),
-            counts: counted.into_iter().map(|(name, n)| (name.to_string(), n)).collect(),
+            counts,
+            kept: self.keeper.state(),
         }
     }
 }
--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -255,6 +255,11 @@
         self.own
     }
 
+    /// Between two beats, seconds.
+    pub fn every(&self) -> f64 {
+        self.params.every
+    }
+
     pub fn life(&self) -> Life {
         self.life
     }
--- a/crates/replica/src/calls.rs
+++ b/crates/replica/src/calls.rs
@@ -8,14 +8,16 @@
 
 use crate::copies::Copies;
 use crate::facts::{CallWord, Fact, Key, OverWord};
+use crate::message::Reach;
 use crate::view::News;
-use shalespindle_peers::{FrontId, Peers, State};
+use shalespindle_peers::{FrontId, Life, Peers, State};
 use std::collections::{BTreeMap, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
 
 /// Calls taken back in one beat at most.
 const BACK_A_BEAT: usize = 1024;
-/// Beats from a front's start to the taking back of its calls: others tell meanwhile how far they know its last life.
+/// Beats from the first word of another front on this one's lives to the taking back of its calls: the rest tell
+/// meanwhile how far they know them.
 const TOLD_WITHIN: f64 = 3.0;
 /// Part of the holding time after which a front takes back what it knows of, though somebody knew more.
 const WAITED_FOR_MORE: f64 = 0.5;
@@ -75,6 +77,10 @@
     by_leg: BTreeMap<u64, u64>,
     legs: BTreeMap<u64, u64>,
     doubles: BTreeMap<u64, Vec<FrontId>>,
+    /// Calls that this front took back, and from which of its lives.
+    taken: BTreeMap<u64, Life>,
+    /// How far those lives were known when that was last looked at.
+    known: Vec<(Life, Reach)>,
     out: VecDeque<CallOut>,
     counts: CallCounts,
 }
@@ -118,6 +124,8 @@
             by_leg: BTreeMap::new(),
             legs: BTreeMap::new(),
             doubles: BTreeMap::new(),
+            taken: BTreeMap::new(),
+            known: Vec::new(),
             out: VecDeque::new(),
             counts: CallCounts::default(),
         }
@@ -140,12 +148,12 @@
         let mut owners = owners(copies, call);
         let owner = owners.next();
         let past = copies.past_call(call).filter(|_| !is_over(copies, call));
-        match owner.map(|o| o.1).or(past.map(|p| p.2)) {
+        match owner.map(|o| o.1).or(past.map(|p| p.word)) {
             Some(word) => self.index(call, word),
             None => self.forget_leg(call),
         }
         match past.filter(|_| owner.is_none()) {
-            Some((of, since, _)) => drop(self.orphans.insert(call, Orphan { of, since })),
+            Some(past) => drop(self.orphans.insert(call, Orphan { of: past.of, since: past.since })),
             None => {
                 let orphan = self.orphans.remove(&call);
                 let its_own = |o: &Orphan| owner.into_iter().chain(owners).any(|(front, _)| front == o.of);
@@ -178,6 +186,15 @@
         }
     }
 
+    /// Guards against what was taken back from a copy that went less far than another's, heard of later: the call had
+    /// ended.
+    fn correct(&mut self, copies: &Copies) {
+        let stands = |call: &u64| copies.own_fact(&Key::Call(*call)).is_some();
+        self.taken.retain(|call, _| stands(call));
+        let ended = self.taken.iter().filter(|(call, life)| copies.past_lacks(copies.own(), **life, **call));
+        self.out.extend(ended.map(|(call, _)| CallOut::Delete(Key::Call(*call))));
+    }
+
     fn unclaim(&mut self, call: u64) {
         if self.claims.remove(&call).is_some() {
             self.out.push_back(CallOut::Delete(Key::Over(call)));
@@ -191,7 +208,7 @@
         if is_over(copies, call) {
             return Some((call, None));
         }
-        let past = || copies.past_call(call).map(|p| p.2);
+        let past = || copies.past_call(call).map(|p| p.word);
         let word = owners(copies, call).next().map(|o| o.1).or_else(past)?.clone();
         self.counts.found += 1;
         self.orphans.remove(&call);
@@ -204,8 +221,17 @@
     }
 
     /// Takes back, claims and releases what is due; `gone` are fronts and since when they are gone.
-    pub fn turn(&mut self, now: f64, peers: &Peers, copies: &Copies, gone: &[(FrontId, f64)], every: f64) {
-        self.take_back(now, peers, copies, every);
+    /// Another front first told at `told_at` what it knows of this one.
+    pub fn turn(
+        &mut self,
+        now: f64,
+        peers: &Peers,
+        copies: &Copies,
+        gone: &[(FrontId, f64)],
+        told_at: Option<f64>,
+    ) {
+        let every = peers.every();
+        self.take_back(now, peers, copies, told_at);
         if are_most(peers, now) {
             self.claim(now, peers, copies, gone);
         }
@@ -213,19 +239,23 @@
     }
 
     /// Calls of this front's earlier lives become its own again.
-    fn take_back(&mut self, now: f64, peers: &Peers, copies: &Copies, every: f64) {
+    fn take_back(&mut self, now: f64, peers: &Peers, copies: &Copies, told_at: Option<f64>) {
         if peers.is_silenced() {
             return;
         }
-        let whole = copies.pasts_are_whole(copies.own());
-        let due = |o: &Orphan| {
-            let (lately, late) = (TOLD_WITHIN * every, WAITED_FOR_MORE * self.params.hold);
-            now - o.since >= if whole { lately } else { late.max(lately) }
-        };
+        let told = told_at.is_some_and(|at| now - at >= TOLD_WITHIN * peers.every());
+        let whole = told && copies.pasts_are_whole(copies.own());
+        let known = copies.pasts(copies.own());
+        if whole && known != self.known {
+            self.correct(copies);
+            self.known = known;
+        }
+        let due = |o: &Orphan| whole || now - o.since >= WAITED_FOR_MORE * self.params.hold;
         let own = self.orphans.iter().filter(|(_, o)| o.of == copies.own() && due(o));
         for call in own.map(|(call, _)| *call).take(BACK_A_BEAT).collect::<Vec<_>>() {
-            let Some((_, _, word)) = copies.past_call(call) else { continue };
-            let mut word = word.clone();
+            let Some(past) = copies.past_call(call) else { continue };
+            let mut word = past.word.clone();
+            self.taken.insert(call, past.life);
             word.epoch = word.epoch.saturating_add(1);
             self.counts.taken_back += 1;
             self.out.push_back(CallOut::Write(Key::Call(call), Fact::Call(Box::new(word))));
@@ -235,12 +265,14 @@
     fn claim(&mut self, now: f64, peers: &Peers, copies: &Copies, gone: &[(FrontId, f64)]) {
         let held = |o: &Orphan| o.of != copies.own() && now - o.since >= self.params.hold;
         let orphans = self.orphans.iter().filter(|(_, o)| held(o));
-        let orphans = orphans.filter_map(|(call, o)| Some((*call, o.of, copies.past_call(*call)?.2)));
+        let orphans = orphans.filter_map(|(call, o)| Some((*call, o.of, copies.past_call(*call)?.word)));
         let gone = gone.iter().filter(|(_, since)| now - since >= self.params.hold);
         let theirs = gone.flat_map(|(of, _)| copies.calls_of(*of).map(|(call, word)| (call, *of, word)));
         // A claim of a front that died since is void.
         let stands = |(front, claim): (FrontId, bool)| !claim || peers.state(front) == Some(State::Alive);
-        let known = |call: u64| self.claims.contains_key(&call) || overs(copies, call).any(stands);
+        let known = |call: u64| {
+            self.claims.contains_key(&call) || overs(copies, call).any(stands) || copies.was_over(call)
+        };
         let due = orphans.chain(theirs);
         let due = due.filter(|(call, of, _)| !known(*call) && is_responsible(*call, *of, peers, now));
         // Only what is claimed is copied: the rest is looked at again with each beat.
@@ -264,7 +296,7 @@
             let yields = others.clone().any(|(front, claims)| {
                 !claims || front > copies.own() && peers.state(front) == Some(State::Alive)
             });
-            if returned || yields || !are_most(peers, now) {
+            if returned || yields || copies.was_over(call) || !are_most(peers, now) {
                 self.unclaim(call);
                 continue;
             }
@@ -306,5 +338,5 @@
 }
 
 fn is_over(copies: &Copies, call: u64) -> bool {
-    overs(copies, call).any(|o| !o.1)
+    overs(copies, call).any(|o| !o.1) || copies.was_over(call)
 }
--- a/crates/replica/src/copies.rs
+++ b/crates/replica/src/copies.rs
@@ -1,7 +1,7 @@
 //! Copies of what each origin wrote, this front's own among them.
 
 use crate::copy::{is_sound, Copy, Entry};
-use crate::facts::{CallWord, Fact, Key};
+use crate::facts::{CallWord, Fact, Key, OverWord};
 use crate::message::{Part, Reach};
 use shalespindle_peers::{FrontId, Life};
 use std::collections::BTreeMap;
@@ -41,24 +41,41 @@
 
 /// The copy of a life that ended: equal on all fronts before long, so that they agree on which calls stood at its end.
 #[derive(Clone, Debug, PartialEq)]
-struct Past {
-    copy: Copy,
+pub(crate) struct Past {
+    pub copy: Copy,
     /// When this front learned that the life is over.
-    since: f64,
+    pub since: f64,
     /// How far any front's copy of it is known to go.
     ahead: u64,
 }
 
+impl Past {
+    /// Nothing is known to be missing.
+    fn is_whole(&self) -> bool {
+        self.copy.reach.seq >= self.ahead && self.copy.ghosts.is_empty()
+    }
+}
+
+/// A call that stood at the end of a life.
+#[derive(Clone, Copy, Debug)]
+pub struct PastCall<'a> {
+    pub of: FrontId,
+    pub life: Life,
+    /// When it was learned here that the life is over.
+    pub since: f64,
+    pub word: &'a CallWord,
+}
+
 /// Copies of all origins.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Copies {
     params: CopiesParams,
     own: FrontId,
-    all: BTreeMap<FrontId, Copy>,
-    past: BTreeMap<(FrontId, Life), Past>,
+    pub(crate) all: BTreeMap<FrontId, Copy>,
+    pub(crate) past: BTreeMap<(FrontId, Life), Past>,
     /// Lives up to this one are of no use any more, whoever still has copies of them.
-    settled: BTreeMap<FrontId, Life>,
-    keeps: bool,
+    pub(crate) settled: BTreeMap<FrontId, Life>,
+    pub(crate) keeps: bool,
 }
 
 impl Copies {
@@ -166,6 +183,18 @@
         }
     }
 
+    /// What was kept of a life that is over.
+    pub(crate) fn put_past(&mut self, front: FrontId, copy: Copy, since: f64) {
+        if !copy.dropped && !self.is_settled(front, copy.life) {
+            let ahead = copy.reach.seq;
+            self.past.insert((front, copy.life), Past { copy, since, ahead });
+        }
+    }
+
+    pub(crate) fn most(&self) -> usize {
+        self.params.most
+    }
+
     /// Ended lives of a front and how far their copies go, from the first on.
     pub fn pasts(&self, front: FrontId) -> Vec<(Life, Reach)> {
         let top = Life { number: u64::MAX, nonce: u64::MAX };
@@ -174,17 +203,23 @@
     }
 
     /// How far the copy of an ended life goes, where somebody's goes up to `ahead`; none where it is of no use any more.
-    pub fn past_reach(&mut self, front: FrontId, life: Life, ahead: u64) -> Option<Reach> {
+    pub fn past_reach(&mut self, now: f64, front: FrontId, life: Life, ahead: u64) -> Option<Reach> {
         if self.is_settled(front, life) {
             return None;
         }
-        match self.past.get_mut(&(front, life)) {
-            Some(past) => {
-                past.ahead = past.ahead.max(ahead);
-                Some(past.copy.reach)
-            }
-            None => Some(Reach::default()),
+        if ahead == 0 || !self.past.contains_key(&(front, life)) && self.pasts(front).len() >= MOST_PASTS {
+            return Some(self.past.get(&(front, life)).map(|past| past.copy.reach).unwrap_or_default());
         }
+        let past = self.past_of(now, front, life);
+        past.ahead = past.ahead.max(ahead);
+        Some(past.copy.reach)
+    }
+
+    /// The copy of an ended life, a new one where there is none.
+    fn past_of(&mut self, now: f64, front: FrontId, life: Life) -> &mut Past {
+        let keeps = self.keeps;
+        let fresh = || Past { copy: Copy::new(life, keeps), since: now, ahead: 0 };
+        self.past.entry((front, life)).or_insert_with(fresh)
     }
 
     pub fn settled(&self, front: FrontId) -> Life {
@@ -219,7 +254,7 @@
         let keeps = self.keeps;
         let Some(copy) = self.all.get_mut(&front).filter(|_| front != self.own) else { return Vec::new() };
         let before = std::mem::take(copy);
-        *copy = Copy::new(before.life, keeps);
+        *copy = Copy::after(&before, keeps);
         copy.dropped = true;
         before.entries.into_keys().collect()
     }
@@ -242,7 +277,8 @@
         let mut keys: Vec<Key> = past.into_values().flat_map(|p| p.copy.entries.into_keys()).collect();
         let (own, keeps) = (self.own, self.keeps);
         for (_, copy) in self.all.iter_mut().filter(|(front, _)| **front != own) {
-            let before = std::mem::replace(copy, Copy::new(copy.life, keeps));
+            let before = std::mem::take(copy);
+            *copy = Copy::after(&before, keeps);
             copy.dropped = before.dropped;
             keys.extend(before.entries.into_keys());
         }
@@ -292,8 +328,7 @@
             if !self.past.contains_key(&(front, life)) && self.pasts(front).len() >= MOST_PASTS {
                 return Applied::OldLife;
             }
-            let fresh = || Past { copy: Copy::new(life, keeps), since: now, ahead: 0 };
-            let past = self.past.entry((front, life)).or_insert_with(fresh);
+            let past = self.past_of(now, front, life);
             past.ahead = past.ahead.max(part.last);
             past.copy.apply(now, part, most)
         } else {
@@ -334,19 +369,31 @@
     }
 
     /// A call that stood at the end of a life, of the latest such: whose, since when that is known, the call.
-    pub fn past_call(&self, call: u64) -> Option<(FrontId, f64, &CallWord)> {
+    pub fn past_call(&self, call: u64) -> Option<PastCall<'_>> {
         let found =
-            self.past.iter().filter_map(|((front, life), past)| match past.copy.fact(&Key::Call(call)) {
-                Some(Fact::Call(word)) => Some((*life, (*front, past.since, &**word))),
+            self.past.iter().filter_map(|((of, life), past)| match past.copy.fact(&Key::Call(call)) {
+                Some(Fact::Call(word)) => Some(PastCall { of: *of, life: *life, since: past.since, word }),
                 _ => None,
             });
-        found.max_by_key(|f| f.0).map(|f| f.1)
+        found.max_by_key(|found| found.life)
+    }
+
+    /// Whether a front's ended life is known to its end, as far as anybody knows it, and the call did not stand there.
+    pub fn past_lacks(&self, front: FrontId, life: Life, call: u64) -> bool {
+        let past = self.past.get(&(front, life));
+        past.is_some_and(|past| past.is_whole() && past.copy.fact(&Key::Call(call)).is_none())
+    }
+
+    /// Whether a front said in an ended life that a call is over: that holds on, claims do not.
+    pub fn was_over(&self, call: u64) -> bool {
+        let over = Fact::Over(OverWord { claim: false });
+        self.past.values().any(|past| past.copy.fact(&Key::Over(call)) == Some(&over))
     }
 
     /// Whether nothing is known to be missing of a front's ended lives.
     pub fn pasts_are_whole(&self, front: FrontId) -> bool {
         let mut pasts = self.past.iter().filter(|((of, _), _)| *of == front);
-        pasts.all(|(_, past)| past.copy.reach.seq >= past.ahead && past.copy.ghosts.is_empty())
+        pasts.all(|(_, past)| past.is_whole())
     }
 
     /// This front's words that calls are over which are older than that, seconds.
--- a/crates/replica/src/copy.rs
+++ b/crates/replica/src/copy.rs
@@ -36,6 +36,12 @@
         Copy { life, touched: keeps.then(BTreeSet::new), ..Copy::default() }
     }
 
+    /// One of the same life that begins from nothing.
+    pub fn after(before: &Copy, keeps: bool) -> Copy {
+        let touched = keeps.then(|| before.entries.keys().copied().collect());
+        Copy { life: before.life, touched, ..Copy::default() }
+    }
+
     fn touch(&mut self, key: Key) {
         if let Some(touched) = &mut self.touched {
             touched.insert(key);
@@ -78,6 +84,9 @@
 
     fn begin_anew(&mut self, part: &Part) {
         self.ghosts = self.entries.keys().copied().collect();
+        if let Some(touched) = &mut self.touched {
+            touched.extend(&self.ghosts);
+        }
         self.by_seq.clear();
         self.reach = Reach { seq: 0, floor: part.floor };
         self.anew_until = part.last;
--- a/crates/replica/src/fleet.rs
+++ b/crates/replica/src/fleet.rs
@@ -1,10 +1,10 @@
 //! One front among others: beats, digests, parts, and what they make known.
 
-use crate::calls::{CallCounts, CallOut, Calls, CallsParams};
+use crate::calls::{CallOut, Calls, CallsParams};
 use crate::copies::{Applied, Copies, CopiesParams, Full};
 use crate::facts::{CallWord, Fact, Key, LevelWord, OverWord, ServerWord};
 use crate::message::{Known, Message, Part, PastReach, Reach};
-use crate::view::{Meeting, News, View};
+use crate::view::{News, View};
 use shalespindle_peers::{Change, FrontId, Life, Peers, PeersParams, State, Word};
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
@@ -50,39 +50,6 @@
     Peer(Change),
 }
 
-/// A peer, for operators.
-#[derive(Clone, Debug, PartialEq)]
-pub struct PeerStatus {
-    pub front: FrontId,
-    pub state: State,
-    /// Since its beat last rose.
-    pub quiet_for: f64,
-    /// Facts held of it, and how many numbers it is known to be ahead of the copy.
-    pub facts: usize,
-    pub behind: u64,
-    /// Equal where the copies of it are equal.
-    pub mark: u64,
-}
-
-/// The whole, for operators.
-#[derive(Clone, Debug, PartialEq)]
-pub struct FleetStatus {
-    pub life: Life,
-    pub silenced: bool,
-    pub alone: bool,
-    /// A peer was heard and what it had is here.
-    pub caught_up: bool,
-    pub own_facts: usize,
-    pub own_mark: u64,
-    pub peers: Vec<PeerStatus>,
-    pub met: u64,
-    pub meetings: Vec<Meeting>,
-    pub calls: CallCounts,
-    /// Calls that two or more fronts released, and which.
-    pub doubles: Vec<(u64, Vec<FrontId>)>,
-    pub counts: Counts,
-}
-
 /// What has been counted since the start.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Counts {
@@ -107,13 +74,13 @@
 const PART_ROOM: usize = 64;
 
 pub struct Fleet {
-    params: FleetParams,
-    peers: Peers,
-    copies: Copies,
-    view: View,
-    calls: Calls,
+    pub(crate) params: FleetParams,
+    pub(crate) peers: Peers,
+    pub(crate) copies: Copies,
+    pub(crate) view: View,
+    pub(crate) calls: Calls,
     /// How far each front is known to have come, by anybody's word.
-    ahead: BTreeMap<FrontId, (Life, u64)>,
+    pub(crate) ahead: BTreeMap<FrontId, (Life, u64)>,
     /// Since when a front has been gone or has left.
     over_since: BTreeMap<FrontId, f64>,
     out: VecDeque<Out>,
@@ -121,8 +88,10 @@
     pushed: u64,
     push_at: f64,
     turned_at: f64,
-    caught_up: bool,
-    counts: Counts,
+    /// When another front first told what it knows of this one.
+    told_at: Option<f64>,
+    pub(crate) caught_up: bool,
+    pub(crate) counts: Counts,
 }
 
 impl Fleet {
@@ -145,6 +114,7 @@
             pushed: 0,
             push_at: now,
             turned_at: now,
+            told_at: None,
             caught_up: false,
             counts: Counts::default(),
             params,
@@ -185,7 +155,7 @@
         self.write(now, Key::Level, Fact::Level(word));
     }
 
-    fn write(&mut self, now: f64, key: Key, fact: Fact) {
+    pub(crate) fn write(&mut self, now: f64, key: Key, fact: Fact) {
         match self.copies.write(now, key, fact) {
             Ok(_) => self.look(now, &[key]),
             Err(Full) => self.counts.full += 1,
@@ -268,8 +238,10 @@
             let current = self.current(front);
             if life < current {
                 gives.push((front, current, Reach::default()));
+                continue;
             }
-            if front == self.peers.own() || life != current {
+            if front == self.peers.own() {
+                self.told_at.get_or_insert(now);
                 gives.push((front, life, reach));
                 continue;
             }
@@ -299,7 +271,8 @@
         if front == self.peers.own() {
             return self.peers.life();
         }
-        self.peers.life_of(front).unwrap_or_default()
+        // What was kept may know a later life than any that was heard of since the start.
+        self.peers.life_of(front).unwrap_or_default().max(self.copies.life(front))
     }
 
     /// What a digest says of a front's ended lives.
@@ -322,8 +295,10 @@
         }
         self.look(now, &keys);
         let over = |past: &&PastReach| life(past.life) < theirs.max(current);
-        for past in k.past.iter().filter(over) {
-            match self.copies.past_reach(front, life(past.life), past.reach.seq) {
+        // What its sender takes for its life now may be over, too.
+        let also = k.reach.filter(|_| theirs < current).map(|reach| PastReach { life: k.life, reach });
+        for past in k.past.iter().filter(over).chain(&also) {
+            match self.copies.past_reach(now, front, life(past.life), past.reach.seq) {
                 Some(held) if held.seq < past.reach.seq => wants.push(front),
                 Some(_) => gives.push((front, life(past.life), past.reach)),
                 None => {}
@@ -427,7 +402,7 @@
         }
     }
 
-    fn look(&mut self, now: f64, keys: &[Key]) {
+    pub(crate) fn look(&mut self, now: f64, keys: &[Key]) {
         for key in keys {
             self.view.changed(now, &self.copies, key);
             if let Key::Call(call) | Key::Over(call) = key {
@@ -514,7 +489,7 @@
             }
         }
         let gone: Vec<(FrontId, f64)> = self.over_since.iter().map(|(f, since)| (*f, *since)).collect();
-        self.calls.turn(now, &self.peers, &self.copies, &gone, self.params.peers.every);
+        self.calls.turn(now, &self.peers, &self.copies, &gone, self.told_at);
         self.heed_calls(now);
         let words = self.peers.words();
         let known: Vec<Known> = words.iter().map(|w| self.known(w)).collect();
@@ -580,35 +555,6 @@
     pub fn copies(&self) -> &Copies {
         &self.copies
     }
-
-    pub fn status(&self, now: f64) -> FleetStatus {
-        let (old_lives, strangers, held_up) = self.peers.counts();
-        let mut counts = self.counts;
-        counts.old_lives += old_lives;
-        counts.strangers += strangers;
-        counts.held_up = held_up;
-        let peer = |(front, state, quiet_for): (FrontId, State, f64)| {
-            let held = self.peers.life_of(front).and_then(|life| self.copies.reach(front, life));
-            let ahead = self.ahead.get(&front).filter(|a| Some(a.0) == self.peers.life_of(front));
-            let behind = ahead.map_or(0, |a| a.1.saturating_sub(held.unwrap_or_default().seq));
-            let (facts, mark) = (self.copies.held(front), self.copies.mark(front));
-            PeerStatus { front, state, quiet_for, facts, behind, mark }
-        };
-        FleetStatus {
-            life: self.peers.life(),
-            silenced: self.peers.is_silenced(),
-            alone: self.peers.is_alone(),
-            caught_up: self.caught_up,
-            own_facts: self.copies.held(self.peers.own()),
-            own_mark: self.copies.mark(self.peers.own()),
-            peers: self.peers.all(now).map(peer).collect(),
-            met: self.view.met_so_far(),
-            meetings: self.view.meetings().cloned().collect(),
-            calls: self.calls.counts(),
-            doubles: self.calls.doubles().map(|(call, fronts)| (call, fronts.to_vec())).collect(),
-            counts,
-        }
-    }
 }
 
 fn life((number, nonce): (u64, u64)) -> Life {
--- a/crates/replica/src/lib.rs
+++ b/crates/replica/src/lib.rs
@@ -15,13 +15,17 @@
 mod copy;
 mod facts;
 mod fleet;
+mod kept;
 mod message;
+mod status;
 mod view;
 
 pub use calls::{dialog_name, CallCounts, Calls, CallsParams};
 pub use copies::{Applied, Copies, CopiesParams, Full};
 pub use facts::{CallWord, Fact, Key, LevelWord, OverWord, ServerWord};
-pub use fleet::{Counts, Fleet, FleetParams, FleetStatus, Out, PeerStatus};
+pub use fleet::{Counts, Fleet, FleetParams, Out};
+pub use kept::{Changes, Inventory, Keeping, Kept, KeptFact, KeptLife, LifeName, Restored};
 pub use message::{Item, Known, Message, Part, PastReach, Reach};
 pub use shalespindle_membership::Told;
+pub use status::{FleetStatus, PeerStatus};
 pub use view::{Meeting, News, View};
--- a/crates/replica/tests/calls.rs
+++ b/crates/replica/tests/calls.rs
@@ -2,28 +2,12 @@
 
 mod common;
 
-use common::{Net, EVERY};
+use common::{word, Net, EVERY};
 use shalespindle_peers::FrontId;
 use shalespindle_replica::{dialog_name, CallWord, FleetParams};
 
 const HOLD: f64 = 5.0;
 
-fn word(n: u64) -> CallWord {
-    CallWord {
-        epoch: 1,
-        server: "127.0.0.1:5070".parse().unwrap(),
-        leg_call_id: format!("leg-{n}"),
-        leg_from: "<sip:a>;tag=1".into(),
-        leg_to: "<sip:b>;tag=2".into(),
-        leg_target: "sip:b@127.0.0.1:5070".into(),
-        call_id: format!("c{n}"),
-        local: "<sip:b>;tag=3".into(),
-        remote: "<sip:a>;tag=4".into(),
-        target: "sip:a@127.0.0.1:5080".into(),
-        caller: Some("127.0.0.1:5080".parse().unwrap()),
-    }
-}
-
 fn net(count: usize) -> Net {
     let mut params = FleetParams::beating(EVERY);
     params.calls.hold = HOLD;
@@ -243,3 +227,25 @@
         assert_eq!(net.at(front).status(now).calls.orphans, 0, "at {front}");
     }
 }
+
+/// Guards against what a life said that is over itself: that a call ended is known by that word alone.
+#[test]
+fn a_word_that_a_call_is_over_outlives_the_life_that_said_it() {
+    let mut net = net(4);
+    stands(&mut net, 0, 0..10);
+    net.pass(2.0);
+    net.restart(0, 2);
+    net.pass(2.0);
+    assert_eq!(net.owned(0), 10);
+    let now = net.now;
+    // Four end at their front, three at another; both start anew.
+    (0..4).for_each(|n| net.at(0).tell_call(now, n, None));
+    (4..7).for_each(|n| assert!(net.at(1).whose(now, n, false).unwrap().1.is_some()));
+    net.pass(2.0);
+    net.restart(0, 3);
+    net.restart(1, 2);
+    net.pass(HOLD + 4.0);
+    assert_eq!((net.owned(0), net.all_released()), (3, Vec::new()));
+    let now = net.now;
+    assert_eq!(net.at(2).whose(now, 5, false), Some((5, None)));
+}
--- a/crates/replica/tests/common/mod.rs
+++ b/crates/replica/tests/common/mod.rs
@@ -6,7 +6,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use shalespindle_peers::{FrontId, Life};
-use shalespindle_replica::{Fleet, FleetParams, Message, News, Out, ServerWord};
+use shalespindle_replica::{CallWord, Fleet, FleetParams, Message, News, Out, ServerWord};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -16,6 +16,23 @@
     SocketAddr::from(([127, 0, 0, 1], n))
 }
 
+/// A call of that number.
+pub fn word(n: u64) -> CallWord {
+    CallWord {
+        epoch: 1,
+        server: "127.0.0.1:5070".parse().unwrap(),
+        leg_call_id: format!("leg-{n}"),
+        leg_from: "<sip:a>;tag=1".into(),
+        leg_to: "<sip:b>;tag=2".into(),
+        leg_target: "sip:b@127.0.0.1:5070".into(),
+        call_id: format!("c{n}"),
+        local: "<sip:b>;tag=3".into(),
+        remote: "<sip:a>;tag=4".into(),
+        target: "sip:a@127.0.0.1:5080".into(),
+        caller: Some("127.0.0.1:5080".parse().unwrap()),
+    }
+}
+
 pub struct Net {
     params: FleetParams,
     pub fronts: Vec<Option<Fleet>>,
--- a/crates/replica/tests/walk.rs
+++ b/crates/replica/tests/walk.rs
@@ -136,7 +136,7 @@
     }
 
     fn answer_past(&mut self, to: usize, from: usize, life: Life) -> Option<Part> {
-        let reach = self.copies[to].past_reach(WRITER, life, 0)?;
+        let reach = self.copies[to].past_reach(self.now, WRITER, life, 0)?;
         let has = self.copies[from].pasts(WRITER).iter().any(|p| p.0 == life);
         // One that has not heard of the end takes it for a current one's.
         let knows = self.copies[to].life(WRITER) > life;
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -28,6 +28,8 @@
     /// Time between two beats.
     pub every: Duration,
     pub seed: u64,
+    /// Fronts keep what they know on disk, so often; none: nothing outlives a process.
+    pub keep_every: Option<Duration>,
     /// Further lines for `[fleet]` in the settings, before its peers.
     pub more: String,
 }
@@ -35,7 +37,7 @@
 impl FleetShape {
     pub fn new(program: impl Into<PathBuf>, fronts: usize, seed: u64) -> FleetShape {
         let every = Duration::from_millis(100);
-        FleetShape { program: program.into(), fronts, every, seed, more: String::new() }
+        FleetShape { program: program.into(), fronts, every, seed, keep_every: None, more: String::new() }
     }
 }
 
@@ -45,6 +47,7 @@
     settings: PathBuf,
     console: PathBuf,
     log: PathBuf,
+    kept: PathBuf,
     process: Option<Child>,
     stopped: bool,
 }
@@ -94,6 +97,7 @@
                 settings: path("toml"),
                 console: path("sock"),
                 log: path("log"),
+                kept: path("redb"),
                 process: None,
                 stopped: false,
             };
@@ -102,6 +106,9 @@
                 format!("[[fleet.peers]]\nname = \"f{to}\"\naddress = \"{address}\"\n")
             };
             let peers: String = (0..shape.fronts).map(peer).collect();
+            let keeps = shape.keep_every.map_or(String::new(), |every| {
+                format!("keep_file = {:?}\nkeep_every = \"{}ms\"\n", front.kept, every.as_millis())
+            });
             let text = format!(
                 "[front]\nlisten = \"{}\"\nend_within = \"200ms\"\n[pool_list]\nfeed = \"{}\"\n\
                  [[procedures]]\nname = \"any\"\nlatency_target = \"2s\"\nt_timer = \"9s\"\nutility = 1.0\n\
@@ -109,7 +116,7 @@
                  [rules.cold]\nstart_capacity = 0.3\nwarm_after = \"15s\"\ntip_multiple = 2.0\n\
                  [console]\nsocket = {:?}\n\
                  [fleet]\nname = \"f{place}\"\nlisten = \"{}\"\nkey_file = {key:?}\nevery = \"{}ms\"\n\
-                 suspect_after = \"{}ms\"\ngone_after = \"{}ms\"\nbytes = 1200\nwarnings_for = \"600s\"\n{}\n{peers}",
+                 suspect_after = \"{}ms\"\ngone_after = \"{}ms\"\nbytes = 1200\nwarnings_for = \"600s\"\n{keeps}{}\n{peers}",
                 front.listen,
                 feed.address,
                 front.console,
@@ -223,6 +230,34 @@
         }
     }
 
+    /// The file in which a front keeps what it knows.
+    pub fn kept(&self, place: usize) -> &Path {
+        &self.fronts[place].kept
+    }
+
+    /// Where a copy of it is put aside.
+    fn aside(&self, place: usize) -> PathBuf {
+        self.fronts[place].kept.with_extension("aside")
+    }
+
+    /// Kills a front and puts a copy of what it has kept aside.
+    pub fn put_aside(&mut self, place: usize) -> io::Result<()> {
+        self.kill(place);
+        match std::fs::copy(self.kept(place), self.aside(place)) {
+            Err(why) if why.kind() != io::ErrorKind::NotFound => Err(why),
+            _ => Ok(()),
+        }
+    }
+
+    /// Kills a front and gives it what was put aside, if anything was; it is not started.
+    pub fn put_back(&mut self, place: usize) -> io::Result<()> {
+        self.kill(place);
+        match std::fs::copy(self.aside(place), self.kept(place)) {
+            Err(why) if why.kind() != io::ErrorKind::NotFound => Err(why),
+            _ => Ok(()),
+        }
+    }
+
     /// Where callers reach a front.
     pub fn listen(&self, place: usize) -> SocketAddr {
         self.fronts[place].listen
--- a/crates/rig/src/plan.rs
+++ b/crates/rig/src/plan.rs
@@ -18,6 +18,10 @@
     Start(usize),
     /// Ends it in order.
     End(usize),
+    /// Kills it and puts a copy of what it has kept aside; it starts again from what it kept.
+    PutAside(usize),
+    /// Kills it; it starts from what was put aside, however old that is.
+    StartOld(usize),
     Hold(usize),
     Wake(usize),
     /// These hear nobody else and nobody else hears them.
@@ -39,7 +43,7 @@
     let mut actions = Vec::new();
     for _ in 0..steps {
         let front = rng.random_range(0..fronts);
-        actions.push(match rng.random_range(0..20) {
+        actions.push(match rng.random_range(0..22) {
             0..=8 => {
                 let state =
                     [State::Ready, State::Draining, State::Draining, State::Gone][rng.random_range(0..4)];
@@ -54,6 +58,8 @@
             16 => Action::CutOff((0..fronts).filter(|_| rng.random()).collect()),
             17 => Action::Mute(front),
             18 => Action::Heal,
+            19 => Action::PutAside(front),
+            20 => Action::StartOld(front),
             _ => {
                 let mut part = || rng.random_range(0..40);
                 Action::Spoil { loss: part(), double: part(), garble: part() }
--- a/crates/rig/src/play.rs
+++ b/crates/rig/src/play.rs
@@ -51,7 +51,9 @@
     folder: Option<&Path>,
     tell: &mut dyn FnMut(String),
 ) -> io::Result<Summary> {
-    let mut fleet = Fleet::new(shape, folder)?;
+    let mut shape = shape.clone();
+    shape.keep_every.get_or_insert(shape.every / 2);
+    let mut fleet = Fleet::new(&shape, folder)?;
     let mut latest = [1; SERVERS];
     for feed in &fleet.feeds {
         (0..SERVERS)
@@ -138,6 +140,14 @@
             fleet.hold(*front, false)?;
             fleet.end(*front)?;
         }
+        Action::PutAside(front) => {
+            fleet.put_aside(*front)?;
+            fleet.start(*front)?;
+        }
+        Action::StartOld(front) => {
+            fleet.put_back(*front)?;
+            fleet.start(*front)?;
+        }
         Action::Hold(front) => fleet.hold(*front, true)?,
         Action::Wake(front) => fleet.hold(*front, false)?,
         Action::CutOff(some) => fleet.relays.set(|faults| {
--- a/crates/settings/src/fleet.rs
+++ b/crates/settings/src/fleet.rs
@@ -65,6 +65,14 @@
     #[serde(default = "remember")]
     #[garde(custom(over_zero))]
     pub remember: Span,
+    /// A file that keeps what this front knows of the fleet over a restart; without it a restart begins from nothing.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[garde(skip)]
+    pub keep_file: Option<PathBuf>,
+    /// Between two writes to that file.
+    #[serde(default = "keep_every")]
+    #[garde(custom(over_zero))]
+    pub keep_every: Span,
     /// Facts of one front at most.
     #[serde(default = "facts")]
     #[garde(range(min = 16, max = 1_000_000))]
@@ -109,6 +117,9 @@
 fn remember() -> Span {
     Span::from_millis(300_000)
 }
+fn keep_every() -> Span {
+    Span::from_millis(1_000)
+}
 fn facts() -> usize {
     20_000
 }
@@ -132,6 +143,12 @@
         if self.gone_after < self.suspect_after {
             faults.push(("fleet.gone_after".into(), "must not be shorter than suspect_after".into()));
         }
+        if self.keep_file.as_ref().is_some_and(|file| file.as_os_str().is_empty()) {
+            faults.push(("fleet.keep_file".into(), "a file's path is allowed, or no such key".into()));
+        }
+        if self.keep <= self.keep_every {
+            faults.push(("fleet.keep_every".into(), "must be shorter than fleet.keep".into()));
+        }
         if self.keep < self.hold_calls {
             faults.push(("fleet.keep".into(), "must not be shorter than hold_calls".into()));
         }
--- a/crates/transport/src/fleet.rs
+++ b/crates/transport/src/fleet.rs
@@ -2,7 +2,7 @@
 
 use crate::owner::Letter;
 use shalespindle_membership::Listed;
-use shalespindle_peer_service::{Fronts, Saying, Start};
+use shalespindle_peer_service::{Fronts, Keep, Saying, Start};
 use shalespindle_replica::ServerWord;
 use shalespindle_settings::{read_key, FleetSettings};
 use shalespindle_sockets::{Ground, Mailbox};
@@ -15,6 +15,7 @@
     ground: Ground,
     to: Mailbox<Letter>,
 ) -> io::Result<Fronts> {
+    let keep = |file: &std::path::PathBuf| Keep { file: file.clone(), every: settings.keep_every.seconds() };
     let start = Start {
         name: settings.name.clone(),
         listen: settings.listen,
@@ -22,6 +23,7 @@
         key: read_key(&settings.key_file).map_err(io::Error::other)?,
         params: settings.params(),
         seed,
+        keep: settings.keep_file.as_ref().map(keep),
     };
     // An owner that has ended has no use for news.
     Fronts::start(start, ground, move |heard| drop(to.send_urgent(Letter::Fleet(heard))))
