Telling others costs a front less: one letter a turn, a thread of its own, asking one at a time

Cause by perf and by turns: a letter and a wake-up for each call; the fleet's owner as a coroutine on the workers of the front's owner, with turns of milliseconds. Change: letters gathered by turn, the fleet's owner on a thread; what was told to nobody is deleted without a word. Measured (lab fleet-size, new, virtual time): a front that returns got its calls three times over, 838 KB for 1000; each that heard a beat's digest gave a whole burst. Change: one message unasked, one front asked at a time; parts that come before their turn wait for it.

--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -220,6 +220,23 @@
         #[command(flatten)]
         with: RunWith,
     },
+    /// How what crosses between fronts grows with the fleet, under virtual time: bytes a second, the spread of a
+    /// warning, the catching up of a front that returns empty. One JSON line a size.
+    FleetSize {
+        #[arg(long, num_args = 1.., default_values_t = [8, 64])]
+        fronts: Vec<usize>,
+        /// Calls that stand in the whole fleet.
+        #[arg(long, default_value_t = 1000)]
+        calls: u64,
+        /// Calls that begin at each front in a second.
+        #[arg(long, default_value_t = 1.0)]
+        calls_a_second: f64,
+        /// Part of the frames that is lost.
+        #[arg(long, default_value_t = 0.01)]
+        loss: f64,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
     /// The embedded scripted bad day, on sockets.
     BadDay {
         #[command(flatten)]
@@ -232,6 +249,9 @@
         seconds: f64,
         #[arg(long, default_value_t = 3)]
         rounds: usize,
+        /// What telling other fronts costs instead: a front alone against one of four that tell each other.
+        #[arg(long)]
+        fleet: bool,
     },
 }
 
--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -7,7 +7,7 @@
 use shalespindle_lab::play::{play, Fronts};
 use shalespindle_lab::scenario::{Scenario, BAD_DAY};
 use shalespindle_lab::summary::{Knowledge, LevelSteps, Report};
-use shalespindle_lab::{names, scale, sim, throughput, walk};
+use shalespindle_lab::{fleet_cost, fleet_size, names, scale, sim, throughput, walk};
 use shalespindle_rig::FleetShape;
 use std::io;
 use std::net::SocketAddr;
@@ -135,7 +135,18 @@
             );
             Ok(if walked.broken.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
         }
-        Lab::Throughput { seconds, rounds } => {
+        Lab::FleetSize { fronts, calls, calls_a_second, loss, seed } => {
+            for fronts in fronts {
+                let shape = fleet_size::SizeShape { fronts, calls, calls_a_second, loss, seed };
+                println!("{}", serde_json::to_string(&fleet_size::measure(&shape))?);
+            }
+            Ok(ExitCode::SUCCESS)
+        }
+        Lab::Throughput { seconds, rounds, fleet: true } => {
+            print!("{}", fleet_cost::measure(seconds, rounds)?);
+            Ok(ExitCode::SUCCESS)
+        }
+        Lab::Throughput { seconds, rounds, fleet: false } => {
             print!("{}", throughput::measure(seconds, rounds)?);
             Ok(ExitCode::SUCCESS)
         }
--- /dev/null
+++ b/crates/lab/src/fleet_cost.rs
@@ -0,0 +1,135 @@
+//! What telling the other fronts costs on the ordinary path: the same load through a front that knows no others, one
+//! of four fronts that tell each other, and the same with what it knows kept on disk; in turn, in one run. All of
+//! them share this machine's cores, so the others' work counts against the front that is measured.
+
+use crate::throughput::{drive, scenario, servers, Measured, Pace, WINDOW};
+use shalespindle_settings::{FleetSettings, Settings};
+use shalespindle_sockets::Ground;
+use shalespindle_standin::loopback::{free_address, networks};
+use shalespindle_transport::Service;
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+/// Fronts of a fleet.
+const FRONTS: usize = 4;
+/// How long a call stands: long enough that its facts are told before it ends.
+const STANDS: Duration = Duration::from_secs(1);
+
+/// A front in a closed loop, then in an open loop at half of the plain front's rate.
+pub type Both = (Measured, Measured);
+
+/// Both of the plain front, the one of four, and that with a file.
+#[derive(Clone, Debug, Default)]
+pub struct FleetCost {
+    pub rounds: Vec<[Both; 3]>,
+    /// Bytes a second that the measured front sent to its peers meanwhile, without and with a file.
+    pub sent_a_second: [f64; 2],
+}
+
+fn fleet(
+    folder: &Path,
+    place: usize,
+    network: u8,
+    listen: &[SocketAddr],
+    keeps: bool,
+) -> io::Result<FleetSettings> {
+    let key = folder.join("key");
+    std::fs::write(&key, "5a".repeat(32))?;
+    let peers = listen.iter().enumerate();
+    let peers: String =
+        peers.map(|(n, at)| format!("[[peers]]\nname = \"f{n}\"\naddress = \"{at}\"\n")).collect();
+    let file = match keeps {
+        true => format!("keep_file = {:?}\n", folder.join(format!("{network}-{place}.redb"))),
+        false => String::new(),
+    };
+    let text = format!(
+        "name = \"f{place}\"\nlisten = \"{}\"\nkey_file = {key:?}\nfacts = 400000\n{file}{peers}",
+        listen[place]
+    );
+    toml::from_str(&text).map_err(io::Error::other)
+}
+
+/// Measures `rounds` rounds of six parts of `seconds` each.
+pub fn measure(seconds: f64, rounds: usize) -> io::Result<FleetCost> {
+    let scenario = scenario()?;
+    let ground = Ground::new();
+    let servers = servers(&scenario, &ground, false)?;
+    let folder = tempfile::tempdir()?;
+    let plain = scenario.settings(SocketAddr::from(([127, 0, 0, 1], 0)), servers.feed, &[], 0.05);
+    let mut services = vec![Service::start(&plain, 1, ground.clone())?];
+    let mut measured = vec![0];
+    for keeps in [false, true] {
+        let network = networks();
+        let listen: Vec<SocketAddr> =
+            (0..FRONTS).map(|front| free_address(network, front)).collect::<io::Result<_>>()?;
+        measured.push(services.len());
+        for place in 0..FRONTS {
+            let fleet = Some(fleet(folder.path(), place, network, &listen, keeps)?);
+            let settings = Settings { fleet, ..plain.clone() };
+            services.push(Service::start(&settings, 1 + place as u64, ground.clone())?);
+        }
+    }
+    std::thread::sleep(Duration::from_millis(1500));
+    let address = |n: usize| services[measured[n]].address();
+    let mut out = FleetCost::default();
+    for _ in 0..rounds {
+        let closed = |n| drive(address(n), Pace::Closed(WINDOW), seconds, STANDS);
+        let closed = [closed(0)?, closed(1)?, closed(2)?];
+        let rate = closed[0].per_second / 2.0;
+        let half = |n| drive(address(n), Pace::Open(rate), seconds, STANDS);
+        let half = [half(0)?, half(1)?, half(2)?];
+        let [c0, c1, c2] = closed;
+        let [h0, h1, h2] = half;
+        out.rounds.push([(c0, h0), (c1, h1), (c2, h2)]);
+    }
+    for (n, sent) in out.sent_a_second.iter_mut().enumerate() {
+        let standing = services[measured[n + 1]].fleet();
+        let bytes = standing.and_then(|s| s.counts.get("bytes_sent").copied()).unwrap_or(0);
+        *sent = bytes as f64 / (2.0 * seconds * rounds as f64);
+    }
+    drop(services);
+    servers.finish();
+    Ok(out)
+}
+
+impl fmt::Display for FleetCost {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "closed loop of {WINDOW}, calls stand {STANDS:?}; then open loop at half of the plain front's rate")?;
+        for round in &self.rounds {
+            for ((closed, half), name) in round.iter().zip(["alone", "of four", "of four, kept"]) {
+                writeln!(
+                    f,
+                    "{name:14} {:6.0} attaches/s, {:.3} of alone; at half p50 {} us, p99 {} us; lost {}, refused {}",
+                    closed.per_second,
+                    closed.per_second / round[0].0.per_second,
+                    half.p50_us,
+                    half.p99_us,
+                    closed.lost + half.lost,
+                    closed.refused + half.refused
+                )?;
+            }
+        }
+        let median = |of: &dyn Fn(&[Both; 3]) -> f64| -> (f64, f64, f64) {
+            let mut all: Vec<f64> = self.rounds.iter().map(of).collect();
+            all.sort_by(f64::total_cmp);
+            let at = |part: f64| {
+                all.get((part * (all.len().max(1) - 1) as f64).round() as usize).copied().unwrap_or(0.0)
+            };
+            (at(0.5), at(0.25), at(0.75))
+        };
+        for (n, name) in [(1, "of four"), (2, "of four, kept")] {
+            let (rate, low, high) = median(&|r| r[n].0.per_second / r[0].0.per_second);
+            let (p99, p99_low, p99_high) = median(&|r| r[n].1.p99_us as f64 / r[0].1.p99_us as f64);
+            writeln!(
+                f,
+                "{name}: median of rounds {rate:.3} of the throughput alone (quartiles {low:.3} to {high:.3}), \
+                 p99 at half {p99:.2} times ({p99_low:.2} to {p99_high:.2})"
+            )?;
+        }
+        let [told, kept] = self.sent_a_second;
+        writeln!(f, "to its peers the front sent {told:.0} bytes a second of load, {kept:.0} with a file")
+    }
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,6 +3,8 @@
 
 pub mod baseline;
 pub mod compare;
+pub mod fleet_cost;
+pub mod fleet_size;
 pub mod names;
 mod parallel;
 pub mod plan;
--- a/crates/lab/src/throughput.rs
+++ b/crates/lab/src/throughput.rs
@@ -14,7 +14,7 @@
 use shalespindle_standin::server::Server;
 use shalespindle_standin::trace::Trace;
 use shalespindle_transport::{Service, Snapshot};
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::fmt;
 use std::io::{self, Read};
 use std::net::SocketAddr;
@@ -23,7 +23,9 @@
 
 const SERVERS: usize = 16;
 /// Attaches in flight in the closed loop.
-const WINDOW: usize = 320;
+pub(crate) const WINDOW: usize = 320;
+
+const AT_ONCE: Duration = Duration::ZERO;
 
 /// One measurement.
 #[derive(Clone, Debug)]
@@ -47,20 +49,29 @@
     pub bytes_an_attach: f64,
 }
 
-enum Pace {
+pub(crate) enum Pace {
     Closed(usize),
     Open(f64),
 }
 
-struct Servers {
+pub(crate) struct Servers {
     hosted: Vec<HostedServer>,
     addresses: Vec<SocketAddr>,
-    feed: SocketAddr,
+    pub feed: SocketAddr,
     list: Hosted<Feed>,
 }
 
+impl Servers {
+    pub fn finish(self) {
+        for server in self.hosted {
+            server.finish();
+        }
+        self.list.finish();
+    }
+}
+
 /// Servers whose work takes next to no time; `never` makes them take set-ups and not answer.
-fn servers(scenario: &Scenario, ground: &Ground, never: bool) -> io::Result<Servers> {
+pub(crate) fn servers(scenario: &Scenario, ground: &Ground, never: bool) -> io::Result<Servers> {
     let trace = Trace::off();
     let mut list = Feed::new(1, 1, 0.0);
     let (mut hosted, mut addresses) = (Vec::new(), Vec::new());
@@ -80,7 +91,7 @@
     Ok(Servers { hosted, addresses, feed: address, list })
 }
 
-fn scenario() -> io::Result<Scenario> {
+pub(crate) fn scenario() -> io::Result<Scenario> {
     let mut scenario = Scenario::read(BAD_DAY).map_err(io::Error::other)?;
     scenario.fleet.servers = SERVERS;
     scenario.fleet.fronts = 1;
@@ -104,21 +115,18 @@
     std::thread::sleep(Duration::from_millis(500));
     let mut out = Throughput::default();
     for _ in 0..rounds {
-        let bare = drive(relay.address, Pace::Closed(WINDOW), seconds)?;
-        let ours = drive(front, Pace::Closed(WINDOW), seconds)?;
+        let bare = drive(relay.address, Pace::Closed(WINDOW), seconds, AT_ONCE)?;
+        let ours = drive(front, Pace::Closed(WINDOW), seconds, AT_ONCE)?;
         let half = Pace::Open(ours.per_second / 2.0);
-        let bare_half = drive(relay.address, Pace::Open(ours.per_second / 2.0), seconds)?;
-        let ours_half = drive(front, half, seconds)?;
+        let bare_half = drive(relay.address, Pace::Open(ours.per_second / 2.0), seconds, AT_ONCE)?;
+        let ours_half = drive(front, half, seconds, AT_ONCE)?;
         out.rounds.push([bare, ours, bare_half, ours_half]);
     }
     std::thread::sleep(Duration::from_millis(500));
     out.snapshot = service.snapshot();
 
     drop(service);
-    for server in servers.hosted {
-        server.finish();
-    }
-    servers.list.finish();
+    servers.finish();
     out.bytes_an_attach = memory()?;
     Ok(out)
 }
@@ -183,8 +191,9 @@
         .finish()
 }
 
-/// Sets calls up and releases them at once, from one thread of its own.
-fn drive(to: SocketAddr, pace: Pace, seconds: f64) -> io::Result<Measured> {
+/// Sets calls up and releases them when they have stood for so long, from one thread of its own. Those that stand at the
+/// end of the measurement are released in their time, too, so that the next one does not begin in a crowd of releases.
+pub(crate) fn drive(to: SocketAddr, pace: Pace, seconds: f64, stands: Duration) -> io::Result<Measured> {
     let socket = std::net::UdpSocket::bind("127.0.0.1:0")?;
     socket.set_read_timeout(Some(Duration::from_micros(200)))?;
     let host = socket.local_addr()?.to_string();
@@ -197,8 +206,12 @@
     let length = Duration::from_secs_f64(seconds);
     let mut buffer = vec![0; 65_536];
     let mut swept = begin;
+    let mut standing: VecDeque<(Instant, u64, String)> = VecDeque::new();
     loop {
         let now = Instant::now();
+        while let Some((_, call, tag)) = standing.pop_front_if(|(due, ..)| *due <= now) {
+            socket.send_to(&within(&host, to, call, &tag, Method::Bye), to)?;
+        }
         if now - begin > length {
             break;
         }
@@ -236,12 +249,16 @@
                 done += 1;
                 let tag = message.to().unwrap_or_default().to_string();
                 socket.send_to(&within(&host, to, call, &tag, Method::Ack), to)?;
-                socket.send_to(&within(&host, to, call, &tag, Method::Bye), to)?;
+                standing.push_back((now + stands, call, tag));
             }
         } else if method == Method::Invite && status > 200 {
             refused += u64::from(out.remove(&call).is_some());
         }
     }
+    for (due, call, tag) in standing {
+        std::thread::sleep(due.saturating_duration_since(Instant::now()));
+        socket.send_to(&within(&host, to, call, &tag, Method::Bye), to)?;
+    }
     Ok(Measured {
         per_second: done as f64 / seconds,
         lost,
--- a/crates/peer-service/src/lib.rs
+++ b/crates/peer-service/src/lib.rs
@@ -1,4 +1,4 @@
-//! A front's place among the others on sockets: one UDP socket, a coroutine that reads it and one that owns the
+//! A front's place among the others on sockets: one UDP socket, a coroutine that reads it and a thread that owns the
 //! core. What becomes known goes to a callback; what this front tells comes over a bounded mailbox, and no
 //! sender of it ever waits. Nothing is decided here.
 
@@ -14,10 +14,11 @@
 use shalespindle_peer_store::Store;
 use shalespindle_peer_wire::{front_id, Codec};
 use shalespindle_replica::{Fleet, FleetParams};
-use shalespindle_sockets::{end, mailbox, start, Ground, Handle, Mailbox, LARGE_STACK, SMALL_STACK};
+use shalespindle_sockets::{end, mailbox, start, Ground, Handle, Mailbox, SMALL_STACK};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::mpsc;
+use std::thread::JoinHandle;
 use std::time::Duration;
 
 /// Letters that may wait for the owner; past that datagrams wait in their socket and are lost there.
@@ -45,7 +46,7 @@
     address: SocketAddr,
     mailbox: Mailbox<Letter>,
     reader: Option<Handle>,
-    owner: Option<Handle>,
+    owner: Option<JoinHandle<()>>,
     /// What is kept, once the owner has ended.
     store: mpsc::Receiver<Store>,
 }
@@ -56,8 +57,8 @@
 
 impl Teller {
     /// Never waits: what is said comes from the front's own list and operators, not from peers.
-    pub fn say(&self, saying: Saying) {
-        let _ = self.0.send_urgent(Letter::Say(saying));
+    pub fn say(&self, sayings: Vec<Saying>) {
+        let _ = self.0.send_urgent(Letter::Say(sayings));
     }
 
     /// The list of the other fronts changed: name, and where their datagrams go.
@@ -97,7 +98,9 @@
         let (last, store) = mpsc::channel();
         let (udp, heard, traffic) = (writer, Box::new(heard), Default::default());
         let owner = Owner { fleet, keeper, codec, udp, directory, ground, mail, heard, traffic, last };
-        let owner = match start(LARGE_STACK, move || owner.run()) {
+        // A thread of its own: its turns over many facts are long, and would hold up a front's owner that shares a
+        // worker of the coroutines with it.
+        let owner = match std::thread::Builder::new().name("fleet".into()).spawn(move || owner.run()) {
             Ok(owner) => owner,
             Err(why) => {
                 end(reader);
--- a/crates/peer-service/src/owner.rs
+++ b/crates/peer-service/src/owner.rs
@@ -1,4 +1,4 @@
-//! The coroutine that owns the core: letters in, turns, frames out.
+//! The thread that owns the core: letters in, turns, frames out.
 
 use crate::keep::{KeepState, Keeper};
 use may::net::UdpSocket;
@@ -44,7 +44,8 @@
 /// What reaches the owner.
 pub(crate) enum Letter {
     Datagram(Vec<u8>),
-    Say(Saying),
+    /// What this front tells, in its order.
+    Say(Vec<Saying>),
     Ask(mpsc::Sender<Standing>),
     /// The list of the other fronts changed.
     Relist(Vec<(String, SocketAddr)>),
@@ -175,7 +176,6 @@
             self.fleet.turn(self.ground.now());
             self.keeper.turn(self.ground.now(), &mut self.fleet);
             self.carry();
-            may::coroutine::yield_now();
         }
     }
 
@@ -188,17 +188,7 @@
                     self.fleet.heard(now, from, message);
                 }
             }
-            Letter::Say(Saying::Server { address, word }) => self.fleet.tell_server(now, address, word),
-            Letter::Say(Saying::Level { level, lasts }) => {
-                let by = self.directory.name(self.fleet.copies().own());
-                self.fleet.tell_level(now, level, lasts, &by);
-            }
-            Letter::Say(Saying::Call { call, word }) => self.fleet.tell_call(now, call, word.map(|w| *w)),
-            Letter::Say(Saying::Whose { ticket, name, by_leg }) => {
-                let found = self.fleet.whose(now, name, by_leg);
-                let (known, word) = (found.is_some(), found.and_then(|f| f.1).map(Box::new));
-                (self.heard)(Heard::Found { ticket, known, word });
-            }
+            Letter::Say(sayings) => sayings.into_iter().for_each(|saying| self.say(now, saying)),
             // Whoever asked may have gone; there is nobody to tell then.
             Letter::Ask(to) => drop(to.send(self.standing(now))),
             Letter::Relist(peers) => self.relist(now, peers),
@@ -211,6 +201,22 @@
         true
     }
 
+    fn say(&mut self, now: f64, saying: Saying) {
+        match saying {
+            Saying::Server { address, word } => self.fleet.tell_server(now, address, word),
+            Saying::Level { level, lasts } => {
+                let by = self.directory.name(self.fleet.copies().own());
+                self.fleet.tell_level(now, level, lasts, &by);
+            }
+            Saying::Call { call, word } => self.fleet.tell_call(now, call, word.map(|w| *w)),
+            Saying::Whose { ticket, name, by_leg } => {
+                let found = self.fleet.whose(now, name, by_leg);
+                let (known, word) = (found.is_some(), found.and_then(|f| f.1).map(Box::new));
+                (self.heard)(Heard::Found { ticket, known, word });
+            }
+        }
+    }
+
     fn carry(&mut self) {
         while let Some(out) = self.fleet.next_output() {
             match out {
--- a/crates/replica/src/copies.rs
+++ b/crates/replica/src/copies.rs
@@ -108,6 +108,9 @@
         if before.is_some_and(|e| e.fact == fact) {
             return Ok(false);
         }
+        // What nobody was told of needs no deletion: calls that end before they are told leave nothing behind.
+        let untold = before.is_some_and(|e| e.first && e.seq > copy.told);
+        let first = untold || before.is_none();
         if before.is_none() && copy.entries.len() >= most {
             // Deletions make room first, however young; many at once, since looking for them takes time.
             let dead = |k: &Key| copy.entries.get(k).is_some_and(|e| e.fact.is_none());
@@ -115,8 +118,12 @@
             let Some(seq) = some.last().map(|d| *d.0) else { return Err(Full) };
             copy.forget_below(seq);
         }
+        if fact.is_none() && untold {
+            copy.remove(&key);
+            return Ok(true);
+        }
         copy.reach.seq += 1;
-        copy.put(key, Entry { seq: copy.reach.seq, written: now, fact });
+        copy.put(key, Entry { seq: copy.reach.seq, written: now, fact, first });
         Ok(true)
     }
 
@@ -125,7 +132,7 @@
     pub fn renew(&mut self, now: f64, life: Life) {
         let Some(copy) = self.all.get_mut(&self.own) else { return };
         let before = copy.clone();
-        copy.life = life;
+        (copy.life, copy.told) = (life, 0);
         if let Some(touched) = &mut copy.touched {
             touched.extend(before.entries.keys());
         }
@@ -300,13 +307,15 @@
 
     /// What a copy of `reach` of that life lacks, as far as `bytes` hold it. Of one that ended and is not kept, what the
     /// life after it wrote.
-    pub fn part(&self, now: f64, front: FrontId, life: Life, reach: Reach, bytes: usize) -> Option<Part> {
+    pub fn part(&mut self, now: f64, front: FrontId, life: Life, reach: Reach, bytes: usize) -> Option<Part> {
         if let Some(past) = self.past.get(&(front, life)) {
             return past.copy.part(now, front, reach, bytes);
         }
-        let copy = self.all.get(&front).filter(|copy| copy.life >= life)?;
+        let copy = self.all.get_mut(&front).filter(|copy| copy.life >= life)?;
         let reach = if copy.life > life { Reach::default() } else { reach };
-        copy.part(now, front, reach, bytes)
+        let part = copy.part(now, front, reach, bytes)?;
+        copy.told = copy.told.max(part.to);
+        Some(part)
     }
 
     /// Takes a part in.
@@ -398,9 +407,10 @@
 
     /// This front's words that calls are over which are older than that, seconds.
     pub fn old_overs(&self, now: f64, age: f64) -> Vec<Key> {
-        let entries = self.all.get(&self.own).into_iter().flat_map(|copy| &copy.entries);
-        let old =
-            entries.filter(|(k, e)| matches!(k, Key::Over(_)) && e.fact.is_some() && now - e.written >= age);
+        let own = self.all.get(&self.own).into_iter();
+        // Keys are in the order of their classes: the calls before them are not looked at.
+        let overs = own.flat_map(|copy| copy.entries.range(Key::Over(0)..=Key::Over(u64::MAX)));
+        let old = overs.filter(|(_, e)| e.fact.is_some() && now - e.written >= age);
         old.map(|(key, _)| *key).collect()
     }
 
--- a/crates/replica/src/copy.rs
+++ b/crates/replica/src/copy.rs
@@ -12,6 +12,8 @@
     pub written: f64,
     /// None: deleted.
     pub fact: Option<Fact>,
+    /// Nothing was there under its key before it.
+    pub first: bool,
 }
 
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -27,6 +29,8 @@
     anew_until: u64,
     /// Not wanted any more: its front has been gone for long.
     pub dropped: bool,
+    /// How far it has been told to anybody; of this front's own.
+    pub told: u64,
     /// What changed since it was last kept; none where nothing is kept.
     pub touched: Option<BTreeSet<Key>>,
 }
@@ -60,7 +64,7 @@
         self.touch(key);
     }
 
-    fn remove(&mut self, key: &Key) {
+    pub fn remove(&mut self, key: &Key) {
         if let Some(entry) = self.entries.remove(key) {
             if self.by_seq.get(&entry.seq) == Some(key) {
                 self.by_seq.remove(&entry.seq);
@@ -148,7 +152,8 @@
         let mut keys = Vec::new();
         let held = self.reach.seq;
         for item in part.items.iter().filter(|i| i.seq > held) {
-            let entry = Entry { seq: item.seq, written: now - item.age, fact: item.fact.clone() };
+            let entry =
+                Entry { seq: item.seq, written: now - item.age, fact: item.fact.clone(), first: false };
             self.put(item.key, entry);
             keys.push(item.key);
         }
--- a/crates/replica/src/fleet.rs
+++ b/crates/replica/src/fleet.rs
@@ -1,7 +1,7 @@
 //! One front among others: beats, digests, parts, and what they make known.
 
 use crate::calls::{CallOut, Calls, CallsParams};
-use crate::copies::{Applied, Copies, CopiesParams, Full};
+use crate::copies::{Copies, CopiesParams, Full};
 use crate::facts::{CallWord, Fact, Key, LevelWord, OverWord, ServerWord};
 use crate::message::{Known, Message, Part, PastReach, Reach};
 use crate::view::{News, View};
@@ -71,7 +71,7 @@
 /// Parts of a beat between two pushes of what this front wrote.
 const PUSHES_APART: f64 = 0.1;
 /// The bytes of a part beside its items at most.
-const PART_ROOM: usize = 64;
+pub(crate) const PART_ROOM: usize = 64;
 
 pub struct Fleet {
     pub(crate) params: FleetParams,
@@ -83,13 +83,17 @@
     pub(crate) ahead: BTreeMap<FrontId, (Life, u64)>,
     /// Since when a front has been gone or has left.
     over_since: BTreeMap<FrontId, f64>,
-    out: VecDeque<Out>,
+    pub(crate) out: VecDeque<Out>,
     /// How far its own facts have been pushed, and when they may be again.
     pushed: u64,
     push_at: f64,
     turned_at: f64,
+    /// Parts that came before their turn: a network that delays each frame by another time turns bursts around.
+    pub(crate) early: VecDeque<Part>,
+    /// Who was last asked for what is missing, and when.
+    pub(crate) asked: Option<(FrontId, f64)>,
     /// When another front first told what it knows of this one.
-    told_at: Option<f64>,
+    pub(crate) told_at: Option<f64>,
     pub(crate) caught_up: bool,
     pub(crate) counts: Counts,
 }
@@ -114,6 +118,8 @@
             pushed: 0,
             push_at: now,
             turned_at: now,
+            early: VecDeque::new(),
+            asked: None,
             told_at: None,
             caught_up: false,
             counts: Counts::default(),
@@ -212,196 +218,12 @@
         }
         match message {
             Message::Digest { known, whole, answer } => self.digest(now, from, &known, whole, answer),
-            Message::Parts { parts, follow } => self.parts(now, from, &parts, follow),
+            Message::Parts { parts, follow } => self.parts(now, from, parts, follow),
         }
         self.heed_calls(now);
         self.heed_peers();
     }
 
-    fn digest(&mut self, now: f64, from: FrontId, known: &[Known], whole: bool, answer: bool) {
-        self.counts.digests += 1;
-        let (mut wants, mut gives) = (Vec::new(), Vec::new());
-        let mut named = Vec::new();
-        for k in known {
-            let (front, life) = (FrontId(k.front), life(k.life));
-            let own_life = self.peers.life();
-            self.peers.hear(now, Word { front, life, beat: k.beat, left: k.left });
-            if self.peers.life() != own_life {
-                self.copies.renew(now, self.peers.life());
-            }
-            if !self.peers.is_listed(front) {
-                continue;
-            }
-            named.push(front);
-            self.digest_past(now, front, k, &mut wants, &mut gives);
-            let Some(reach) = k.reach else { continue };
-            let current = self.current(front);
-            if life < current {
-                gives.push((front, current, Reach::default()));
-                continue;
-            }
-            if front == self.peers.own() {
-                self.told_at.get_or_insert(now);
-                gives.push((front, life, reach));
-                continue;
-            }
-            self.seen_ahead(front, life, reach.seq);
-            match self.copies.reach(front, life) {
-                Some(held) if held.seq < reach.seq => wants.push(front),
-                Some(_) => gives.push((front, life, reach)),
-                None => {}
-            }
-        }
-        if whole {
-            for word in self.peers.words().into_iter().filter(|w| !named.contains(&w.front)) {
-                let pasts = self.copies.pasts(word.front).into_iter().map(|p| p.0);
-                gives.extend(pasts.chain([word.life]).map(|life| (word.front, life, Reach::default())));
-            }
-        }
-        self.give(now, from, &gives);
-        if wants.is_empty() {
-            self.caught_up = true;
-        } else if answer {
-            self.ask(from, &wants);
-        }
-    }
-
-    /// The life that a front is known to have.
-    fn current(&self, front: FrontId) -> Life {
-        if front == self.peers.own() {
-            return self.peers.life();
-        }
-        // What was kept may know a later life than any that was heard of since the start.
-        self.peers.life_of(front).unwrap_or_default().max(self.copies.life(front))
-    }
-
-    /// What a digest says of a front's ended lives.
-    fn digest_past(
-        &mut self,
-        now: f64,
-        front: FrontId,
-        k: &Known,
-        wants: &mut Vec<FrontId>,
-        gives: &mut Vec<(FrontId, Life, Reach)>,
-    ) {
-        let (theirs, current) = (life(k.life), self.current(front));
-        let mut keys = Vec::new();
-        // A life is settled only after it has ended.
-        if life(k.settled) < theirs {
-            keys.extend(self.copies.settle(front, life(k.settled)));
-        }
-        if front != self.peers.own() && current == theirs && !self.is_over(now, front) {
-            keys.extend(self.copies.lives(now, front, theirs));
-        }
-        self.look(now, &keys);
-        let over = |past: &&PastReach| life(past.life) < theirs.max(current);
-        // What its sender takes for its life now may be over, too.
-        let also = k.reach.filter(|_| theirs < current).map(|reach| PastReach { life: k.life, reach });
-        for past in k.past.iter().filter(over).chain(&also) {
-            match self.copies.past_reach(now, front, life(past.life), past.reach.seq) {
-                Some(held) if held.seq < past.reach.seq => wants.push(front),
-                Some(_) => gives.push((front, life(past.life), past.reach)),
-                None => {}
-            }
-        }
-        let named = |of: Life| of <= life(k.settled) || k.past.iter().any(|p| life(p.life) == of);
-        let unnamed =
-            self.copies.pasts(front).into_iter().map(|p| p.0).filter(|of| *of != theirs && !named(*of));
-        gives.extend(unnamed.map(|of| (front, of, Reach::default())));
-    }
-
-    fn seen_ahead(&mut self, front: FrontId, life: Life, seq: u64) {
-        let ahead = self.ahead.entry(front).or_insert((life, seq));
-        if (life, seq) > *ahead {
-            *ahead = (life, seq);
-        }
-    }
-
-    /// Sends what the other lacks, as far as a burst holds it; the rest is asked for when that has come.
-    fn give(&mut self, now: f64, to: FrontId, gives: &[(FrontId, Life, Reach)]) {
-        let mut messages: Vec<Vec<Part>> = Vec::new();
-        let mut left = 0;
-        for (front, life, reach) in gives {
-            let mut reach = *reach;
-            let mut life = *life;
-            loop {
-                let room = if left > 2 * PART_ROOM { left } else { self.params.bytes };
-                let Some(part) = self.copies.part(now, *front, life, reach, room - PART_ROOM) else { break };
-                let size =
-                    PART_ROOM + part.items.iter().map(|i| crate::facts::room(i.fact.as_ref())).sum::<usize>();
-                let more = part.to < part.last;
-                reach = Reach { seq: part.to, floor: part.floor };
-                life = Life { number: part.life.0, nonce: part.life.1 };
-                if size > left {
-                    if messages.len() >= self.params.burst {
-                        return self.send_parts(to, messages);
-                    }
-                    messages.push(Vec::new());
-                    left = self.params.bytes;
-                }
-                if let Some(message) = messages.last_mut() {
-                    message.push(part);
-                }
-                left = left.saturating_sub(size);
-                if !more {
-                    break;
-                }
-            }
-        }
-        self.send_parts(to, messages);
-    }
-
-    fn send_parts(&mut self, to: FrontId, messages: Vec<Vec<Part>>) {
-        let last = messages.len().saturating_sub(1);
-        for (place, parts) in messages.into_iter().enumerate() {
-            let message = Message::Parts { parts, follow: place < last };
-            self.out.push_back(Out::Send { to, message });
-        }
-    }
-
-    fn ask(&mut self, to: FrontId, wants: &[FrontId]) {
-        let words: Vec<Word> = self.peers.words().into_iter().filter(|w| wants.contains(&w.front)).collect();
-        let known = words.iter().map(|w| self.known(w)).collect();
-        self.out.push_back(Out::Send { to, message: Message::Digest { known, whole: false, answer: false } });
-    }
-
-    fn parts(&mut self, now: f64, from: FrontId, parts: &[Part], follow: bool) {
-        let mut wants = Vec::new();
-        for part in parts {
-            let front = FrontId(part.front);
-            if !self.peers.is_listed(front) {
-                self.counts.strangers += 1;
-                continue;
-            }
-            let life = life(part.life);
-            if front != self.peers.own() && life >= self.current(front) {
-                // A part can be the first news of a life; its beat comes with the next digest.
-                self.peers.hear(now, Word { front, life, beat: 0, left: false });
-                if self.is_over(now, front) {
-                    continue;
-                }
-                self.seen_ahead(front, life, part.last);
-            }
-            self.counts.parts += 1;
-            match self.copies.apply(now, part) {
-                Applied::News { keys, more } => {
-                    self.look(now, &keys);
-                    if more {
-                        wants.push(front);
-                    }
-                }
-                Applied::Known => self.counts.known += 1,
-                Applied::OldLife => self.counts.old_lives += 1,
-                Applied::Gap => self.counts.gaps += 1,
-                Applied::Bad => self.counts.bad += 1,
-            }
-        }
-        // Guards the one that answers: asked at each of a burst's messages it would send the rest as often.
-        if !wants.is_empty() && !follow {
-            self.ask(from, &wants);
-        }
-    }
-
     pub(crate) fn look(&mut self, now: f64, keys: &[Key]) {
         for key in keys {
             self.view.changed(now, &self.copies, key);
@@ -426,7 +248,7 @@
     }
 
     /// It has been gone for so long that nothing of it is kept.
-    fn is_over(&self, now: f64, front: FrontId) -> bool {
+    pub(crate) fn is_over(&self, now: f64, front: FrontId) -> bool {
         let over = matches!(self.peers.state(front), Some(State::Gone | State::Left));
         over && self.over_since.get(&front).is_some_and(|since| now - since >= self.params.keep)
     }
@@ -520,7 +342,7 @@
         digests
     }
 
-    fn known(&self, word: &Word) -> Known {
+    pub(crate) fn known(&self, word: &Word) -> Known {
         Known {
             front: word.front.0,
             life: (word.life.number, word.life.nonce),
@@ -557,7 +379,7 @@
     }
 }
 
-fn life((number, nonce): (u64, u64)) -> Life {
+pub(crate) fn life((number, nonce): (u64, u64)) -> Life {
     Life { number, nonce }
 }
 
--- a/crates/replica/src/kept.rs
+++ b/crates/replica/src/kept.rs
@@ -229,7 +229,8 @@
     let mut copy = Copy::new(Life { number: kept.life.0, nonce: kept.life.1 }, false);
     (copy.reach, copy.dropped) = (kept.reach, kept.dropped);
     for (key, fact) in facts {
-        let entry = Entry { seq: fact.seq, written: since(fact.written), fact: fact.fact.clone() };
+        let entry =
+            Entry { seq: fact.seq, written: since(fact.written), fact: fact.fact.clone(), first: false };
         copy.put(*key, entry);
     }
     // Two facts of one number, or of one key.
--- a/crates/replica/src/lib.rs
+++ b/crates/replica/src/lib.rs
@@ -13,6 +13,7 @@
 mod calls;
 mod copies;
 mod copy;
+mod exchange;
 mod facts;
 mod fleet;
 mod kept;
--- a/crates/replica/tests/fleet.rs
+++ b/crates/replica/tests/fleet.rs
@@ -241,3 +241,27 @@
     assert_eq!(net.fronts[0].as_ref().unwrap().status(net.now).own_facts, 99);
     assert!(net.under_way.is_empty());
 }
+
+/// A network that delays each frame by another time turns bursts around: what comes before its turn is used all the
+/// same, so that catching up takes little longer than over one that keeps order.
+#[test]
+fn parts_that_come_before_their_turn_are_not_lost() {
+    let seconds = |late: f64| {
+        let mut net = Net::new(2, 8, params());
+        net.late = late;
+        net.fronts[1] = None;
+        for n in 1..600 {
+            net.tell(0, n, word(1, Told::Ready));
+        }
+        net.restart(1, 2);
+        let begin = net.now;
+        while net.at(1).copies().held(FrontId(0)) < 599 {
+            net.pass(EVERY / 8.0);
+            assert!(net.now - begin < 60.0, "they never come");
+        }
+        net.now - begin
+    };
+    let (steady, turned) = (seconds(0.0), seconds(EVERY));
+    // Six bursts, each there and back in two beats at most; one frame in its turn at a time would be fifty beats.
+    assert!(turned < steady + 20.0 * EVERY, "{steady} s in order, {turned} s turned around");
+}
--- a/crates/replica/tests/walk.rs
+++ b/crates/replica/tests/walk.rs
@@ -126,7 +126,7 @@
         (life, self.copies[of].reach(WRITER, life).unwrap_or_default())
     }
 
-    fn answer(&self, to: usize, from: usize, planted: Planted) -> Option<Part> {
+    fn answer(&mut self, to: usize, from: usize, planted: Planted) -> Option<Part> {
         let (life, mut reach) = self.reach(to);
         if planted == Planted::FloorPassedOver {
             // As one that never forgets would be told.
--- a/crates/transport/src/owner.rs
+++ b/crates/transport/src/owner.rs
@@ -100,6 +100,8 @@
     pub memory: Option<Memory>,
     /// Tells other fronts, where there are any.
     pub teller: Option<Teller>,
+    /// What it is to be told at the end of this turn.
+    sayings: Vec<Saying>,
     /// The members changed since they were last offered.
     unkept: bool,
     questions: Questions,
@@ -139,6 +141,7 @@
             connections,
             memory,
             teller,
+            sayings: Vec::new(),
             unkept: false,
             questions: Questions::default(),
             callers: HashMap::new(),
@@ -317,21 +320,25 @@
                     self.questions.ask(ticket, to, tcp, bytes, self.connect_within, report);
                 }
                 Output::NameClose { ticket } => self.questions.close(ticket),
-                Output::Told(listed) => self.say(saying(now, &listed)),
-                Output::Call { call, word } => self.say(Saying::Call { call, word }),
-                Output::Whose { ticket, name, by_leg } => self.say(Saying::Whose { ticket, name, by_leg }),
+                Output::Told(listed) => self.sayings.push(saying(now, &listed)),
+                Output::Call { call, word } => self.sayings.push(Saying::Call { call, word }),
+                Output::Whose { ticket, name, by_leg } => {
+                    self.sayings.push(Saying::Whose { ticket, name, by_leg })
+                }
                 Output::Event(event) => {
                     self.unkept |= matches!(event, Event::Pool { .. });
                     (self.hook)(&event);
                 }
             }
         }
+        self.say();
     }
 
-    /// Tells the other fronts, where there are any.
-    fn say(&self, saying: Saying) {
-        if let Some(teller) = &self.teller {
-            teller.say(saying);
+    /// Tells the other fronts, where there are any, all of a turn at once: each letter wakes whoever reads it.
+    fn say(&mut self) {
+        let sayings = std::mem::take(&mut self.sayings);
+        if let Some(teller) = self.teller.as_ref().filter(|_| !sayings.is_empty()) {
+            teller.say(sayings);
         }
     }
 
--- a/crates/transport/src/service.rs
+++ b/crates/transport/src/service.rs
@@ -8,7 +8,7 @@
 use may::net::{TcpListener, UdpSocket};
 use shalespindle_console::{serve, Ask, Console, Reply, Snapshot};
 use shalespindle_front::{Event, Front};
-use shalespindle_peer_service::{Fronts, Saying, Teller};
+use shalespindle_peer_service::{Fronts, Saying, Standing, Teller};
 use shalespindle_settings::{FleetSettings, Settings};
 use shalespindle_sockets::{end, mailbox, start, Ground, Handle, Mailbox, LARGE_STACK};
 use socket2::SockRef;
@@ -147,6 +147,11 @@
         }
     }
 
+    /// How the other fronts stand; none where this front was started without any.
+    pub fn fleet(&self) -> Option<Standing> {
+        self.fronts.as_ref()?.teller().standing()
+    }
+
     /// The list of other fronts changed; false where this front was started without any.
     pub fn relist(&self, fleet: &FleetSettings) -> bool {
         if let Some(fronts) = &self.fronts {
@@ -194,7 +199,7 @@
         return Some(reply);
     }
     let told = level.and_then(|l| u8::try_from(l).ok());
-    teller.say(Saying::Level { level: told, lasts: if told.is_some() { seconds } else { 0.0 } });
+    teller.say(vec![Saying::Level { level: told, lasts: if told.is_some() { seconds } else { 0.0 } }]);
     Some(Reply::Done { what: "told to all fronts".into() })
 }
 
