--- a/crates/replica/src/copies.rs
+++ b/crates/replica/src/copies.rs
@@ -5,7 +5,6 @@
 use crate::message::{Part, Reach};
 use shalespindle_peers::{FrontId, Life};
 use std::collections::BTreeMap;
-use std::hash::{DefaultHasher, Hash, Hasher};
 
 /// What copies are kept by. Times are seconds.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -113,9 +112,7 @@
         let first = untold || before.is_none();
         if before.is_none() && copy.entries.len() >= most {
             // Deletions make room first, however young; many at once, since looking for them takes time.
-            let dead = |k: &Key| copy.entries.get(k).is_some_and(|e| e.fact.is_none());
-            let some = copy.by_seq.iter().filter(|(_, k)| dead(k)).take(most / 8 + 1);
-            let Some(seq) = some.last().map(|d| *d.0) else { return Err(Full) };
+            let Some(seq) = copy.dead.iter().take(most / 8 + 1).last().copied() else { return Err(Full) };
             copy.forget_below(seq);
         }
         if fact.is_none() && untold {
@@ -143,12 +140,14 @@
     pub fn tick(&mut self, now: f64) {
         let remember = self.params.remember;
         let Some(copy) = self.all.get_mut(&self.own) else { return };
-        let dead = |k: &Key| copy.entries.get(k).filter(|e| e.fact.is_none()).map(|e| e.written);
-        let ages = || copy.by_seq.iter().filter_map(|(seq, key)| Some((*seq, now - dead(key)?)));
-        if ages().next().is_none_or(|(_, age)| age < remember) {
+        let age = |seq: &u64| {
+            let entry = copy.by_seq.get(seq).and_then(|key| copy.entries.get(key));
+            entry.map_or(f64::INFINITY, |entry| now - entry.written)
+        };
+        if copy.dead.first().is_none_or(|first| age(first) < remember) {
             return;
         }
-        let floor = ages().take_while(|(_, age)| *age >= remember / 2.0).map(|(seq, _)| seq).last();
+        let floor = copy.dead.iter().take_while(|seq| age(seq) >= remember / 2.0).last().copied();
         if let Some(floor) = floor {
             copy.forget_below(floor);
         }
@@ -416,7 +415,7 @@
 
     /// Facts that are held of a front.
     pub fn held(&self, front: FrontId) -> usize {
-        self.all.get(&front).map_or(0, |c| c.entries.values().filter(|e| e.fact.is_some()).count())
+        self.all.get(&front).map_or(0, |copy| copy.live)
     }
 
     /// Facts of a front with their numbers: equal on copies that are equal.
@@ -435,10 +434,7 @@
 
     /// A mark of what is held of a front: equal on copies that are equal.
     pub fn mark(&self, front: FrontId) -> u64 {
-        // Fixed keys: the same facts give the same mark in every process.
-        let mut hasher = DefaultHasher::new();
-        format!("{:?}", self.facts(front)).hash(&mut hasher);
-        hasher.finish()
+        self.all.get(&front).map_or(0, |copy| copy.mark)
     }
 
     pub fn own(&self) -> FrontId {
--- a/crates/replica/src/copy.rs
+++ b/crates/replica/src/copy.rs
@@ -5,6 +5,7 @@
 use crate::message::{Item, Part, Reach};
 use shalespindle_peers::{FrontId, Life};
 use std::collections::{BTreeMap, BTreeSet};
+use std::hash::{DefaultHasher, Hash, Hasher};
 
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct Entry {
@@ -22,6 +23,8 @@
     pub reach: Reach,
     pub entries: BTreeMap<Key, Entry>,
     pub by_seq: BTreeMap<u64, Key>,
+    /// Numbers of deletions.
+    pub dead: BTreeSet<u64>,
     /// Held from before a fresh beginning, and not confirmed since. They count until the beginning is through, so
     /// that no warning is forgotten meanwhile, and are told to nobody.
     pub ghosts: BTreeSet<Key>,
@@ -31,6 +34,9 @@
     pub dropped: bool,
     /// How far it has been told to anybody; of this front's own.
     pub told: u64,
+    /// Facts that hold, and a sum over them with their numbers: equal on copies that are equal.
+    pub live: usize,
+    pub mark: u64,
     /// What changed since it was last kept; none where nothing is kept.
     pub touched: Option<BTreeSet<Key>>,
 }
@@ -52,23 +58,44 @@
         }
     }
 
+    fn count(&mut self, key: &Key, entry: &Entry, comes: bool) {
+        let Some(fact) = &entry.fact else { return };
+        // Fixed keys: the same facts give the same mark in every process.
+        let mut hasher = DefaultHasher::new();
+        (key, entry.seq, fact).hash(&mut hasher);
+        let part = hasher.finish();
+        (self.live, self.mark) = match comes {
+            true => (self.live + 1, self.mark.wrapping_add(part)),
+            false => (self.live - 1, self.mark.wrapping_sub(part)),
+        };
+    }
+
     pub fn put(&mut self, key: Key, entry: Entry) {
-        let seq = entry.seq;
+        let (seq, dead) = (entry.seq, entry.fact.is_none());
+        self.count(&key, &entry, true);
         if let Some(before) = self.entries.insert(key, entry) {
-            if self.by_seq.get(&before.seq) == Some(&key) {
-                self.by_seq.remove(&before.seq);
-            }
+            self.count(&key, &before, false);
+            self.unlist(&key, before.seq);
         }
         self.ghosts.remove(&key);
         self.by_seq.insert(seq, key);
+        if dead {
+            self.dead.insert(seq);
+        }
         self.touch(key);
     }
 
+    fn unlist(&mut self, key: &Key, seq: u64) {
+        if self.by_seq.get(&seq) == Some(key) {
+            self.by_seq.remove(&seq);
+            self.dead.remove(&seq);
+        }
+    }
+
     pub fn remove(&mut self, key: &Key) {
         if let Some(entry) = self.entries.remove(key) {
-            if self.by_seq.get(&entry.seq) == Some(key) {
-                self.by_seq.remove(&entry.seq);
-            }
+            self.count(key, &entry, false);
+            self.unlist(key, entry.seq);
         }
         self.ghosts.remove(key);
         self.touch(*key);
@@ -76,8 +103,8 @@
 
     /// Deletions up to the floor are forgotten.
     pub fn forget_below(&mut self, floor: u64) {
-        let old = self.by_seq.range(..=floor).map(|(_, key)| *key);
-        let dead: Vec<Key> = old.filter(|k| self.entries.get(k).is_some_and(|e| e.fact.is_none())).collect();
+        let old = self.dead.range(..=floor);
+        let dead: Vec<Key> = old.filter_map(|seq| self.by_seq.get(seq).copied()).collect();
         dead.iter().for_each(|key| self.remove(key));
         self.reach.floor = self.reach.floor.max(floor);
     }
@@ -92,6 +119,7 @@
             touched.extend(&self.ghosts);
         }
         self.by_seq.clear();
+        self.dead.clear();
         self.reach = Reach { seq: 0, floor: part.floor };
         self.anew_until = part.last;
     }
@@ -164,8 +192,7 @@
         if !self.ghosts.is_empty() && self.reach.seq >= self.anew_until {
             // Through: what was not said again is deleted.
             for key in std::mem::take(&mut self.ghosts) {
-                self.entries.remove(&key);
-                self.touch(key);
+                self.remove(&key);
                 keys.push(key);
             }
         }
--- a/crates/replica/src/exchange.rs
+++ b/crates/replica/src/exchange.rs
@@ -204,9 +204,11 @@
             }
         }
         // Guards the one that answers: asked at each of a burst's messages it would send the rest as often.
-        if follow && !filled || self.early.iter().any(|p| wants.contains(&FrontId(p.front))) {
+        if follow && (!filled || self.early.iter().any(|p| wants.contains(&FrontId(p.front)))) {
             return;
         }
+        // The last of a burst is here and something before it is not: lost, most likely.
+        wants.extend(self.early.iter().map(|p| FrontId(p.front)));
         if !wants.is_empty() {
             self.ask(now, from, &wants);
         } else if self.asked.is_some_and(|asked| asked.0 == from) {
--- a/crates/replica/src/facts.rs
+++ b/crates/replica/src/facts.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 use shalespindle_membership::Told;
+use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
 
 /// A warning or its absence: what a front's own list last told of a server.
@@ -29,7 +30,7 @@
 }
 
 /// A standing call: enough for another front to release it in both directions.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct CallWord {
     /// Grows each time that it changes hands.
     pub epoch: u32,
@@ -63,7 +64,7 @@
 }
 
 /// A call is over, or is about to be released by who says so.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct OverWord {
     pub claim: bool,
 }
@@ -78,7 +79,19 @@
     Over(u64),
 }
 
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+impl Hash for ServerWord {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        (self.pool, self.incarnation, self.told, self.age.map(f64::to_bits)).hash(state);
+    }
+}
+
+impl Hash for LevelWord {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        (self.level, self.lasts.to_bits(), self.version, &self.by).hash(state);
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Hash, Serialize, Deserialize)]
 pub enum Fact {
     Server(ServerWord),
     Level(LevelWord),
--- a/crates/replica/src/fleet.rs
+++ b/crates/replica/src/fleet.rs
@@ -34,7 +34,7 @@
             warnings_for: 60.0,
             keep: 600.0,
             bytes: 8000,
-            burst: 16,
+            burst: 8,
         }
     }
 }
--- a/crates/replica/tests/walk.rs
+++ b/crates/replica/tests/walk.rs
@@ -248,7 +248,11 @@
         (0..3).find_map(|n| {
             let held: Vec<(Key, Fact)> =
                 self.copies[n].facts(WRITER).into_iter().map(|(k, _, f)| (k, f)).collect();
-            (held != wanted).then(|| format!("front {n} holds {held:?}, wanted {wanted:?}"))
+            let (first, this) = (&self.copies[0], &self.copies[n]);
+            let wrong = held != wanted
+                || this.mark(WRITER) != first.mark(WRITER)
+                || this.held(WRITER) != wanted.len();
+            wrong.then(|| format!("front {n} holds {held:?}, wanted {wanted:?}"))
         })
     }
 }
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -30,6 +30,8 @@
     pub seed: u64,
     /// Fronts keep what they know on disk, so often; none: nothing outlives a process.
     pub keep_every: Option<Duration>,
+    /// Bytes of a datagram at most.
+    pub bytes: usize,
     /// Further lines for `[fleet]` in the settings, before its peers.
     pub more: String,
 }
@@ -37,7 +39,15 @@
 impl FleetShape {
     pub fn new(program: impl Into<PathBuf>, fronts: usize, seed: u64) -> FleetShape {
         let every = Duration::from_millis(100);
-        FleetShape { program: program.into(), fronts, every, seed, keep_every: None, more: String::new() }
+        FleetShape {
+            program: program.into(),
+            fronts,
+            every,
+            seed,
+            keep_every: None,
+            bytes: 1200,
+            more: String::new(),
+        }
     }
 }
 
@@ -116,7 +126,7 @@
                  [rules.cold]\nstart_capacity = 0.3\nwarm_after = \"15s\"\ntip_multiple = 2.0\n\
                  [console]\nsocket = {:?}\n\
                  [fleet]\nname = \"f{place}\"\nlisten = \"{}\"\nkey_file = {key:?}\nevery = \"{}ms\"\n\
-                 suspect_after = \"{}ms\"\ngone_after = \"{}ms\"\nbytes = 1200\nwarnings_for = \"600s\"\n{keeps}{}\n{peers}",
+                 suspect_after = \"{}ms\"\ngone_after = \"{}ms\"\nbytes = {}\nwarnings_for = \"600s\"\n{keeps}{}\n{peers}",
                 front.listen,
                 feed.address,
                 front.console,
@@ -124,6 +134,7 @@
                 shape.every.as_millis(),
                 8 * shape.every.as_millis(),
                 20 * shape.every.as_millis(),
+                shape.bytes,
                 shape.more,
             );
             std::fs::write(&front.settings, text)?;
