--- a/crates/replica/src/copies.rs
+++ b/crates/replica/src/copies.rs
@@ -112,7 +112,9 @@
         let first = untold || before.is_none();
         if before.is_none() && copy.entries.len() >= most {
             // Deletions make room first, however young; many at once, since looking for them takes time.
-            let Some(seq) = copy.dead.iter().take(most / 8 + 1).last().copied() else { return Err(Full) };
+            let Some(seq) = copy.dead.iter().take(most / 8 + 1).next_back().copied() else {
+                return Err(Full);
+            };
             copy.forget_below(seq);
         }
         if fact.is_none() && untold {
