--- a/crates/peer-store/src/lib.rs
+++ b/crates/peer-store/src/lib.rs
@@ -9,5 +9,11 @@
 mod file;
 mod thread;
 
+/// Threads and channels; the test of their interleavings puts others in their place.
+mod sys {
+    pub use std::sync::mpsc;
+    pub use std::thread;
+}
+
 pub use file::{Bad, File, Unusable, VERSION};
 pub use thread::{Opened, Outcome, Store};
--- a/crates/peer-store/src/thread.rs
+++ b/crates/peer-store/src/thread.rs
@@ -1,11 +1,11 @@
 //! The thread that writes, so that nobody else waits for a disk.
 
 use crate::file::{Bad, File, Unusable};
+use crate::sys::mpsc::{channel, sync_channel, Receiver, SyncSender, TrySendError};
+use crate::sys::thread::{Builder, JoinHandle};
 use shalespindle_peers::FrontId;
 use shalespindle_replica::{Changes, Kept};
 use std::path::{Path, PathBuf};
-use std::sync::mpsc::{channel, sync_channel, Receiver, SyncSender, TrySendError};
-use std::thread::JoinHandle;
 
 /// What became of a step.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -90,7 +90,7 @@
                 }
             }
         };
-        let thread = std::thread::Builder::new().name("fleet-store".into()).spawn(write);
+        let thread = Builder::new().name("fleet-store".into()).spawn(write);
         let thread = thread.map_err(|e| Unusable::Disk(e.to_string()))?;
         Ok(Store { steps: Some(steps), outcomes, thread: Some(thread) })
     }
