A gap asks again at most once in a push's interval

Cause: every push of a busy front is the last of its message and met a gap, so each asked for a burst. Change: a gap asks again only a tenth of a beat after the last ask. Replica, calls, kept and returns tests pass; the throughput itself was not measured again.

--- a/crates/replica/src/exchange.rs
+++ b/crates/replica/src/exchange.rs
@@ -1,7 +1,7 @@
 //! The exchange between two fronts: digests of how far copies go, and the parts that are missing.
 
 use crate::copies::Applied;
-use crate::fleet::{life, Fleet, Out, PART_ROOM};
+use crate::fleet::{life, Fleet, Out, PART_ROOM, PUSHES_APART};
 use crate::message::{Known, Message, Part, PastReach, Reach};
 use shalespindle_peers::{FrontId, Life, Word};
 use std::collections::VecDeque;
@@ -208,7 +208,11 @@
             return;
         }
         // The last of a burst is here and something before it is not: lost, most likely.
-        wants.extend(self.early.iter().map(|p| FrontId(p.front)));
+        // Not at every push of a front that is busy, whose pushes come while its answer is on its way.
+        let lately = self.asked.is_some_and(|(_, at)| now - at < PUSHES_APART * self.params.peers.every);
+        if !lately {
+            wants.extend(self.early.iter().map(|p| FrontId(p.front)));
+        }
         if !wants.is_empty() {
             self.ask(now, from, &wants);
         } else if self.asked.is_some_and(|asked| asked.0 == from) {
--- a/crates/replica/src/fleet.rs
+++ b/crates/replica/src/fleet.rs
@@ -69,7 +69,7 @@
 const KNOWN_ROOM: usize = 76;
 const PAST_ROOM: usize = 40;
 /// Parts of a beat between two pushes of what this front wrote.
-const PUSHES_APART: f64 = 0.1;
+pub(crate) const PUSHES_APART: f64 = 0.1;
 /// The bytes of a part beside its items at most.
 pub(crate) const PART_ROOM: usize = 64;
 
