--- a/crates/replica/src/exchange.rs
+++ b/crates/replica/src/exchange.rs
@@ -1,14 +1,14 @@
 //! The exchange between two fronts: digests of how far copies go, and the parts that are missing.
 
 use crate::copies::Applied;
-use crate::fleet::{life, Fleet, Out, PART_ROOM, PUSHES_APART};
+use crate::fleet::{life, Fleet, Out, PART_ROOM};
 use crate::message::{Known, Message, Part, PastReach, Reach};
 use shalespindle_peers::{FrontId, Life, Word};
 use std::collections::VecDeque;
 
 /// Messages with parts that a beat's digest calls forth at most, unasked.
 const UNASKED: usize = 1;
-/// Beats after which another is asked for what one that was asked has not told.
+/// Beats after which somebody is asked again for what one that was asked has not told.
 const ASKED_FOR: f64 = 0.5;
 
 impl Fleet {
@@ -56,7 +56,7 @@
         self.give(now, from, &gives, if answer { UNASKED } else { self.params.burst });
         if wants.is_empty() {
             self.caught_up = true;
-        } else if answer && self.may_ask(now, from) {
+        } else if answer && self.may_ask(now) {
             self.ask(now, from, &wants);
         }
     }
@@ -105,11 +105,10 @@
         gives.extend(unnamed.map(|of| (front, of, Reach::default())));
     }
 
-    /// One is asked at a time, until it has told all or is late with it.
-    fn may_ask(&self, now: f64, front: FrontId) -> bool {
-        let waits =
-            |(asked, at): (FrontId, f64)| asked != front && now - at < ASKED_FOR * self.params.peers.every;
-        !self.asked.is_some_and(waits)
+    /// One ask is out at a time, until its last message has come or is late. Guards against asks that each call forth
+    /// an answer whose end asks again: every one more would go on for as long as something is missing.
+    fn may_ask(&self, now: f64) -> bool {
+        self.asked.is_none_or(|(_, at)| now - at >= ASKED_FOR * self.params.peers.every)
     }
 
     fn seen_ahead(&mut self, front: FrontId, life: Life, seq: u64) {
@@ -169,7 +168,7 @@
     }
 
     pub(crate) fn parts(&mut self, now: f64, from: FrontId, parts: Vec<Part>, follow: bool) {
-        let (mut wants, mut filled) = (Vec::new(), false);
+        let mut wants = Vec::new();
         let mut parts = VecDeque::from(parts);
         while let Some(part) = parts.pop_front() {
             let front = FrontId(part.front);
@@ -187,7 +186,7 @@
                         |p: &Part| (p.front, p.life) == (part.front, part.life) && p.from <= part.to;
                     let early = std::mem::take(&mut self.early).into_iter();
                     let (next, rest): (VecDeque<Part>, VecDeque<Part>) = early.partition(follows);
-                    (self.early, filled) = (rest, filled || !next.is_empty());
+                    self.early = rest;
                     parts.extend(next);
                 }
                 Some(Applied::Gap) => {
@@ -203,20 +202,16 @@
                 None => {}
             }
         }
-        // Guards the one that answers: asked at each of a burst's messages it would send the rest as often.
-        if follow && (!filled || self.early.iter().any(|p| wants.contains(&FrontId(p.front)))) {
+        if follow {
             return;
         }
-        // The last of a burst is here and something before it is not: lost, most likely.
-        // Not at every push of a front that is busy, whose pushes come while its answer is on its way.
-        let lately = self.asked.is_some_and(|(_, at)| now - at < PUSHES_APART * self.params.peers.every);
-        if !lately {
-            wants.extend(self.early.iter().map(|p| FrontId(p.front)));
+        if self.asked.is_some_and(|asked| asked.0 == from) {
+            self.asked = None;
         }
-        if !wants.is_empty() {
+        // The last of a burst is here, and what has to come before some of it is not: lost, most likely.
+        wants.extend(self.early.iter().map(|p| FrontId(p.front)));
+        if !wants.is_empty() && self.may_ask(now) {
             self.ask(now, from, &wants);
-        } else if self.asked.is_some_and(|asked| asked.0 == from) {
-            self.asked = None;
         }
     }
 
--- a/crates/replica/src/fleet.rs
+++ b/crates/replica/src/fleet.rs
@@ -69,7 +69,7 @@
 const KNOWN_ROOM: usize = 76;
 const PAST_ROOM: usize = 40;
 /// Parts of a beat between two pushes of what this front wrote.
-pub(crate) const PUSHES_APART: f64 = 0.1;
+const PUSHES_APART: f64 = 0.1;
 /// The bytes of a part beside its items at most.
 pub(crate) const PART_ROOM: usize = 64;
 
@@ -276,7 +276,8 @@
             return;
         };
         for to in self.peers.targets() {
-            let message = Message::Parts { parts: vec![part.clone()], follow: false };
+            // It ends nobody's answer.
+            let message = Message::Parts { parts: vec![part.clone()], follow: true };
             self.out.push_back(Out::Send { to, message });
         }
         self.pushed = own.seq;
--- a/crates/replica/src/message.rs
+++ b/crates/replica/src/message.rs
@@ -71,7 +71,7 @@
     },
     Parts {
         parts: Vec<Part>,
-        /// More of the same answer is on its way: nothing is asked for before that has come.
+        /// It is not the end of an answer: nothing is asked for at it.
         follow: bool,
     },
 }
