--- a/crates/cli/tests/kept.rs
+++ b/crates/cli/tests/kept.rs
@@ -16,6 +16,7 @@
 use shalespindle_rig::{Fleet, FleetShape, Row, State};
 use shalespindle_signalling::Method;
 use std::os::unix::fs::PermissionsExt;
+use std::path::Path;
 use std::process::Command;
 use std::time::Duration;
 
@@ -120,6 +121,15 @@
     assert_eq!((place.server.count(Method::Bye), count(&place.fleet, 0, "calls_taken_back")), (0, 1));
 }
 
+/// What a front kept, as a clock that differs by so much would have had it written.
+fn move_clock(path: &Path, by: f64) {
+    let (file, kept, _) = File::open(path, front_id("f0")).unwrap();
+    let kept = kept.unwrap();
+    let lives = kept.lives.iter().map(|(life, _)| *life).collect();
+    let saved_at = kept.saved_at + by;
+    file.write(&Changes { lives, settled: kept.settled, saved_at, ..Changes::default() }).unwrap();
+}
+
 /// A file whose age cannot be believed, or is past what anybody remembers: nothing of its calls is taken.
 #[test]
 fn a_file_from_the_future_or_from_yesterday_gives_no_calls() {
@@ -130,15 +140,8 @@
     until_kept(&place, 0);
     kill_all(&mut place);
     for (moved, taken) in [(3600.0, false), (-86_400.0, false), (0.0, true)] {
-        let (path, own) = (place.fleet.kept(0).to_path_buf(), front_id("f0"));
-        // What another clock would have written.
-        let (file, kept, _) = File::open(&path, own).unwrap();
-        let kept = kept.unwrap();
-        let lives = kept.lives.iter().map(|(life, _)| *life).collect();
-        let saved_at = kept.saved_at + moved;
-        let changes = Changes { lives, settled: kept.settled.clone(), saved_at, ..Changes::default() };
-        file.write(&changes).unwrap();
-        drop(file);
+        let path = place.fleet.kept(0).to_path_buf();
+        move_clock(&path, moved);
         std::fs::copy(&path, path.with_extension("moved")).unwrap();
         place.start(0);
         let restored = count(&place.fleet, 0, "facts_restored");
@@ -146,11 +149,7 @@
         place.fleet.kill(0);
         // As it was, for the next.
         std::fs::copy(path.with_extension("moved"), &path).unwrap();
-        let (file, kept, _) = File::open(&path, own).unwrap();
-        let kept = kept.unwrap();
-        let lives = kept.lives.iter().map(|(life, _)| *life).collect();
-        let saved_at = kept.saved_at - moved;
-        file.write(&Changes { lives, settled: kept.settled, saved_at, ..Changes::default() }).unwrap();
+        move_clock(&path, -moved);
     }
 }
 
--- a/crates/replica/src/calls.rs
+++ b/crates/replica/src/calls.rs
@@ -2,9 +2,9 @@
 //!
 //! A call belongs to the front that wrote its fact. When that front has a new life, all fronts bring their copies of
 //! the life before to the same end, and it takes back from that what stood; when it is gone for as long as calls are
-//! held, one other releases them, after a claim that all can see. Whoever is told by a caller or a server that a call is over says so at once, whoever owns it. Two that
-//! release one call can only be on two sides of a cut, and of these only the side with more than half of the
-//! fronts does; where both did all the same, it is counted and listed.
+//! held, one other releases them, after a claim that all can see. Whoever is told by a caller or a server that a
+//! call is over says so at once, whoever owns it. Two that release one call can only be on two sides of a cut, and of
+//! these only the side with more than half of the fronts does; where both did all the same, it is counted and listed.
 
 use crate::copies::Copies;
 use crate::facts::{CallWord, Fact, Key, OverWord};
@@ -147,12 +147,14 @@
     pub fn changed(&mut self, copies: &Copies, call: u64) {
         let mut owners = owners(copies, call);
         let owner = owners.next();
-        let past = copies.past_call(call).filter(|_| !is_over(copies, call));
+        // Ended lives are looked through only for a call that no life holds.
+        let past = if owner.is_none() { copies.past_call(call) } else { None };
+        let past = past.filter(|_| !is_over(copies, call));
         match owner.map(|o| o.1).or(past.map(|p| p.word)) {
             Some(word) => self.index(call, word),
             None => self.forget_leg(call),
         }
-        match past.filter(|_| owner.is_none()) {
+        match past {
             Some(past) => drop(self.orphans.insert(call, Orphan { of: past.of, since: past.since })),
             None => {
                 let orphan = self.orphans.remove(&call);
--- a/crates/replica/src/copies.rs
+++ b/crates/replica/src/copies.rs
@@ -2,7 +2,7 @@
 
 use crate::copy::{is_sound, Copy, Entry};
 use crate::facts::{CallWord, Fact, Key, OverWord};
-use crate::message::{Part, Reach};
+use crate::message::{life, Part, Reach};
 use shalespindle_peers::{FrontId, Life};
 use std::collections::BTreeMap;
 
@@ -68,7 +68,7 @@
 /// Copies of all origins.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Copies {
-    params: CopiesParams,
+    pub(crate) params: CopiesParams,
     own: FrontId,
     pub(crate) all: BTreeMap<FrontId, Copy>,
     pub(crate) past: BTreeMap<(FrontId, Life), Past>,
@@ -174,8 +174,8 @@
         keys
     }
 
-    /// A life of a front ended with that copy.
-    fn end(&mut self, now: f64, front: FrontId, copy: Copy) -> Vec<Key> {
+    /// A life of a front ended with that copy, as was learned at `since`.
+    pub(crate) fn end(&mut self, since: f64, front: FrontId, copy: Copy) -> Vec<Key> {
         if copy.dropped {
             return self.settle(front, copy.life);
         }
@@ -183,7 +183,7 @@
             return Vec::new();
         }
         let ahead = copy.reach.seq;
-        self.past.insert((front, copy.life), Past { copy, since: now, ahead });
+        self.past.insert((front, copy.life), Past { copy, since, ahead });
         let pasts = self.pasts(front);
         match pasts.len().checked_sub(MOST_PASTS + 1) {
             Some(oldest) => self.settle(front, pasts[oldest].0),
@@ -191,18 +191,6 @@
         }
     }
 
-    /// What was kept of a life that is over.
-    pub(crate) fn put_past(&mut self, front: FrontId, copy: Copy, since: f64) {
-        if !copy.dropped && !self.is_settled(front, copy.life) {
-            let ahead = copy.reach.seq;
-            self.past.insert((front, copy.life), Past { copy, since, ahead });
-        }
-    }
-
-    pub(crate) fn most(&self) -> usize {
-        self.params.most
-    }
-
     /// Ended lives of a front and how far their copies go, from the first on.
     pub fn pasts(&self, front: FrontId) -> Vec<(Life, Reach)> {
         let top = Life { number: u64::MAX, nonce: u64::MAX };
@@ -259,12 +247,9 @@
     /// What was kept of a front is of no use any more. Its life stays known, so that an old copy that somebody
     /// still has does not bring it back.
     pub fn drop_facts(&mut self, front: FrontId) -> Vec<Key> {
-        let keeps = self.keeps;
         let Some(copy) = self.all.get_mut(&front).filter(|_| front != self.own) else { return Vec::new() };
-        let before = std::mem::take(copy);
-        *copy = Copy::after(&before, keeps);
         copy.dropped = true;
-        before.entries.into_keys().collect()
+        copy.clear()
     }
 
     /// The front is off the list: nothing of it is kept.
@@ -283,13 +268,9 @@
     pub fn lose(&mut self) -> Vec<Key> {
         let past = std::mem::take(&mut self.past);
         let mut keys: Vec<Key> = past.into_values().flat_map(|p| p.copy.entries.into_keys()).collect();
-        let (own, keeps) = (self.own, self.keeps);
-        for (_, copy) in self.all.iter_mut().filter(|(front, _)| **front != own) {
-            let before = std::mem::take(copy);
-            *copy = Copy::after(&before, keeps);
-            copy.dropped = before.dropped;
-            keys.extend(before.entries.into_keys());
-        }
+        let own = self.own;
+        let others = self.all.iter_mut().filter(|(front, _)| **front != own);
+        keys.extend(others.flat_map(|(_, copy)| copy.clear()));
         keys
     }
 
@@ -321,7 +302,7 @@
 
     /// Takes a part in.
     pub fn apply(&mut self, now: f64, part: &Part) -> Applied {
-        let (front, life) = (FrontId(part.front), Life { number: part.life.0, nonce: part.life.1 });
+        let (front, life) = (FrontId(part.front), life(part.life));
         let current = self.life(front);
         if front == self.own && life >= current {
             return Applied::Known;
--- a/crates/replica/src/copy.rs
+++ b/crates/replica/src/copy.rs
@@ -2,7 +2,7 @@
 
 use crate::copies::Applied;
 use crate::facts::{room, Fact, Key};
-use crate::message::{Item, Part, Reach};
+use crate::message::{pair, Item, Part, Reach};
 use shalespindle_peers::{FrontId, Life};
 use std::collections::{BTreeMap, BTreeSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -46,10 +46,14 @@
         Copy { life, touched: keeps.then(BTreeSet::new), ..Copy::default() }
     }
 
-    /// One of the same life that begins from nothing.
-    pub fn after(before: &Copy, keeps: bool) -> Copy {
-        let touched = keeps.then(|| before.entries.keys().copied().collect());
-        Copy { life: before.life, touched, ..Copy::default() }
+    /// It begins from nothing, of the same life: the keys that it had.
+    pub fn clear(&mut self) -> Vec<Key> {
+        let (life, dropped) = (self.life, self.dropped);
+        let before = std::mem::replace(self, Copy { life, dropped, ..Copy::default() });
+        let keys: Vec<Key> = before.entries.into_keys().collect();
+        self.touched =
+            before.touched.map(|touched| touched.into_iter().chain(keys.iter().copied()).collect());
+        keys
     }
 
     fn touch(&mut self, key: Key) {
@@ -137,7 +141,7 @@
         }
         let mut part = Part {
             front: front.0,
-            life: (self.life.number, self.life.nonce),
+            life: pair(self.life),
             floor: self.reach.floor,
             from,
             to: self.reach.seq,
--- a/crates/replica/src/exchange.rs
+++ b/crates/replica/src/exchange.rs
@@ -1,8 +1,8 @@
 //! The exchange between two fronts: digests of how far copies go, and the parts that are missing.
 
 use crate::copies::Applied;
-use crate::fleet::{life, Fleet, Out, PART_ROOM};
-use crate::message::{Known, Message, Part, PastReach, Reach};
+use crate::fleet::{Fleet, Out, PART_ROOM};
+use crate::message::{life, Known, Message, Part, PastReach, Reach};
 use shalespindle_peers::{FrontId, Life, Word};
 use std::collections::VecDeque;
 
@@ -122,17 +122,16 @@
     fn give(&mut self, now: f64, to: FrontId, gives: &[(FrontId, Life, Reach)], burst: usize) {
         let mut messages: Vec<Vec<Part>> = Vec::new();
         let mut left = 0;
-        for (front, life, reach) in gives {
-            let mut reach = *reach;
-            let mut life = *life;
+        for (front, of, reach) in gives {
+            let (mut of, mut reach) = (*of, *reach);
             loop {
                 let room = if left > 2 * PART_ROOM { left } else { self.params.bytes };
-                let Some(part) = self.copies.part(now, *front, life, reach, room - PART_ROOM) else { break };
+                let Some(part) = self.copies.part(now, *front, of, reach, room - PART_ROOM) else { break };
                 let size =
                     PART_ROOM + part.items.iter().map(|i| crate::facts::room(i.fact.as_ref())).sum::<usize>();
                 let more = part.to < part.last;
                 reach = Reach { seq: part.to, floor: part.floor };
-                life = Life { number: part.life.0, nonce: part.life.1 };
+                of = life(part.life);
                 if size > left {
                     if messages.len() >= burst {
                         return self.send_parts(to, messages);
--- a/crates/replica/src/facts.rs
+++ b/crates/replica/src/facts.rs
@@ -29,6 +29,13 @@
     pub by: String,
 }
 
+impl LevelWord {
+    /// Of several words the one of the highest rank counts.
+    pub(crate) fn rank(&self) -> (u64, &str) {
+        (self.version, &self.by)
+    }
+}
+
 /// A standing call: enough for another front to release it in both directions.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct CallWord {
--- a/crates/replica/src/fleet.rs
+++ b/crates/replica/src/fleet.rs
@@ -3,7 +3,7 @@
 use crate::calls::{CallOut, Calls, CallsParams};
 use crate::copies::{Copies, CopiesParams, Full};
 use crate::facts::{CallWord, Fact, Key, LevelWord, OverWord, ServerWord};
-use crate::message::{Known, Message, Part, PastReach, Reach};
+use crate::message::{pair, Known, Message, Part, PastReach, Reach};
 use crate::view::{News, View};
 use shalespindle_peers::{Change, FrontId, Life, Peers, PeersParams, State, Word};
 use std::collections::{BTreeMap, VecDeque};
@@ -346,7 +346,7 @@
     pub(crate) fn known(&self, word: &Word) -> Known {
         Known {
             front: word.front.0,
-            life: (word.life.number, word.life.nonce),
+            life: pair(word.life),
             beat: word.beat,
             left: word.left,
             reach: self.copies.reach(word.front, word.life),
@@ -380,14 +380,6 @@
     }
 }
 
-pub(crate) fn life((number, nonce): (u64, u64)) -> Life {
-    Life { number, nonce }
-}
-
-fn pair(life: Life) -> (u64, u64) {
-    (life.number, life.nonce)
-}
-
 fn past_reach((life, reach): (Life, Reach)) -> PastReach {
     PastReach { life: pair(life), reach }
 }
--- a/crates/replica/src/kept.rs
+++ b/crates/replica/src/kept.rs
@@ -7,7 +7,7 @@
 use crate::copy::{Copy, Entry};
 use crate::facts::{Fact, Key, LevelWord};
 use crate::fleet::Fleet;
-use crate::message::Reach;
+use crate::message::{life, pair, Reach};
 use crate::view::News;
 use serde::{Deserialize, Serialize};
 use shalespindle_peers::{FrontId, Life};
@@ -98,11 +98,11 @@
     pub fn changes(&mut self, now: f64, wall: f64, whole: bool) -> Changes {
         let at = |time: f64| wall - (now - time).max(0.0);
         let mut changes = Changes { whole, saved_at: wall, ..Changes::default() };
-        changes.settled = self.settled.iter().map(|(f, life)| (f.0, (life.number, life.nonce))).collect();
+        changes.settled = self.settled.iter().map(|(f, life)| (f.0, pair(*life))).collect();
         let pasts = self.past.iter_mut().map(|((front, _), p)| (*front, Some(at(p.since)), &mut p.copy));
         let all = self.all.iter_mut().map(|(front, copy)| (*front, None, copy));
         for (front, ended, copy) in all.chain(pasts) {
-            let life = (copy.life.number, copy.life.nonce);
+            let life = pair(copy.life);
             let facts = copy.entries.len() - copy.ghosts.len();
             let (reach, dropped) = (copy.reach, copy.dropped);
             changes.lives.push(KeptLife { front: front.0, life, reach, ended, dropped, facts });
@@ -132,23 +132,25 @@
     ) -> Restored {
         let since = |at: f64| now - (wall - at).max(0.0);
         let mut restored = Restored::default();
-        for (front, (number, nonce)) in kept.settled {
+        for (front, settled) in kept.settled {
             if listed(FrontId(front)) {
-                self.settle(FrontId(front), Life { number, nonce });
+                self.settle(FrontId(front), life(settled));
             }
         }
-        for (life, facts) in kept.lives {
-            let front = FrontId(life.front);
-            let copy = rebuilt(&life, &facts, self.most(), self.keeps, since).filter(|_| listed(front));
-            let Some(copy) = copy else {
+        for (kept, facts) in kept.lives {
+            let front = FrontId(kept.front);
+            let copy = rebuilt(&kept, &facts, self.params.most, since).filter(|_| listed(front));
+            let Some(mut copy) = copy else {
                 restored.refused += 1;
                 continue;
             };
             restored.lives += 1;
             restored.facts += copy.entries.len() as u64;
-            match life.ended {
-                Some(at) => self.put_past(front, copy, since(at)),
-                None if front == self.own() => self.put_past(front, copy, now),
+            copy.touched = self.keeps.then(BTreeSet::new);
+            let ended = kept.ended.map(since).or((front == self.own()).then_some(now));
+            match ended {
+                // All keys are looked at when all is restored.
+                Some(since) => drop(self.end(since, front, copy)),
                 None => drop(self.all.insert(front, copy)),
             }
         }
@@ -197,8 +199,7 @@
             Some(Fact::Level(word)) => Some((kept.written, word)),
             _ => None,
         });
-        let Some((written, word)) = words.max_by(|a, b| (a.1.version, &a.1.by).cmp(&(b.1.version, &b.1.by)))
-        else {
+        let Some((written, word)) = words.max_by_key(|w| w.1.rank()) else {
             return;
         };
         let lasts = (word.lasts - (wall - written).max(0.0)).max(0.0);
@@ -215,7 +216,6 @@
     kept: &KeptLife,
     facts: &[(Key, KeptFact)],
     most: usize,
-    keeps: bool,
     since: impl Fn(f64) -> f64,
 ) -> Option<Copy> {
     let sound = |(key, kept_fact): &(Key, KeptFact)| {
@@ -226,7 +226,7 @@
     if facts.len() != kept.facts || facts.len() > most || !facts.iter().all(sound) {
         return None;
     }
-    let mut copy = Copy::new(Life { number: kept.life.0, nonce: kept.life.1 }, false);
+    let mut copy = Copy::new(life(kept.life), false);
     (copy.reach, copy.dropped) = (kept.reach, kept.dropped);
     for (key, fact) in facts {
         let entry =
@@ -234,12 +234,12 @@
         copy.put(*key, entry);
     }
     // Two facts of one number, or of one key.
-    (copy.by_seq.len() == facts.len()).then(|| {
-        copy.touched = keeps.then(BTreeSet::new);
-        copy
-    })
+    (copy.by_seq.len() == facts.len()).then_some(copy)
 }
 
+/// Lives with how far they go and whether they are dropped, and settled lives: whatever else changes is a fact.
+type Head = (Vec<(LifeName, Reach, bool)>, Vec<LifeName>);
+
 /// When the copies are written, and what after a write that failed. Times are seconds.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Keeping {
@@ -251,8 +251,8 @@
     whole: bool,
     /// Failures one after the other.
     failures: u32,
-    /// Lives and settled lives, as last handed over.
-    last: (Vec<KeptLife>, Vec<LifeName>),
+    /// What was last handed over, its facts aside.
+    last: Head,
     saved_at: Option<f64>,
 }
 
@@ -280,17 +280,16 @@
 
     /// Whether what is due is worth a write: something changed, or the time at which it was right is old.
     pub fn is_worth(&mut self, now: f64, changes: &Changes) -> bool {
-        let head = |lives: &[KeptLife]| -> Vec<(LifeName, Reach, bool)> {
-            lives.iter().map(|l| (l.name(), l.reach, l.dropped)).collect()
-        };
-        let same = head(&self.last.0) == head(&changes.lives) && self.last.1 == changes.settled;
+        let lives = changes.lives.iter().map(|l| (l.name(), l.reach, l.dropped)).collect();
+        let head = (lives, changes.settled.clone());
+        let same = self.last == head;
         let young = self.saved_at.is_some_and(|at| now - at < OLD_AFTER * self.every);
         if same && young && changes.facts.is_empty() && !changes.whole {
             self.busy = false;
             self.due = now + self.every;
             return false;
         }
-        self.last = (changes.lives.clone(), changes.settled.clone());
+        self.last = head;
         true
     }
 
@@ -341,7 +340,7 @@
                     None => inventory.deletions += 1,
                 }
             }
-            if rebuilt(life, facts, usize::MAX, false, |at| at).is_none() {
+            if rebuilt(life, facts, usize::MAX, |at| at).is_none() {
                 let (front, (number, _)) = life.name();
                 let why = format!(
                     "front {front:016x}, life {number}: {} of {} facts, or unsound ones",
--- a/crates/replica/src/message.rs
+++ b/crates/replica/src/message.rs
@@ -2,6 +2,7 @@
 
 use crate::facts::{Fact, Key};
 use serde::{Deserialize, Serialize};
+use shalespindle_peers::Life;
 
 /// How far a copy of one life of an origin goes.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -75,3 +76,12 @@
         follow: bool,
     },
 }
+
+/// A life as it crosses between fronts and is kept: its number and nonce.
+pub(crate) fn pair(life: Life) -> (u64, u64) {
+    (life.number, life.nonce)
+}
+
+pub(crate) fn life((number, nonce): (u64, u64)) -> Life {
+    Life { number, nonce }
+}
--- a/crates/replica/src/view.rs
+++ b/crates/replica/src/view.rs
@@ -129,11 +129,10 @@
     /// The word of the highest version, then of the higher name of who said it: the same whoever passes it on.
     fn level(&mut self, now: f64, copies: &Copies) {
         let Some((front, written, word)) = highest(copies) else { return };
-        let rank = (word.version, word.by.clone());
-        if rank <= self.level {
+        if word.rank() <= (self.level.0, self.level.1.as_str()) {
             return;
         }
-        self.level = rank;
+        self.level = (word.version, word.by.clone());
         let until = written + word.lasts;
         if front != copies.own() {
             let level = word.level.filter(|_| until > now);
@@ -177,5 +176,5 @@
         Fact::Level(word) => Some((front, written, word)),
         _ => None,
     });
-    words.max_by(|a, b| (a.2.version, &a.2.by).cmp(&(b.2.version, &b.2.by)))
+    words.max_by_key(|w| w.2.rank())
 }
--- a/crates/replica/tests/calls.rs
+++ b/crates/replica/tests/calls.rs
@@ -15,17 +15,12 @@
     Net::new(count, 1, params)
 }
 
-fn stands(net: &mut Net, front: usize, calls: std::ops::Range<u64>) {
-    let now = net.now;
-    calls.for_each(|n| net.at(front).tell_call(now, n, Some(word(n))));
-}
-
 #[test]
 fn a_front_that_returns_is_given_its_calls_back_by_its_fleet() {
     for loss in [0.0, 0.33] {
         let mut net = net(4);
         net.loss = loss;
-        stands(&mut net, 0, 0..100);
+        net.stands(0, 0..100);
         net.pass(3.0);
         net.fronts[0] = None;
         net.pass(1.0);
@@ -50,7 +45,7 @@
 fn the_calls_of_a_front_that_stays_away_are_released_once_each_and_not_before_their_time() {
     let mut net = net(5);
     net.loss = 0.25;
-    stands(&mut net, 2, 0..60);
+    net.stands(2, 0..60);
     net.pass(3.0);
     net.fronts[2] = None;
     // Gone after fifteen beats, then held.
@@ -71,7 +66,7 @@
 #[test]
 fn whoever_is_told_that_a_call_is_over_finds_it_once() {
     let mut net = net(3);
-    stands(&mut net, 0, 0..3);
+    net.stands(0, 0..3);
     net.pass(2.0);
     let now = net.now;
     // By its caller at another front, while its own lives.
@@ -92,8 +87,8 @@
 #[test]
 fn on_two_sides_of_a_cut_only_most_of_the_fronts_release_and_the_others_hear_of_it() {
     let mut net = net(5);
-    stands(&mut net, 0, 0..20);
-    stands(&mut net, 4, 20..40);
+    net.stands(0, 0..20);
+    net.stands(4, 20..40);
     net.pass(2.0);
     let few = |n: usize| n < 2;
     net.cut = (0..5).flat_map(|a| (0..5).map(move |b| (a, b))).filter(|(a, b)| few(*a) != few(*b)).collect();
@@ -115,7 +110,7 @@
 #[test]
 fn two_releases_of_one_call_are_counted_and_listed_on_every_front() {
     let mut net = net(3);
-    stands(&mut net, 0, 0..1);
+    net.stands(0, 0..1);
     net.pass(2.0);
     net.cut = vec![(1, 2), (2, 1), (0, 1), (1, 0), (0, 2), (2, 0)];
     let now = net.now;
@@ -133,7 +128,7 @@
 #[test]
 fn a_claim_of_a_front_that_dies_before_it_releases_holds_nobody_up() {
     let mut net = net(5);
-    stands(&mut net, 0, 0..40);
+    net.stands(0, 0..40);
     net.pass(2.0);
     net.fronts[0] = None;
     // Stepwise, until somebody has claimed and released nothing yet.
@@ -155,7 +150,7 @@
 fn catch_up(calls: u64) -> (usize, f64) {
     let mut net = net(2);
     net.fronts[1] = None;
-    stands(&mut net, 0, 0..calls);
+    net.stands(0, 0..calls);
     net.pass(1.0);
     net.restart(1, 2);
     let (sent, begin) = (net.sent, net.now);
@@ -204,12 +199,12 @@
 #[test]
 fn what_ended_before_a_front_died_is_not_brought_back_by_one_that_was_cut_off() {
     let mut net = net(4);
-    stands(&mut net, 0, 0..50);
+    net.stands(0, 0..50);
     net.pass(2.0);
     net.cut = (0..3).flat_map(|n| [(n, 3), (3, n)]).collect();
     let now = net.now;
     (0..49).for_each(|n| net.at(0).tell_call(now, n, None));
-    stands(&mut net, 0, 50..60);
+    net.stands(0, 50..60);
     net.pass(1.0);
     net.fronts[0] = None;
     net.restart(0, 2);
@@ -232,7 +227,7 @@
 #[test]
 fn a_word_that_a_call_is_over_outlives_the_life_that_said_it() {
     let mut net = net(4);
-    stands(&mut net, 0, 0..10);
+    net.stands(0, 0..10);
     net.pass(2.0);
     net.restart(0, 2);
     net.pass(2.0);
--- a/crates/replica/tests/common/mod.rs
+++ b/crates/replica/tests/common/mod.rs
@@ -127,6 +127,12 @@
         self.fronts[n].as_mut().unwrap()
     }
 
+    /// Calls of these numbers stand at a front.
+    pub fn stands(&mut self, front: usize, calls: std::ops::Range<u64>) {
+        let now = self.now;
+        calls.for_each(|n| self.at(front).tell_call(now, n, Some(word(n))));
+    }
+
     /// All copies of all fronts that live are equal.
     pub fn is_equal(&self) -> bool {
         let living = || self.fronts.iter().flatten();
--- a/crates/replica/tests/kept.rs
+++ b/crates/replica/tests/kept.rs
@@ -48,17 +48,12 @@
     net.at(front).restore(now, WALL + now + off, kept.clone());
 }
 
-fn stands(net: &mut Net, front: usize, calls: std::ops::Range<u64>) {
-    let now = net.now;
-    calls.for_each(|n| net.at(front).tell_call(now, n, Some(word(n))));
-}
-
 #[test]
 fn calls_that_ended_since_do_not_come_back_with_an_old_file() {
     for loss in [0.0, 0.3] {
         let mut net = net(3);
         net.loss = loss;
-        stands(&mut net, 0, 0..3);
+        net.stands(0, 0..3);
         net.pass(2.0);
         let old = keep(&mut net, 0, None);
         return_with(&mut net, 0, &old, 0.0);
@@ -76,7 +71,7 @@
 #[test]
 fn a_whole_fleet_that_starts_anew_at_once_has_its_calls_again_and_nothing_that_ended() {
     let mut net = net(4);
-    (0..4).for_each(|front| stands(&mut net, front, 100 * front as u64..100 * front as u64 + 50));
+    (0..4).for_each(|front| net.stands(front, 100 * front as u64..100 * front as u64 + 50));
     net.pass(3.0);
     // Front 2's file is older than the others': calls of it and of front 3 end after it was written.
     let mut kept: Vec<Kept> = (0..4).map(|front| keep(&mut net, front, None)).collect();
@@ -99,7 +94,7 @@
 #[test]
 fn one_alone_has_what_it_kept_after_a_while_and_corrects_it_when_it_hears_others() {
     let mut net = net(3);
-    stands(&mut net, 0, 0..100);
+    net.stands(0, 0..100);
     net.pass(2.0);
     let old = keep(&mut net, 0, None);
     let now = net.now;
@@ -123,7 +118,7 @@
     let keeps = FleetParams::beating(EVERY).keep;
     for (off, believed) in [(0.0, true), (keeps - 10.0, true), (keeps + 1.0, false), (-3600.0, false)] {
         let mut net = net(2);
-        stands(&mut net, 0, 0..20);
+        net.stands(0, 0..20);
         net.pass(2.0);
         let kept = keep(&mut net, 0, None);
         (0..2).for_each(|front| net.fronts[front] = None);
@@ -160,8 +155,8 @@
 #[test]
 fn a_life_that_is_not_whole_or_not_sound_is_refused_and_the_rest_taken() {
     let mut net = net(3);
-    stands(&mut net, 1, 0..20);
-    stands(&mut net, 2, 20..40);
+    net.stands(1, 0..20);
+    net.stands(2, 20..40);
     net.pass(3.0);
     let good = keep(&mut net, 0, None);
     let place = good.lives.iter().position(|l| l.0.front == 1).unwrap();
@@ -198,7 +193,7 @@
     let mut lives = [1; 4];
     for round in 0..40u64 {
         let front = (round % 3) as usize + 1;
-        stands(&mut net, front, 10 * round..10 * round + 10);
+        net.stands(front, 10 * round..10 * round + 10);
         let now = net.now;
         if round >= 3 {
             (0..7).for_each(|n| net.at(front).tell_call(now, 10 * (round - 3) + n, None));
