--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -122,6 +122,18 @@
         #[arg(long)]
         json: bool,
     },
+    /// An operator's word on a site, for all fronts of the fleet.
+    Site {
+        /// As [[sites]] names it.
+        name: String,
+        #[arg(value_enum)]
+        order: SiteOrder,
+        /// How long `lost` and `keep-out` hold, with the unit, such as 10m.
+        #[arg(long = "for", default_value = "10m")]
+        lasts: humantime::Duration,
+        #[command(flatten)]
+        front: console::Which,
+    },
     /// Servers of which fronts were told different things, and what counts; exit code 1 where there are any.
     Diff {
         #[command(flatten)]
@@ -139,6 +151,17 @@
     },
 }
 
+/// What an operator wants of a site.
+#[derive(Clone, Copy, clap::ValueEnum)]
+pub enum SiteOrder {
+    /// It counts as lost, whatever fronts see.
+    Lost,
+    /// Nothing new goes to its servers, from no front.
+    KeepOut,
+    /// It returns, step by step, from now on.
+    Return,
+}
+
 #[derive(Subcommand)]
 pub enum Lab {
     /// Fronts, stand-ins and callers on loopback sockets; the rules are checked.
@@ -287,6 +310,14 @@
             Command::Fleet { command: Fleet::Status { front, json } } => {
                 console::ask(&front, &Ask::Fleet, json)
             }
+            Command::Fleet { command: Fleet::Site { name, order, lasts, front } } => {
+                let order = match order {
+                    SiteOrder::Lost => shalespindle_console::SiteOrder::Lost,
+                    SiteOrder::KeepOut => shalespindle_console::SiteOrder::KeepOut,
+                    SiteOrder::Return => shalespindle_console::SiteOrder::Return,
+                };
+                console::ask(&front, &Ask::Site { name, order, seconds: lasts.as_secs_f64() }, false)
+            }
             Command::Fleet { command: Fleet::Kept { config, json } } => kept::kept(&config, json),
             Command::Fleet { command: Fleet::Diff { front, json } } => console::diff(&front, json),
             Command::Resolve { name, servers, within } => resolve::resolve(&name, &servers, *within),
--- a/crates/console/src/words.rs
+++ b/crates/console/src/words.rs
@@ -2,6 +2,7 @@
 
 use crate::{LevelState, MemberState, Members, Reply, Snapshot};
 use shalespindle_peer_service::{KeepState, Standing};
+use shalespindle_sites::{SitesStatus, Stage};
 use std::fmt;
 
 impl fmt::Display for Reply {
@@ -58,6 +59,9 @@
             p.name, p.state, p.quiet_for, p.facts, p.behind
         )?;
     }
+    if let Some(sites) = &s.sites {
+        sites_in_words(sites, f)?;
+    }
     match &s.kept {
         KeepState::Off => writeln!(f, "nothing is kept on disk")?,
         KeepState::Good => writeln!(f, "what is known here is kept on disk")?,
@@ -70,6 +74,50 @@
     Ok(())
 }
 
+fn sites_in_words(s: &SitesStatus, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+    let cut_off = if s.cut_off { "; cut off: this front hears no more than half of the fleet" } else { "" };
+    writeln!(f, "sites, by the sights of {} of {} fronts{cut_off}", s.sights, s.fleet)?;
+    for site in &s.sites {
+        let step = match site.stage {
+            Stage::Returning { step } => format!(", step {step}"),
+            _ => String::new(),
+        };
+        let held = site.held_for.map_or(String::new(), |left| format!(", held for {left:.0} s"));
+        let out = if site.out_here { "; left alone here" } else { "" };
+        writeln!(
+            f,
+            "  {:20} {}{step} (epoch {}, {:.1} s{held}); fronts {} of {}; of {} outside {} reach it, {} miss it{out}",
+            site.name,
+            site.verdict.name(),
+            site.epoch,
+            site.since,
+            site.fronts_heard,
+            site.fronts,
+            site.outside,
+            site.reached,
+            site.missed
+        )?;
+        let bears = |b: Option<f64>| b.map_or("not known yet".into(), |b| format!("{b:.1} a second"));
+        writeln!(
+            f,
+            "  {:20} stands {:.1} a second of {}; were it lost: {:.1} a second needed, the others bear {}",
+            "",
+            site.stood,
+            bears(site.bears),
+            site.if_lost_needs,
+            bears(site.if_lost_bears)
+        )?;
+    }
+    if !s.shares.is_empty() {
+        let shares: Vec<String> = s.shares.iter().map(|s| format!("{:.2}", s)).collect();
+        writeln!(f, "  taken of what is asked, by procedure: {}", shares.join(", "))?;
+    }
+    if s.other_tables + s.bad > 0 {
+        writeln!(f, "  {} messages of other tables of sites, {} of bad form", s.other_tables, s.bad)?;
+    }
+    Ok(())
+}
+
 /// Copies that differ, a line each, as `fleet diff` prints them.
 pub fn differences(s: &Standing) -> String {
     let mut text = String::new();
--- a/crates/front/src/callers.rs
+++ b/crates/front/src/callers.rs
@@ -6,7 +6,7 @@
 use crate::told::Told;
 use rand::Rng;
 use shalespindle_control::interface::NewAttach;
-use shalespindle_levels::{Ask, Door};
+use shalespindle_levels::{Ask, By, Door};
 use shalespindle_signalling::message::{address, host, tag, Message, Method, ParseError};
 use shalespindle_signalling::transaction::{oldest_copy, Client, InviteServer, Todo, LONG, T4};
 use shalespindle_signalling::write::{ResponseHead, Writer};
@@ -202,6 +202,7 @@
         self.by_ue.insert(ue, key);
         self.in_hand += 1;
         self.counters.offered += 1;
+        self.narrowed.asked(procedure);
         if self.is_ending() || self.in_hand > self.params.most_in_hand {
             self.counters.door_refused += 1;
             let pause = self.params.deployment.longest_pause;
@@ -231,14 +232,18 @@
             late_share: told.late_share,
             latency_target: told.latency_target,
             tenant,
+            procedure,
         };
         match levels.ask(now, &ask) {
             Door::Take(ticket) => {
                 attach.ticket = Some(ticket);
                 None
             }
-            Door::Refuse { pause } => {
-                self.counters.level_refused += 1;
+            Door::Refuse { pause, by } => {
+                match by {
+                    By::Level => self.counters.level_refused += 1,
+                    By::Plan => self.counters.plan_refused += 1,
+                }
                 Some(pause)
             }
         }
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -4,6 +4,7 @@
 use crate::links::{Frame, LegRef, Link, LinkState};
 use crate::params::Params;
 use crate::shared::Shared;
+use crate::sites::Narrowed;
 use crate::sources::Sources;
 use crate::told::{Router, Tapped, Told};
 use rand::{Rng, SeedableRng};
@@ -34,6 +35,8 @@
     Level,
     /// Resolver or membership module asked to be woken.
     Sources,
+    /// The fleet is told what this front sees of sites.
+    Sight,
     /// Nobody has said whose call that is.
     Whose {
         ticket: u64,
@@ -185,6 +188,7 @@
     pub(crate) in_hand: usize,
     pub(crate) standing: usize,
     pub(crate) shared: Shared,
+    pub(crate) narrowed: Narrowed,
     /// Since when it takes nothing new.
     ending: Option<f64>,
 }
@@ -207,7 +211,7 @@
         let tag = format!("{:012x}", rng.random::<u64>() >> 16);
         let levels = params.levels.clone().map(|params| Levels::new(rng.random(), params, now));
         let sources = Sources::new(&params, rng.random(), now);
-        Front {
+        let mut front = Front {
             params,
             started: now,
             levels,
@@ -231,8 +235,11 @@
             in_hand: 0,
             standing: 0,
             shared: Shared::default(),
+            narrowed: Narrowed::default(),
             ending: None,
-        }
+        };
+        front.sees_sites(now);
+        front
     }
 
     /// The seed that the decision module of a front made with `seed` gets, for replays.
@@ -315,6 +322,7 @@
             Input::Warned(warning) => self.warned(now, warning),
             Input::Found { ticket, known, call } => self.found(now, ticket, known, call),
             Input::CallOver { call } => self.released_elsewhere(now, call),
+            Input::Narrowed(narrowing) => self.narrow(now, narrowing),
             Input::Release(call) => self.release_foreign(now, &call, true, true),
             Input::End => self.end(now),
         }
@@ -339,6 +347,7 @@
                 Due::Drained { link, connection } => self.drain_due(now, link, connection),
                 Due::Link { link, connection } => self.link_due(now, link, connection),
                 Due::Sources => self.sources_due(now),
+                Due::Sight => self.sees_sites(now),
                 Due::Level => {
                     self.level_wake = f64::INFINITY;
                     if let Some(levels) = &mut self.levels {
@@ -425,7 +434,12 @@
         while out.len() < TOGETHER {
             let Some(frame) = link.queue.pop_front() else { break };
             let bytes = match frame {
-                Frame::Other(bytes) => bytes,
+                Frame::Other(bytes) => {
+                    if link.probe.is_some() {
+                        link.seen.owes(now);
+                    }
+                    bytes
+                }
                 Frame::Release(at, bytes) => {
                     if self.legs.get(at.key).is_none_or(|l| l.serial != at.serial) {
                         continue;
@@ -443,6 +457,7 @@
                     leg.stage = LegStage::Out;
                     leg.sent_at = now;
                     link.last_set_ups.push(at);
+                    link.seen.owes(now);
                     self.counters.setup_tries += 1;
                     bytes
                 }
--- a/crates/front/src/io.rs
+++ b/crates/front/src/io.rs
@@ -4,6 +4,7 @@
 use shalespindle_levels::Why;
 use shalespindle_membership::{Change, Listed, Warning};
 use shalespindle_replica::CallWord;
+use shalespindle_sites::{Narrowing, Observed};
 use shalespindle_srv::{In, Step, Ticket};
 use std::net::SocketAddr;
 
@@ -76,6 +77,8 @@
     CallOver {
         call: u64,
     },
+    /// What the fleet's word on sites leaves this front.
+    Narrowed(Narrowing),
     /// A call of a front that died is to be released in both directions.
     Release(Box<CallWord>),
     /// Take no new attaches, answer those in hand, then be done.
@@ -123,6 +126,8 @@
     },
     /// This front's list told of a server: for other fronts, where there are any.
     Told(Listed),
+    /// What this front sees of sites: for the fleet.
+    Sees(Observed),
     /// A call stands here, or stands no more: for other fronts.
     Call {
         call: u64,
@@ -228,6 +233,12 @@
         from: &'static str,
         why: String,
     },
+    /// The fleet's word on sites leaves this front less, or all again: pools of servers that it leaves alone, and
+    /// attaches a second by procedure.
+    Narrowed {
+        pools: Vec<u16>,
+        parts: Vec<Option<f64>>,
+    },
     Ending {
         in_hand: usize,
         standing: usize,
@@ -259,6 +270,9 @@
     pub door_refused: u64,
     /// Refused by the level of reduced service.
     pub level_refused: u64,
+    /// Refused by the fleet's plan for a site that is out.
+    #[serde(default)]
+    pub plan_refused: u64,
     /// Calls of other fronts that a caller or a server released here, calls of this front released by others, and
     /// releases that could not go out, since this front does not know the server.
     #[serde(default)]
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -13,10 +13,11 @@
 pub mod pool_list;
 mod servers;
 mod shared;
+mod sites;
 mod sources;
 pub mod told;
 
 pub use front::Front;
 pub use io::{Counters, Event, FinalAnswer, Input, LinkId, Outcome, Output, Source};
-pub use params::Params;
+pub use params::{Params, SiteParams};
 pub use sources::Name;
--- a/crates/front/src/links.rs
+++ b/crates/front/src/links.rs
@@ -61,6 +61,62 @@
     pub legs: usize,
     /// Serial number and time of the probe that is out.
     pub probe: Option<u32>,
+    /// What the fleet is told of its server.
+    pub seen: Seen,
+}
+
+/// What this front sees of a server, for the fleet's judging of sites.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Seen {
+    /// Since when it owes an answer, or a connection.
+    pub owes_since: Option<f64>,
+    /// A connection was asked for at least once.
+    pub tried: bool,
+    /// Set-ups that stood there.
+    pub stood: u64,
+    /// Connections that it ended.
+    pub cuts: u64,
+    /// The wait that it told last.
+    pub wait: Option<f64>,
+    /// What it owed when its connection came up, until it says something or the connection has lasted: what stands
+    /// between may take connections for a server that is gone.
+    shelved: Option<f64>,
+    /// When the connection came up.
+    up_at: f64,
+}
+
+impl Seen {
+    /// Something went out that it is to answer.
+    pub fn owes(&mut self, now: f64) {
+        self.owes_since.get_or_insert(now);
+    }
+
+    /// It said something.
+    pub fn spoke(&mut self) {
+        (self.owes_since, self.shelved) = (None, None);
+    }
+
+    /// A connection is up: nothing is owed on it yet.
+    pub fn up(&mut self, now: f64) {
+        (self.shelved, self.up_at) = (self.owes_since.take(), now);
+    }
+
+    /// The connection was lost, or never came up.
+    pub fn down(&mut self, now: f64) {
+        self.owes_since = self.shelved.take().or(self.owes_since).or(Some(now));
+    }
+
+    /// For how long it has owed a word or a connection, where it is to say something within `silent_after`.
+    pub fn owed(&mut self, now: f64, silent_after: f64) -> f64 {
+        if now - self.up_at >= silent_after {
+            self.shelved = None;
+        }
+        let since = match (self.shelved, self.owes_since) {
+            (Some(a), Some(b)) => Some(a.min(b)),
+            (a, b) => a.or(b),
+        };
+        since.map_or(0.0, |since| now - since)
+    }
 }
 
 impl Link {
@@ -81,6 +137,7 @@
             pause: 0.0,
             legs: 0,
             probe: None,
+            seen: Seen::default(),
         }
     }
 
--- a/crates/front/src/params.rs
+++ b/crates/front/src/params.rs
@@ -3,6 +3,7 @@
 use shalespindle_control::interface::Deployment;
 use shalespindle_levels::LevelParams;
 use shalespindle_membership::MembershipParams;
+use shalespindle_sites::Table;
 use shalespindle_srv::ResolverParams;
 use std::collections::{BTreeMap, HashMap};
 
@@ -20,6 +21,8 @@
     pub membership: MembershipParams,
     /// Other fronts are told what the list tells.
     pub tells: bool,
+    /// Sites whose loss the fleet decides on; none: nothing is seen for it, nothing narrowed.
+    pub sites: Option<SiteParams>,
     /// DNS as a second source of servers; none: the pool list alone.
     pub dns: Option<DnsParams>,
     /// Tenants by the host of a caller's address, to their places in `levels.tenant_shares`.
@@ -55,6 +58,16 @@
     Dealt(usize),
 }
 
+/// What a front must know of sites.
+#[derive(Clone, Debug)]
+pub struct SiteParams {
+    pub table: Table,
+    /// Between two sights told.
+    pub every: f64,
+    /// A server that owes an answer for so long, or is not connected for so long, does not answer.
+    pub silent_after: f64,
+}
+
 /// DNS as a source of servers.
 #[derive(Clone, Debug)]
 pub struct DnsParams {
--- a/crates/front/src/servers.rs
+++ b/crates/front/src/servers.rs
@@ -21,6 +21,8 @@
         let link = &mut self.links[place];
         link.connection += 1;
         link.state = LinkState::Connecting;
+        link.seen.tried = true;
+        link.seen.owes(now);
         let (id, to) = (link.id(place), link.address);
         self.timers.set(now + within, Due::Link { link: place, connection: id.connection });
         self.outputs.push_back(Output::Connect { id, to });
@@ -59,6 +61,7 @@
         if link.state == LinkState::Connecting {
             link.state = LinkState::Up;
             link.pause = 0.0;
+            link.seen.up(now);
             let server = link.address;
             // Guards rule 4: whatever ended the connection may have ended the processor, and a restart can be
             // quicker than any news of it.
@@ -78,7 +81,10 @@
         let chance = self.rng.random();
         let (least, longest) = self.params.reconnect;
         let link = &mut self.links[id.link];
-        link.cut_off |= link.state == LinkState::Up && by_server;
+        let cut = link.state == LinkState::Up && by_server;
+        link.cut_off |= cut;
+        link.seen.cuts += u64::from(cut);
+        link.seen.down(now);
         let retry_after = link.back_off(least, longest, chance);
         link.state = LinkState::Down { retry_at: now + retry_after };
         // The next connection has another number, so that late reports of this one are told apart.
@@ -311,6 +317,7 @@
         let Some(link) = self.links.get_mut(id.link).filter(|l| l.connection == id.connection) else {
             return;
         };
+        link.seen.spoke();
         link.framer.push(bytes);
         loop {
             // A message can end in the loss of the link; what came after it then counts no more.
@@ -430,8 +437,10 @@
         let leg = &mut self.legs[at.key];
         leg.stage = LegStage::Standing;
         let (ue, delay, attach) = (leg.ue, now - leg.sent_at, leg.attach);
-        let pool = self.links[leg.link].pool;
-        let report = outcome::report(message);
+        let link = &mut self.links[leg.link];
+        let (pool, report) = (link.pool, outcome::report(message));
+        link.seen.stood += 1;
+        link.seen.wait = report.wait.or(link.seen.wait);
         self.control.tell(now, Told::Heard { pool, probed: false, report });
         self.control.tell(now, Told::Stands { ue, pool, delay });
         let Some((key, _)) = attach else { return };
@@ -525,8 +534,9 @@
             return;
         }
         link.probe = None;
-        let pool = link.pool;
+        let (pool, report) = (link.pool, outcome::report(message));
+        link.seen.wait = report.wait.or(link.seen.wait);
         let probed = (200..300).contains(&status);
-        self.control.tell(now, Told::Heard { pool, probed, report: outcome::report(message) });
+        self.control.tell(now, Told::Heard { pool, probed, report });
     }
 }
--- a/crates/front/src/sources.rs
+++ b/crates/front/src/sources.rs
@@ -200,7 +200,7 @@
                 name: change.name,
                 number: change.pool,
                 started: change.started,
-                ready: change.verdict == Verdict::In,
+                ready: change.verdict == Verdict::In && !self.narrowed.leaves_alone(change.name),
             });
             changes.push(change);
         }
@@ -210,6 +210,8 @@
         for change in changes {
             self.listed(now, &change);
         }
+        // A server that the list has just named may be of a site that is out.
+        self.leave_alone(now);
         let resolver = self.sources.dns.as_ref().map_or(f64::INFINITY, |dns| dns.resolver.due());
         let due = resolver.min(self.sources.members.due(now));
         if due < self.sources.wake {
@@ -273,10 +275,11 @@
         let place = self.link_of(change);
         let link = &mut self.links[place];
         link.number = change.pool;
-        link.ready = change.verdict == Verdict::In;
+        link.ready = change.verdict == Verdict::In && !self.narrowed.leaves_alone(change.name);
         link.listed = change.verdict != Verdict::Out;
+        let is_in = change.verdict == Verdict::In;
         self.event(Event::Pool { change: *change, age: age(now, change.started) });
-        if self.links[place].ready {
+        if is_in {
             return self.connect_when_due(now, place);
         }
         self.take_back(now, place);
--- a/crates/front/tests/common/mod.rs
+++ b/crates/front/tests/common/mod.rs
@@ -35,6 +35,7 @@
         dealt_groups: 0,
         tells: false,
         membership: MembershipParams::short(100),
+        sites: None,
         dns: None,
         usual_procedure: 0,
         tenants: Default::default(),
@@ -136,7 +137,7 @@
                 }
                 Output::NameAsk { ticket, to, tcp, bytes } => self.questions.push((ticket, to, tcp, bytes)),
                 Output::CloseCaller { .. } | Output::NameClose { .. } => {}
-                Output::Told(_) | Output::Call { .. } | Output::Whose { .. } => {}
+                Output::Told(_) | Output::Call { .. } | Output::Whose { .. } | Output::Sees(_) => {}
                 Output::Connect { id, to } => {
                     let up = !self.refusing.contains(&to);
                     if up {
--- a/crates/lab/src/fleet_size.rs
+++ b/crates/lab/src/fleet_size.rs
@@ -4,7 +4,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde::Serialize;
-use shalespindle_peer_wire::{front_id, Codec};
+use shalespindle_peer_wire::{front_id, Body, Codec};
 use shalespindle_peers::{FrontId, Life};
 use shalespindle_replica::{CallWord, Fleet, FleetParams, Out, ServerWord, Told};
 use std::collections::{BTreeMap, BTreeSet};
@@ -109,7 +109,7 @@
         let now = self.now;
         for (to, frame) in self.under_way.remove(&self.look).unwrap_or_default() {
             let Some((fleet, codec)) = &mut self.fronts[to] else { continue };
-            if let Ok((from, message)) = codec.read(&frame) {
+            if let Ok((from, Body::Fleet(message))) = codec.read(&frame) {
                 fleet.heard(now, from, message);
             }
         }
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -392,6 +392,8 @@
             utility: p.utility,
             late_share: p.late_share,
             pools: pools.clone(),
+            work: 1.0,
+            repeatable: true,
         };
         let group = |p: &u16| TrunkGroup { name: Scenario::trunk_group((*p).into()), first_choice: Some(*p) };
         Settings {
@@ -433,6 +435,8 @@
             membership: self.membership.clone(),
             levels: self.levels.clone(),
             fleet: None,
+            sites: Vec::new(),
+            site_plan: SitePlanSettings::default(),
             console: ConsoleSettings::default(),
             log: LogSettings::default(),
         }
--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -494,7 +494,7 @@
                 }
                 // What comes after is of a ticket that is no more.
                 Output::NameClose { .. } => {}
-                Output::Told(_) | Output::Call { .. } | Output::Whose { .. } => {}
+                Output::Told(_) | Output::Call { .. } | Output::Whose { .. } | Output::Sees(_) => {}
                 Output::ToCaller { .. } | Output::CloseCaller { .. } | Output::Event(_) => {}
             }
         }
--- a/crates/levels/benches/ask.rs
+++ b/crates/levels/benches/ask.rs
@@ -35,6 +35,7 @@
                 late_share: 0.2,
                 latency_target: 2.0,
                 tenant: Some(n as usize % 3),
+                procedure: 0,
             };
             if let Door::Take(ticket) = black_box(levels.ask(now, &ask)) {
                 levels.ended(now + 1e-5, &ticket, Outcome::Stood);
--- a/crates/levels/src/lib.rs
+++ b/crates/levels/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod gauge;
 mod machine;
+mod parts;
 mod redials;
 mod shares;
 
@@ -28,6 +29,13 @@
     pub above: f64,
 }
 
+impl LevelParams {
+    /// No levels at all: a door at which only parts are asked.
+    pub fn without_steps(self) -> LevelParams {
+        LevelParams { steps: Vec::new(), ..self }
+    }
+}
+
 /// What the levels are started with. Times are seconds.
 #[derive(Clone, Debug, PartialEq)]
 pub struct LevelParams {
@@ -70,6 +78,17 @@
     pub late_share: f64,
     pub latency_target: f64,
     pub tenant: Option<usize>,
+    /// Place of its procedure, as parts are given by it.
+    pub procedure: usize,
+}
+
+/// Whose word refuses an attach.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum By {
+    /// The level of reduced service.
+    Level,
+    /// The fleet's plan for a site that is out: this front's part of its procedure is used up.
+    Plan,
 }
 
 /// What the door says.
@@ -78,7 +97,7 @@
     /// Taken: the router is asked. `ticket` goes with its outcome.
     Take(Ticket),
     /// Refused here; its caller may come back after `pause` seconds (0: none is named).
-    Refuse { pause: f64 },
+    Refuse { pause: f64, by: By },
 }
 
 /// What an outcome is judged by.
--- a/crates/levels/src/machine.rs
+++ b/crates/levels/src/machine.rs
@@ -1,9 +1,10 @@
 //! The levels themselves: entry, exit, stays, pins, and what is said at the door.
 
 use crate::gauge::Gauge;
+use crate::parts::Parts;
 use crate::redials::Redials;
 use crate::shares::Shares;
-use crate::{Ask, Door, LevelParams, Outcome, Ticket};
+use crate::{Ask, By, Door, LevelParams, Outcome, Ticket};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::VecDeque;
@@ -91,6 +92,7 @@
     gauge: Gauge,
     redials: Redials,
     shares: Shares,
+    parts: Parts,
     /// This front's own factor on thresholds: guards against hundreds of fronts that step as one.
     lean: f64,
     stay: f64,
@@ -121,6 +123,7 @@
             gauge: Gauge::default(),
             redials: Redials::default(),
             shares: Shares::new(&params.tenant_shares, now),
+            parts: Parts::default(),
             lean,
             stay: params.least_stay,
             patience,
@@ -153,13 +156,23 @@
             number: ask.number,
             level: self.level,
         };
-        if self.takes(worth, late, redial && over) {
+        let by = if !self.takes(worth, late, redial && over) {
+            By::Level
+        } else if !self.parts.ask(now, ask.procedure, ask.tenant) {
+            By::Plan
+        } else {
             self.counts.0 += 1;
             return Door::Take(ticket);
-        }
-        self.counts.1 += 1;
+        };
+        self.counts.1 += u64::from(by == By::Level);
         self.redials.unserved(now, ask.number, asked_at);
-        Door::Refuse { pause: self.pause() }
+        Door::Refuse { pause: self.pause(), by }
+    }
+
+    /// What a plan for the whole fleet leaves this front, attaches a second by procedure; none: all of it. Empty ends
+    /// the plan. `floor`: part of each tenant's attaches that is taken ahead of the others'.
+    pub fn narrow(&mut self, now: f64, parts: &[Option<f64>], floor: f64) {
+        self.parts.set(now, parts, floor);
     }
 
     fn takes(&mut self, worth: f64, late: bool, abuse: bool) -> bool {
--- a/crates/levels/tests/histories.rs
+++ b/crates/levels/tests/histories.rs
@@ -28,7 +28,7 @@
 }
 
 fn ask(number: u64, worth: f64, tenant: usize) -> Ask {
-    Ask { number, worth, late_share: 0.2, latency_target: 1.5, tenant: Some(tenant) }
+    Ask { number, worth, late_share: 0.2, latency_target: 1.5, tenant: Some(tenant), procedure: 0 }
 }
 
 /// `rate` attaches a second for `seconds`; each stands after 0.1 s unless `lost` says otherwise.
@@ -168,7 +168,7 @@
     drive(&mut levels, &mut now, 40.0, 30.0, |_, _| false);
     assert_eq!(levels.level(), 3, "whatever the pressure");
     let refused = levels.ask(now, &ask(1, 0.3, 0));
-    assert!(matches!(refused, Door::Refuse { pause } if pause > 0.5), "{refused:?}");
+    assert!(matches!(refused, Door::Refuse { pause, .. } if pause > 0.5), "{refused:?}");
     levels.tick(50.0);
     assert_eq!((levels.level(), levels.status(50.0).why), (0, Why::Unpinned));
 }
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -62,6 +62,10 @@
     pub fn verdict(&self) -> Verdict {
         self.verdict
     }
+    /// Its processor's last start, as the router is told; 0: long ago.
+    pub fn started(&self) -> f64 {
+        self.started
+    }
     /// Since when the verdict holds.
     pub fn since(&self) -> f64 {
         self.since
--- a/crates/peer-service/src/lib.rs
+++ b/crates/peer-service/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod keep;
 mod owner;
+mod sites;
 
 pub use keep::{Keep, KeepState};
 pub use owner::{Heard, Saying, Standing};
@@ -14,7 +15,9 @@
 use shalespindle_peer_store::Store;
 use shalespindle_peer_wire::{front_id, Codec};
 use shalespindle_replica::{Fleet, FleetParams};
+use shalespindle_sites::{Order, Sites, SitesFault, SitesParams, Table};
 use shalespindle_sockets::{end, mailbox, start, Ground, Handle, Mailbox, SMALL_STACK};
+use sites::SitesOwner;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::mpsc;
@@ -39,6 +42,8 @@
     pub seed: u64,
     /// None: nothing outlives the process.
     pub keep: Option<Keep>,
+    /// Sites that the fleet judges; none: nothing is told or heeded of any.
+    pub sites: Option<(SitesParams, Table)>,
 }
 
 /// A front among others; dropping it leaves in order and leaves nothing running.
@@ -61,6 +66,13 @@
         let _ = self.0.send_urgent(Letter::Say(sayings));
     }
 
+    /// An operator's order on a site, for all fronts, waited for on the caller's thread; none once the owner has ended.
+    pub fn order(&self, site: String, order: Order, lasts: f64) -> Option<Result<(), SitesFault>> {
+        let (to, from) = mpsc::channel();
+        self.0.send_urgent(Letter::Order { site, order, lasts, to }).ok()?;
+        from.recv_timeout(ANSWERED_WITHIN).ok()
+    }
+
     /// The list of the other fronts changed: name, and where their datagrams go.
     pub fn relist(&self, peers: Vec<(String, SocketAddr)>) {
         let _ = self.0.send_urgent(Letter::Relist(peers));
@@ -89,7 +101,8 @@
         let now = ground.now();
         let (mut keeper, kept) = Keeper::open(what.keep.as_ref(), own, now);
         let life = keep::life(kept.as_ref(), own, what.seed);
-        let most = what.params.peers.most;
+        let (most, fanout, bytes) = (what.params.peers.most, what.params.peers.fanout, what.params.bytes);
+        let sites = what.sites.map(|(params, table)| Sites::new(params, table, own, what.seed, now));
         let mut fleet = Fleet::new(what.params, own, life, &directory.listed(), what.seed, now);
         keeper.restore(now, &mut fleet, kept);
         let codec = Codec::new(what.key, own, most);
@@ -97,7 +110,8 @@
         let reader = read(udp, sending.clone())?;
         let (last, store) = mpsc::channel();
         let (udp, heard, traffic) = (writer, Box::new(heard), Default::default());
-        let owner = Owner { fleet, keeper, codec, udp, directory, ground, mail, heard, traffic, last };
+        let sites = sites.map(|core| SitesOwner { core, fanout, bytes });
+        let owner = Owner { fleet, sites, keeper, codec, udp, directory, ground, mail, heard, traffic, last };
         // A thread of its own: its turns over many facts are long, and would hold up a front's owner that shares a
         // worker of the coroutines with it.
         let owner = match std::thread::Builder::new().name("fleet".into()).spawn(move || owner.run()) {
--- a/crates/peer-service/src/owner.rs
+++ b/crates/peer-service/src/owner.rs
@@ -1,12 +1,14 @@
 //! The thread that owns the core: letters in, turns, frames out.
 
 use crate::keep::{KeepState, Keeper};
+use crate::sites::SitesOwner;
 use may::net::UdpSocket;
 use serde::{Deserialize, Serialize};
 use shalespindle_peer_store::Store;
-use shalespindle_peer_wire::{front_id, Codec, DropCounts};
+use shalespindle_peer_wire::{front_id, Body, Codec, DropCounts};
 use shalespindle_peers::{Change, FrontId, State};
 use shalespindle_replica::{CallWord, Fleet, News, Out, ServerWord};
+use shalespindle_sites::{Narrowing, Observed, Order, SitesFault, SitesStatus};
 use shalespindle_sockets::{Ground, Mail};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -25,6 +27,8 @@
     Level { level: Option<u8>, lasts: f64 },
     /// A call stands here, or stands no more.
     Call { call: u64, word: Option<Box<CallWord>> },
+    /// What this front sees of sites, and what is asked of it.
+    Sees(Observed),
     /// Whose call is it, by the name of its dialog with the caller or with the server; [`Heard::Found`] answers.
     Whose { ticket: u64, name: u64, by_leg: bool },
 }
@@ -33,6 +37,8 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Heard {
     News(News),
+    /// What the fleet's word on sites leaves this front.
+    Narrowed(Narrowing),
     /// Known: one of the fleet's; without the word it has been released already.
     Found {
         ticket: u64,
@@ -47,6 +53,13 @@
     /// What this front tells, in its order.
     Say(Vec<Saying>),
     Ask(mpsc::Sender<Standing>),
+    /// An operator's order on a site.
+    Order {
+        site: String,
+        order: Order,
+        lasts: f64,
+        to: mpsc::Sender<Result<(), SitesFault>>,
+    },
     /// The list of the other fronts changed.
     Relist(Vec<(String, SocketAddr)>),
     Leave,
@@ -76,6 +89,9 @@
     pub counts: BTreeMap<String, u64>,
     /// What outlives the process.
     pub kept: KeepState,
+    /// None where the settings name no sites.
+    #[serde(default)]
+    pub sites: Option<SitesStatus>,
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -145,6 +161,7 @@
 
 pub(crate) struct Owner {
     pub fleet: Fleet,
+    pub sites: Option<SitesOwner>,
     pub keeper: Keeper,
     pub codec: Codec,
     pub udp: UdpSocket,
@@ -160,7 +177,8 @@
 impl Owner {
     pub fn run(mut self) {
         loop {
-            let mut next = self.mail.next_within(self.ground.until(self.fleet.wake_at()));
+            let sites = self.sites.as_ref().map_or(f64::INFINITY, |sites| sites.core.due());
+            let mut next = self.mail.next_within(self.ground.until(self.fleet.wake_at().min(sites)));
             let mut taken = 0;
             while let Some(letter) = next {
                 if !self.take(letter) {
@@ -175,6 +193,9 @@
             }
             self.fleet.turn(self.ground.now());
             self.keeper.turn(self.ground.now(), &mut self.fleet);
+            if let Some(sites) = &mut self.sites {
+                sites.turn(self.ground.now(), self.fleet.peers());
+            }
             self.carry();
         }
     }
@@ -184,13 +205,26 @@
         match letter {
             Letter::Datagram(bytes) => {
                 self.traffic.taken_bytes += bytes.len() as u64;
-                if let Ok((from, message)) = self.codec.read(&bytes) {
-                    self.fleet.heard(now, from, message);
+                match (self.codec.read(&bytes), &mut self.sites) {
+                    (Ok((from, Body::Fleet(message))), _) => self.fleet.heard(now, from, message),
+                    (Ok((from, Body::Sites(message))), Some(sites)) => {
+                        sites.core.heard(now, self.fleet.peers(), from, message);
+                    }
+                    // Dropped and counted, or of no use to a front without sites.
+                    (Err(_), _) | (Ok((_, Body::Sites(_))), None) => {}
                 }
             }
             Letter::Say(sayings) => sayings.into_iter().for_each(|saying| self.say(now, saying)),
             // Whoever asked may have gone; there is nobody to tell then.
             Letter::Ask(to) => drop(to.send(self.standing(now))),
+            Letter::Order { site, order, lasts, to } => {
+                let done = match &mut self.sites {
+                    Some(sites) => sites.core.order(now, &site, order, lasts),
+                    None => Err(SitesFault::Off),
+                };
+                // Whoever asked may have gone.
+                let _ = to.send(done);
+            }
             Letter::Relist(peers) => self.relist(now, peers),
             Letter::Leave => {
                 self.fleet.leave(now);
@@ -209,6 +243,11 @@
                 self.fleet.tell_level(now, level, lasts, &by);
             }
             Saying::Call { call, word } => self.fleet.tell_call(now, call, word.map(|w| *w)),
+            Saying::Sees(seen) => {
+                if let Some(sites) = &mut self.sites {
+                    sites.core.observed(now, self.fleet.peers(), &seen);
+                }
+            }
             Saying::Whose { ticket, name, by_leg } => {
                 let found = self.fleet.whose(now, name, by_leg);
                 let (known, word) = (found.is_some(), found.and_then(|f| f.1).map(Box::new));
@@ -227,11 +266,30 @@
         while let Some(news) = self.fleet.next_news() {
             (self.heard)(Heard::News(news));
         }
+        while let Some(out) = self.sites.as_mut().and_then(|sites| sites.core.next_output()) {
+            match out {
+                shalespindle_sites::Out::Send { to, message } => {
+                    let frame = self.codec.write_sites(to, self.fleet.life(), message);
+                    self.send_frame(to, frame);
+                }
+                shalespindle_sites::Out::Narrow(narrowing) => (self.heard)(Heard::Narrowed(narrowing)),
+                out => {
+                    if let Some(sites) = &self.sites {
+                        sites.log(&out);
+                    }
+                }
+            }
+        }
     }
 
     fn send(&mut self, to: FrontId, message: shalespindle_replica::Message) {
+        let frame = self.codec.write(to, self.fleet.life(), message);
+        self.send_frame(to, frame);
+    }
+
+    fn send_frame(&mut self, to: FrontId, frame: Option<Vec<u8>>) {
         let Some(address) = self.directory.addresses.get(&to) else { return };
-        let Some(frame) = self.codec.write(to, self.fleet.life(), message) else {
+        let Some(frame) = frame else {
             self.traffic.unsent += 1;
             return;
         };
@@ -346,6 +404,7 @@
             doubles: doubles.collect(),
             counts,
             kept: self.keeper.state(),
+            sites: self.sites.as_ref().map(|sites| sites.core.status(now, self.fleet.peers())),
         }
     }
 }
--- a/crates/peer-wire/src/lib.rs
+++ b/crates/peer-wire/src/lib.rs
@@ -2,13 +2,18 @@
 //! postcard's form. A frame that is forged, replayed, too large, of another version or for somebody else is
 //! dropped and counted; nothing of it is read before its hash is right. docs/wire-fleet.md has the form.
 
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use shalespindle_peers::{FrontId, Life};
 use shalespindle_replica::Message;
+use shalespindle_sites::SitesMessage;
 use std::collections::BTreeMap;
 
-/// The version that is written and read.
+/// The version of frames that every front speaks: beats, digests, parts.
 pub const VERSION: u8 = 2;
+/// The version of frames about sites. Fronts of before drop them and count them; all else still goes in [`VERSION`], so
+/// that fronts of both serve side by side.
+pub const SITES_VERSION: u8 = 3;
 const MARK: [u8; 2] = *b"sf";
 /// Bytes of the hash that a frame carries.
 const HASH: usize = 16;
@@ -31,7 +36,7 @@
     Large,
     #[error("not a frame of this kind")]
     Foreign,
-    #[error("of version {0}; {VERSION} is read")]
+    #[error("of version {0}; {VERSION} and {SITES_VERSION} are read")]
     Version(u8),
     #[error("its hash is wrong")]
     Forged,
@@ -55,15 +60,22 @@
     pub replayed: u64,
 }
 
+/// What a frame carries.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Body {
+    Fleet(Message),
+    Sites(SitesMessage),
+}
+
 #[derive(Serialize, Deserialize)]
-struct Envelope {
+struct Envelope<M> {
     from: u64,
     to: u64,
     /// Number and nonce of the sender's life.
     life: (u64, u64),
     /// Counts the frames of that life.
     number: u64,
-    message: Message,
+    message: M,
 }
 
 /// Numbers of one sender's life that have been seen: the highest, and which of the 64 below it.
@@ -117,20 +129,29 @@
 
     /// A frame; none where the message is too large for one.
     pub fn write(&mut self, to: FrontId, life: Life, message: Message) -> Option<Vec<u8>> {
+        self.frame(VERSION, to, life, message)
+    }
+
+    /// A frame about sites, in the version that only fronts read that know of them.
+    pub fn write_sites(&mut self, to: FrontId, life: Life, message: SitesMessage) -> Option<Vec<u8>> {
+        self.frame(SITES_VERSION, to, life, message)
+    }
+
+    fn frame(&mut self, version: u8, to: FrontId, life: Life, message: impl Serialize) -> Option<Vec<u8>> {
         self.number += 1;
         let life = (life.number, life.nonce);
         let envelope = Envelope { from: self.own.0, to: to.0, life, number: self.number, message };
         let body = postcard::to_stdvec(&envelope).ok()?;
         let mut frame = Vec::with_capacity(HEAD + body.len());
         frame.extend_from_slice(&MARK);
-        frame.push(VERSION);
-        frame.extend_from_slice(&self.hash(VERSION, &body));
+        frame.push(version);
+        frame.extend_from_slice(&self.hash(version, &body));
         frame.extend_from_slice(&body);
         (frame.len() <= LARGEST).then_some(frame)
     }
 
     /// The sender and what it says.
-    pub fn read(&mut self, frame: &[u8]) -> Result<(FrontId, Message), Dropped> {
+    pub fn read(&mut self, frame: &[u8]) -> Result<(FrontId, Body), Dropped> {
         let read = self.open(frame);
         if let Err(why) = read {
             let dropped = &mut self.dropped;
@@ -147,7 +168,7 @@
         read
     }
 
-    fn open(&mut self, frame: &[u8]) -> Result<(FrontId, Message), Dropped> {
+    fn open(&mut self, frame: &[u8]) -> Result<(FrontId, Body), Dropped> {
         if frame.len() > LARGEST {
             return Err(Dropped::Large);
         }
@@ -156,7 +177,7 @@
         if mark != MARK {
             return Err(Dropped::Foreign);
         }
-        if rest[0] != VERSION {
+        if !matches!(rest[0], VERSION | SITES_VERSION) {
             return Err(Dropped::Version(rest[0]));
         }
         // In constant time: a forger must not learn how much of a hash was right.
@@ -164,7 +185,18 @@
         if right != blake3::Hash::from_bytes(whole(&rest[1..])) {
             return Err(Dropped::Forged);
         }
-        let (envelope, left): (Envelope, &[u8]) =
+        match rest[0] {
+            VERSION => self.take(body, Body::Fleet),
+            _ => self.take(body, Body::Sites),
+        }
+    }
+
+    fn take<M: DeserializeOwned>(
+        &mut self,
+        body: &[u8],
+        wrap: impl FnOnce(M) -> Body,
+    ) -> Result<(FrontId, Body), Dropped> {
+        let (envelope, left): (Envelope<M>, &[u8]) =
             postcard::take_from_bytes(body).map_err(|_| Dropped::Form)?;
         if !left.is_empty() {
             return Err(Dropped::Form);
@@ -179,7 +211,7 @@
         if !self.windows.entry(from).or_default().is_new(envelope.life, envelope.number) {
             return Err(Dropped::Replayed);
         }
-        Ok((from, envelope.message))
+        Ok((from, wrap(envelope.message)))
     }
 
     fn hash(&self, version: u8, body: &[u8]) -> [u8; HASH] {
--- a/crates/peer-wire/tests/frames.rs
+++ b/crates/peer-wire/tests/frames.rs
@@ -2,11 +2,12 @@
 
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use shalespindle_peer_wire::{front_id, Codec, Dropped, LARGEST, VERSION};
+use shalespindle_peer_wire::{front_id, Body, Codec, Dropped, LARGEST, SITES_VERSION, VERSION};
 use shalespindle_peers::{FrontId, Life};
 use shalespindle_replica::{
     Fact, Item, Key, Known, LevelWord, Message, Part, PastReach, Reach, ServerWord, Told,
 };
+use shalespindle_sites::{Rumour, Sight, SiteSight, SitesMessage};
 
 const KEY: [u8; 32] = [7; 32];
 const LIFE: Life = Life { number: 1_700_000_000_000, nonce: u64::MAX };
@@ -48,7 +49,7 @@
     let (mut a, mut b, to) = pair();
     for message in [digest(1), parts()] {
         let frame = a.write(to, LIFE, message.clone()).unwrap();
-        assert_eq!(b.read(&frame), Ok((front_id("a"), message)));
+        assert_eq!(b.read(&frame), Ok((front_id("a"), Body::Fleet(message))));
         assert_eq!(b.read(&frame), Err(Dropped::Replayed));
     }
     // Out of order within the window is new; further back counts as seen.
@@ -70,12 +71,12 @@
     let (mut a, mut b, to) = pair();
     let good = a.write(to, LIFE, parts()).unwrap();
     let other = Codec::new([8; 32], front_id("a"), 8).write(to, LIFE, parts()).unwrap();
-    let version = [&good[..2], &[VERSION + 1], &good[3..]].concat();
+    let version = [&good[..2], &[SITES_VERSION + 1], &good[3..]].concat();
     let cases = [
         (vec![0; LARGEST + 1], Dropped::Large),
         (b"sf".to_vec(), Dropped::Foreign),
         ([b"sip ", &good[4..]].concat(), Dropped::Foreign),
-        (version, Dropped::Version(VERSION + 1)),
+        (version, Dropped::Version(SITES_VERSION + 1)),
         (other, Dropped::Forged),
         (good[..good.len() - 1].to_vec(), Dropped::Forged),
         ([&good[..], b"x"].concat(), Dropped::Forged),
@@ -127,3 +128,25 @@
     }
     assert!(b.dropped().form > 1000);
 }
+
+#[test]
+fn frames_about_sites_go_in_a_version_of_their_own_that_fronts_of_before_drop() {
+    let (mut a, mut b, to) = pair();
+    let sight = Sight {
+        number: 4,
+        sites: vec![SiteSight { listed: 2, reached: 1, stood: 120, wait: 9 }],
+        asked: vec![7],
+    };
+    let sights = vec![Rumour { front: 3, life: 8, age: 0.5, sight }];
+    let message = SitesMessage { table: 17, words: Vec::new(), sights };
+    let frame = a.write_sites(to, LIFE, message.clone()).unwrap();
+    assert_eq!(frame[2], SITES_VERSION);
+    assert_eq!(b.read(&frame), Ok((front_id("a"), Body::Sites(message))));
+    assert_eq!(b.read(&frame), Err(Dropped::Replayed));
+    // All else goes as it did: a front of before, which reads VERSION alone, loses nothing.
+    assert_eq!(a.write(to, LIFE, parts()).unwrap()[2], VERSION);
+    // A frame of one version under the other's mark has a wrong hash.
+    let mut turned = a.write(to, LIFE, parts()).unwrap();
+    turned[2] = SITES_VERSION;
+    assert_eq!(b.read(&turned), Err(Dropped::Forged));
+}
--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -276,6 +276,18 @@
         front == self.own || self.table.contains_key(&front)
     }
 
+    /// Other fronts on the list.
+    pub fn listed(&self) -> usize {
+        self.table.len()
+    }
+
+    /// All fronts, this one among them, in the order of their ids: the same on fronts with the same list.
+    pub fn fleet(&self) -> impl Iterator<Item = FrontId> + '_ {
+        let before = self.table.range(..self.own).map(|(front, _)| *front);
+        let after = self.table.range(self.own..).map(|(front, _)| *front);
+        before.chain([self.own]).chain(after)
+    }
+
     /// How a front stands; none where it is not on the list.
     pub fn state(&self, front: FrontId) -> Option<State> {
         self.table.get(&front).map(|p| p.state)
--- a/crates/replica/src/fleet.rs
+++ b/crates/replica/src/fleet.rs
@@ -375,6 +375,10 @@
         self.peers.life()
     }
 
+    pub fn peers(&self) -> &Peers {
+        &self.peers
+    }
+
     pub fn copies(&self) -> &Copies {
         &self.copies
     }
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -34,6 +34,10 @@
     pub bytes: usize,
     /// Further lines for `[fleet]` in the settings, before its peers.
     pub more: String,
+    /// Further tables at the settings' end.
+    pub tables: String,
+    /// Numbers of the pools that attaches may go to.
+    pub pools: Vec<u16>,
 }
 
 impl FleetShape {
@@ -47,6 +51,8 @@
             keep_every: None,
             bytes: 1200,
             more: String::new(),
+            tables: String::new(),
+            pools: vec![0, 1, 2],
         }
     }
 }
@@ -122,13 +128,14 @@
             let text = format!(
                 "[front]\nlisten = \"{}\"\nend_within = \"200ms\"\n[pool_list]\nfeed = \"{}\"\n\
                  [[procedures]]\nname = \"any\"\nlatency_target = \"2s\"\nt_timer = \"9s\"\nutility = 1.0\n\
-                 late_share = 0.25\npools = [0, 1, 2]\n[rules]\ndrain_grace = \"250ms\"\nrelease_guard = \"500ms\"\n\
+                 late_share = 0.25\npools = {:?}\n[rules]\ndrain_grace = \"250ms\"\nrelease_guard = \"500ms\"\n\
                  [rules.cold]\nstart_capacity = 0.3\nwarm_after = \"15s\"\ntip_multiple = 2.0\n\
                  [console]\nsocket = {:?}\n\
                  [fleet]\nname = \"f{place}\"\nlisten = \"{}\"\nkey_file = {key:?}\nevery = \"{}ms\"\n\
-                 suspect_after = \"{}ms\"\ngone_after = \"{}ms\"\nbytes = {}\nwarnings_for = \"600s\"\n{keeps}{}\n{peers}",
+                 suspect_after = \"{}ms\"\ngone_after = \"{}ms\"\nbytes = {}\nwarnings_for = \"600s\"\n{keeps}{}\n{peers}{}",
                 front.listen,
                 feed.address,
+                shape.pools,
                 front.console,
                 at,
                 shape.every.as_millis(),
@@ -136,6 +143,7 @@
                 20 * shape.every.as_millis(),
                 shape.bytes,
                 shape.more,
+                shape.tables,
             );
             std::fs::write(&front.settings, text)?;
             fronts.push(front);
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -8,6 +8,7 @@
 mod plan;
 mod play;
 mod relay;
+mod servers;
 
 pub use check::{check, Breach, Seen};
 pub use feed::{ListFeed, Row};
@@ -15,4 +16,5 @@
 pub use plan::{plan, Action};
 pub use play::{look, play, Summary};
 pub use relay::{Faults, Relays};
+pub use servers::Servers;
 pub use shalespindle_front::pool_list::ServerState as State;
--- a/crates/rig/src/relay.rs
+++ b/crates/rig/src/relay.rs
@@ -2,7 +2,7 @@
 
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -33,6 +33,8 @@
     ended: AtomicBool,
     passed: AtomicU64,
     lost: AtomicU64,
+    /// Frames by their version byte, as they came from a front.
+    versions: Mutex<BTreeMap<(usize, u8), u64>>,
 }
 
 impl Shared {
@@ -57,6 +59,7 @@
             ended: AtomicBool::new(false),
             passed: AtomicU64::new(0),
             lost: AtomicU64::new(0),
+            versions: Mutex::default(),
         });
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let (mut addresses, mut threads) = (Vec::new(), Vec::new());
@@ -83,6 +86,12 @@
         change(&mut self.shared.faults());
     }
 
+    /// Frames that a front sent in that version.
+    pub fn sent_in(&self, front: usize, version: u8) -> u64 {
+        let versions = self.shared.versions.lock().unwrap_or_else(PoisonError::into_inner);
+        versions.get(&(front, version)).copied().unwrap_or(0)
+    }
+
     /// Datagrams passed on, and lost here.
     pub fn counts(&self) -> (u64, u64) {
         (self.shared.passed.load(Ordering::Relaxed), self.shared.lost.load(Ordering::Relaxed))
@@ -106,6 +115,10 @@
         if let Ok((size, _)) = socket.recv_from(&mut buffer) {
             let faults = shared.faults().clone();
             let mut bytes = buffer[..size].to_vec();
+            if let Some(version) = bytes.get(2) {
+                let mut versions = shared.versions.lock().unwrap_or_else(PoisonError::into_inner);
+                *versions.entry((pair.0, *version)).or_default() += 1;
+            }
             let lost = faults.cut.contains(&pair) || rng.random::<f64>() < faults.loss;
             if lost || held.len() >= MOST_HELD {
                 shared.lost.fetch_add(1, Ordering::Relaxed);
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -4,11 +4,13 @@
 mod fleet;
 mod model;
 mod place;
+mod sites;
 mod sources;
 mod span;
 
 pub use fleet::{read_key, FleetSettings, PeerSettings};
 pub use model::*;
+pub use sites::{SitePlanSettings, SiteSettings};
 pub use sources::{DnsSettings, DnsTarget, MembershipSettings};
 pub use span::Span;
 
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -1,6 +1,7 @@
 //! The settings of a front, as their file writes them.
 
 use crate::fleet::FleetSettings;
+use crate::sites::{self, SitePlanSettings, SiteSettings};
 use crate::sources::{DnsSettings, MembershipSettings};
 use crate::Span;
 use garde::Validate;
@@ -10,6 +11,7 @@
 use shalespindle_front::params::FirstChoice;
 use shalespindle_front::Params;
 use shalespindle_levels::{LevelParams, Step};
+use shalespindle_sites::{SitesParams, Table};
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -59,6 +61,13 @@
     #[serde(default, skip_serializing_if = "Option::is_none")]
     #[garde(dive)]
     pub fleet: Option<FleetSettings>,
+    /// Groups of fronts and servers that can be lost together; docs/operators/sites.md.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    #[garde(length(max = 64), dive)]
+    pub sites: Vec<SiteSettings>,
+    #[serde(default)]
+    #[garde(dive)]
+    pub site_plan: SitePlanSettings,
     #[serde(default)]
     #[garde(dive)]
     pub levels: LevelSettings,
@@ -225,6 +234,14 @@
     /// Numbers of the pools that can take it.
     #[garde(length(min = 1))]
     pub pools: Vec<u16>,
+    /// Processor time of one set-up, beside the other procedures'; what a plan for a lost site goes by.
+    #[serde(default = "one")]
+    #[garde(range(min = 0.001, max = 1000.0))]
+    pub work: f64,
+    /// A caller that is refused may ask again.
+    #[serde(default = "yes")]
+    #[garde(skip)]
+    pub repeatable: bool,
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize, Validate, JsonSchema)]
@@ -348,6 +365,12 @@
     Json,
 }
 
+fn one() -> f64 {
+    1.0
+}
+fn yes() -> bool {
+    true
+}
 fn answer_margin() -> Span {
     Span::from_millis(50)
 }
@@ -416,6 +439,7 @@
         faults.extend(self.dns.iter().flat_map(DnsSettings::faults));
         faults.extend(self.membership.faults());
         faults.extend(self.fleet.iter().flat_map(FleetSettings::faults));
+        faults.extend(sites::faults(&self.sites, &self.site_plan, self.fleet.as_ref()));
         let shares: f64 = self.tenants.iter().map(|t| t.share).sum();
         if shares > 1.0 + 1e-9 {
             faults.push(("tenants".into(), format!("shares add up to {shares}, over 1")));
@@ -427,6 +451,11 @@
         faults
     }
 
+    /// What the fleet's judging of sites is started with; none where no sites are named.
+    pub fn sites_params(&self) -> Option<(SitesParams, Table)> {
+        sites::params(&self.sites, &self.site_plan, &self.procedures)
+    }
+
     /// What the front is started with.
     pub fn params(&self) -> Params {
         let procedure = |p: &ProcedureSettings| ToldProcedure {
@@ -480,7 +509,12 @@
         };
         Params {
             tenants: self.tenants.iter().enumerate().map(|(i, t)| (t.name.clone(), i)).collect(),
-            levels: l.on.then_some(levels),
+            sites: sites::front(&self.sites, &self.site_plan),
+            levels: match l.on {
+                true => Some(levels),
+                // A plan for a lost site speaks at the same door.
+                false => (!self.sites.is_empty()).then(|| levels.without_steps()),
+            },
             deployment: Deployment {
                 procedures: self.procedures.iter().map(procedure).collect(),
                 may_probe: self.limits.probes,
--- a/crates/transport/src/answers.rs
+++ b/crates/transport/src/answers.rs
@@ -30,7 +30,9 @@
             }
         }
         // Answered where the fleet is known.
-        Ask::Fleet | Ask::PinFleet { .. } => Reply::Bad { why: "not a question to a front alone".into() },
+        Ask::Fleet | Ask::PinFleet { .. } | Ask::Site { .. } => {
+            Reply::Bad { why: "not a question to a front alone".into() }
+        }
         Ask::UnpinLevel => match front.pin_level(now, None) {
             true => Reply::Done { what: "the pin has ended".into() },
             false => Reply::Bad { why: "no level is pinned".into() },
--- a/crates/transport/src/fleet.rs
+++ b/crates/transport/src/fleet.rs
@@ -5,12 +5,14 @@
 use shalespindle_peer_service::{Fronts, Keep, Saying, Start};
 use shalespindle_replica::ServerWord;
 use shalespindle_settings::{read_key, FleetSettings};
+use shalespindle_sites::{SitesParams, Table};
 use shalespindle_sockets::{Ground, Mailbox};
 use std::io;
 
 /// Opens the socket between fronts; what others make known goes to the front's owner.
 pub(crate) fn fronts(
     settings: &FleetSettings,
+    sites: Option<(SitesParams, Table)>,
     seed: u64,
     ground: Ground,
     to: Mailbox<Letter>,
@@ -24,6 +26,7 @@
         params: settings.params(),
         seed,
         keep: settings.keep_file.as_ref().map(keep),
+        sites,
     };
     // An owner that has ended has no use for news.
     Fronts::start(start, ground, move |heard| drop(to.send_urgent(Letter::Fleet(heard))))
--- a/crates/transport/src/log.rs
+++ b/crates/transport/src/log.rs
@@ -64,6 +64,9 @@
         Event::Pinned { level: None, .. } => {
             warn!(target: "shalespindle::level", front, "level let go by an operator")
         }
+        Event::Narrowed { pools, parts } => {
+            warn!(target: "shalespindle::sites", front, ?pools, ?parts, "what the fleet's word on sites leaves")
+        }
         Event::BadInput { from, why } => debug!(target: "shalespindle::input", front, from, why, "bad input"),
         Event::Ending { in_hand, standing } => {
             info!(target: "shalespindle::front", front, in_hand, standing, "ending")
--- a/crates/transport/src/owner.rs
+++ b/crates/transport/src/owner.rs
@@ -249,6 +249,9 @@
             Letter::Fleet(Heard::Found { ticket, known, word }) => {
                 front.take(now, now, Input::Found { ticket, known, call: word });
             }
+            Letter::Fleet(Heard::Narrowed(narrowing)) => {
+                front.take(now, now, Input::Narrowed(narrowing));
+            }
             Letter::Fleet(Heard::News(News::Server(warning))) => {
                 front.take(now, now, Input::Warned(warning));
             }
@@ -321,6 +324,7 @@
                 }
                 Output::NameClose { ticket } => self.questions.close(ticket),
                 Output::Told(listed) => self.sayings.push(saying(now, &listed)),
+                Output::Sees(seen) => self.sayings.push(Saying::Sees(seen)),
                 Output::Call { call, word } => self.sayings.push(Saying::Call { call, word }),
                 Output::Whose { ticket, name, by_leg } => {
                     self.sayings.push(Saying::Whose { ticket, name, by_leg })
--- a/crates/transport/src/service.rs
+++ b/crates/transport/src/service.rs
@@ -6,10 +6,12 @@
 use crate::owner::{Hook, Letter, Owner};
 use crate::readers;
 use may::net::{TcpListener, UdpSocket};
+use miette::Diagnostic;
 use shalespindle_console::{serve, Ask, Console, Reply, Snapshot};
 use shalespindle_front::{Event, Front};
 use shalespindle_peer_service::{Fronts, Saying, Standing, Teller};
 use shalespindle_settings::{FleetSettings, Settings};
+use shalespindle_sites::SitesFault;
 use shalespindle_sockets::{end, mailbox, start, Ground, Handle, Mailbox, LARGE_STACK};
 use socket2::SockRef;
 use std::io;
@@ -82,7 +84,9 @@
         let longest = settings.pool_list.reconnect_longest.0;
         let feed = readers::feed(settings.pool_list.feed, connect_within, longest, outgoing.clone())?;
         let fronts = match &settings.fleet {
-            Some(fleet) => Some(fleet::fronts(fleet, seed, ground.clone(), outgoing.clone())?),
+            Some(fleet) => {
+                Some(fleet::fronts(fleet, settings.sites_params(), seed, ground.clone(), outgoing.clone())?)
+            }
             None => None,
         };
         let teller = fronts.as_ref().map(Fronts::teller);
@@ -122,7 +126,10 @@
                     (Ask::PinFleet { level, seconds }, Some(teller)) => {
                         pin_fleet(&outgoing, teller, level, seconds)
                     }
-                    (Ask::Fleet | Ask::PinFleet { .. }, None) => {
+                    (Ask::Site { name, order, seconds }, Some(teller)) => {
+                        teller.order(name.clone(), order.into(), seconds).map(|done| ordered(&name, done))
+                    }
+                    (Ask::Fleet | Ask::PinFleet { .. } | Ask::Site { .. }, None) => {
                         Some(Reply::Bad { why: "this front knows no others: [fleet] is not set".into() })
                     }
                     (question, _) => ask(&outgoing, question),
@@ -203,6 +210,17 @@
     Some(Reply::Done { what: "told to all fronts".into() })
 }
 
+/// What became of an order on a site.
+fn ordered(site: &str, done: Result<(), SitesFault>) -> Reply {
+    match done {
+        Ok(()) => Reply::Done { what: format!("told to all fronts of the site {site}") },
+        Err(fault) => {
+            let help = fault.help().map(|help| format!("; {help}")).unwrap_or_default();
+            Reply::Bad { why: format!("{fault}{help}") }
+        }
+    }
+}
+
 /// Puts a question to the owner and waits, on a thread of its own; none once the owner has ended.
 fn ask(mailbox: &Mailbox<Letter>, question: Ask) -> Option<Reply> {
     let (to, from) = mpsc::channel();
