Sites in the lab at any size; refusals by the plan are a setting, off: what they cost is measured

Cause: the plan of refusals was built without a measure of what it is worth.

At fault are parts by each front's own demand where that is once a second.

--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -184,6 +184,12 @@
         /// A baseline in place of the decision module.
         #[arg(long, value_enum)]
         baseline: Option<lab::Baseline>,
+        /// Another number of fronts.
+        #[arg(long)]
+        fronts: Option<usize>,
+        /// Without the fleet's plan for the scenario's sites.
+        #[arg(long, value_enum, default_value = "on")]
+        plan: lab::Plan,
     },
     /// Two scenarios, or one against a baseline, paired by seed under virtual time.
     Compare {
@@ -204,6 +210,12 @@
         /// B runs without levels of reduced service.
         #[arg(long, conflicts_with = "baseline")]
         without_levels: bool,
+        /// `off`: B runs without the fleet's plan for sites.
+        #[arg(long, value_enum, default_value = "on")]
+        plan: lab::Plan,
+        /// Another number of fronts in both.
+        #[arg(long)]
+        fronts: Option<usize>,
         /// B runs with a baseline in place of the decision module.
         #[arg(long, value_enum)]
         baseline: Option<lab::Baseline>,
--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -25,6 +25,19 @@
     FirstChoice,
 }
 
+/// The fleet's plan for the loss of a site.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+pub enum Plan {
+    On,
+    Off,
+}
+
+/// The same scenario with another number of fronts.
+fn with_fronts(mut scenario: Scenario, fronts: Option<usize>) -> Scenario {
+    scenario.fleet.fronts = fronts.unwrap_or(scenario.fleet.fronts).clamp(1, 1000);
+    scenario
+}
+
 fn scenario(path: &Path) -> Result<Scenario, ExitCode> {
     Scenario::load(path).map_err(|why| {
         eprintln!("{}: {why}", path.display());
@@ -54,9 +67,14 @@
             Ok(scenario) => on_sockets(&scenario, &with, false),
             Err(why) => Err(io::Error::other(why.to_string())),
         },
-        Lab::Sim { scenario: path, with, baseline } => match scenario(&path) {
+        Lab::Sim { scenario: path, with, baseline, fronts, plan } => match scenario(&path) {
             Ok(scenario) => {
-                let run = sim::run(&scenario, with.seed, &sim::Setup::of(variant(baseline)));
+                let scenario = with_fronts(scenario, fronts);
+                let variant = if plan == Plan::Off { Variant::WithoutPlan } else { variant(baseline) };
+                let run = sim::run(&scenario, with.seed, &sim::Setup::of(variant));
+                if !run.words.is_empty() {
+                    println!("{}", run.timeline());
+                }
                 if let Some(out) = &with.out {
                     std::fs::create_dir_all(out)?;
                     write_trace(out, &run.trace.sorted())?;
@@ -72,11 +90,16 @@
             }
             Err(code) => Ok(code),
         },
-        Lab::Compare { a, b, pairs, seed, without_levels, baseline, period, sockets } => {
-            let with = if without_levels { Variant::WithoutLevels } else { variant(baseline) };
+        Lab::Compare { a, b, pairs, seed, without_levels, baseline, period, sockets, plan, fronts } => {
+            let with = match (without_levels, plan) {
+                (true, _) => Variant::WithoutLevels,
+                (_, Plan::Off) => Variant::WithoutPlan,
+                _ => variant(baseline),
+            };
             let b = b.unwrap_or_else(|| a.clone());
             match (scenario(&a), scenario(&b)) {
-                (Ok(mut first), Ok(mut second)) => {
+                (Ok(first), Ok(second)) => {
+                    let (mut first, mut second) = (with_fronts(first, fronts), with_fronts(second, fronts));
                     let place = match sockets {
                         0 => Where::VirtualTime,
                         pairs_at_once => Where::Sockets { pairs_at_once },
--- a/crates/front/src/callers.rs
+++ b/crates/front/src/callers.rs
@@ -202,7 +202,6 @@
         self.by_ue.insert(ue, key);
         self.in_hand += 1;
         self.counters.offered += 1;
-        self.narrowed.asked(procedure);
         if self.is_ending() || self.in_hand > self.params.most_in_hand {
             self.counters.door_refused += 1;
             let pause = self.params.deployment.longest_pause;
--- a/crates/front/src/sites.rs
+++ b/crates/front/src/sites.rs
@@ -17,21 +17,12 @@
     alone: BTreeSet<PoolName>,
     /// Places of sites that are out, and whether an operator holds them out.
     sites: Vec<(usize, bool)>,
-    /// Attaches asked, by the place of their procedure.
-    asked: Vec<u64>,
 }
 
 impl Narrowed {
     pub fn leaves_alone(&self, pool: PoolName) -> bool {
         self.alone.contains(&pool)
     }
-
-    pub fn asked(&mut self, procedure: usize) {
-        if self.asked.len() <= procedure {
-            self.asked.resize(procedure + 1, 0);
-        }
-        self.asked[procedure] += 1;
-    }
 }
 
 impl Front {
@@ -62,7 +53,7 @@
                 wait: link.seen.wait,
             }
         });
-        let mut asked = self.narrowed.asked.clone();
+        let mut asked = self.levels.as_ref().map_or(Vec::new(), |levels| levels.asked().to_vec());
         asked.resize(self.params.deployment.procedures.len(), 0);
         let observed = Observed { servers: seen.collect(), asked };
         self.outputs.push_back(Output::Sees(observed));
--- a/crates/lab/src/compare.rs
+++ b/crates/lab/src/compare.rs
@@ -17,6 +17,8 @@
     Module,
     /// The module without levels of reduced service at the door, whatever the scenario says.
     WithoutLevels,
+    /// The module without the fleet's plan for sites.
+    WithoutPlan,
     Baseline(Pick),
 }
 
@@ -58,6 +60,7 @@
     match variant {
         Variant::Module => {}
         Variant::WithoutLevels => scenario.levels.on = false,
+        Variant::WithoutPlan => scenario.sites = None,
         Variant::Baseline(_) => return Err(io::Error::other("baselines run under virtual time only")),
     }
     Ok(play(&scenario, seed, &Fronts::Inside, &mut |_| {})?.report)
--- a/crates/lab/src/plan.rs
+++ b/crates/lab/src/plan.rs
@@ -165,6 +165,12 @@
             out.push((from, Action::FeedSilent(true)));
             out.push((to, Action::FeedSilent(false)));
         }
+        TroubleKind::SiteLost => {
+            for server in scenario.site_servers(trouble.size as usize) {
+                out.push((from, Action::ServerStops(server)));
+                back(server, to, out);
+            }
+        }
         TroubleKind::Burst => {
             out.push((from, Action::Burst(Some(trouble.size))));
             out.push((to, Action::Burst(None)));
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -1,5 +1,6 @@
 //! Scenarios: a fleet, its callers, troubles and the rules' figures, read from TOML.
 
+use crate::country::front_name;
 use crate::zone;
 use clap::ValueEnum;
 use serde::Deserialize;
@@ -41,6 +42,11 @@
     /// SRV records beside the pool list.
     #[serde(default)]
     pub dns: Option<DnsSide>,
+    /// Sites that the fronts judge together, under virtual time.
+    #[serde(default)]
+    pub sites: Option<SitesSide>,
+    #[serde(default)]
+    pub site_plan: SitePlanSettings,
     #[serde(default)]
     pub levels: LevelSettings,
     #[serde(default)]
@@ -89,6 +95,19 @@
     }
 }
 
+/// Sites of a scenario: fronts and servers are dealt to them in blocks.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SitesSide {
+    pub count: usize,
+    /// Seconds between two beats of a front.
+    pub beat: f64,
+    /// The settings tell what the servers bear; else it is learned.
+    pub told: bool,
+    #[serde(default = "yes")]
+    pub on: bool,
+}
+
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Servers {
@@ -158,6 +177,8 @@
     NameServer,
     /// The pool list says nothing.
     FeedSilent,
+    /// All servers of the site of that number end, and come back cold; the list says nothing of it.
+    SiteLost,
 }
 
 #[derive(Clone, Debug, Deserialize)]
@@ -209,6 +230,10 @@
     }
 }
 
+fn yes() -> bool {
+    true
+}
+
 fn whole() -> f64 {
     1.0
 }
@@ -260,6 +285,13 @@
         if self.dns.as_ref().is_some_and(|d| !(1..=8).contains(&d.name_servers) || d.delay < 0.0) {
             return bad("dns", "1 to 8 name_servers, delay 0 or more");
         }
+        if self
+            .sites
+            .as_ref()
+            .is_some_and(|s| !(1..=16).contains(&s.count) || s.beat.is_nan() || s.beat < 0.05)
+        {
+            return bad("sites", "count 1 to 16, beat 0.05 or more");
+        }
         if self.callers.load < 0.0 {
             return bad("callers.load", "0 or more");
         }
@@ -284,6 +316,27 @@
         Ok(())
     }
 
+    /// The servers of a site.
+    pub fn site_servers(&self, site: usize) -> impl Iterator<Item = usize> + '_ {
+        let (count, all) = (self.sites.as_ref().map_or(1, |s| s.count), self.fleet.servers);
+        (0..all).filter(move |s| s * count / all == site)
+    }
+
+    fn site_settings(&self) -> Vec<SiteSettings> {
+        let Some(sites) = self.sites.as_ref().filter(|s| s.on) else { return Vec::new() };
+        let (count, fronts) = (sites.count, self.fleet.fronts);
+        let one = |site: usize| SiteSettings {
+            name: format!("site-{site}"),
+            fronts: (0..fronts).filter(|f| f * count / fronts == site).map(front_name).collect(),
+            pools: self.site_servers(site).map(|s| s as u16).collect(),
+            networks: Vec::new(),
+            bears: sites
+                .told
+                .then(|| self.site_servers(site).map(|s| self.servers.capacity * self.speed(s)).sum()),
+        };
+        (0..count).map(one).collect()
+    }
+
     pub fn cold(&self) -> Cold {
         let r = &self.rules;
         Cold {
@@ -435,8 +488,8 @@
             membership: self.membership.clone(),
             levels: self.levels.clone(),
             fleet: None,
-            sites: Vec::new(),
-            site_plan: SitePlanSettings::default(),
+            sites: self.site_settings(),
+            site_plan: self.site_plan.clone(),
             console: ConsoleSettings::default(),
             log: LogSettings::default(),
         }
--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -3,6 +3,7 @@
 
 use crate::baseline::{Baseline, Pick};
 use crate::compare::Variant;
+use crate::country::{Country, Frame, Given};
 use crate::plan::{plan, Action};
 use crate::scenario::Scenario;
 use crate::summary::{report, Report};
@@ -12,6 +13,7 @@
 use shalespindle_front::{Counters, Event, Front, Input, LinkId, Output};
 use shalespindle_membership::Verdict;
 use shalespindle_signalling::timers::Timers;
+use shalespindle_sites::Word;
 use shalespindle_srv::In;
 use shalespindle_standin::callers::Callers;
 use shalespindle_standin::checker::check;
@@ -26,17 +28,48 @@
 const MARGIN: f64 = 0.05;
 
 enum Happening {
-    ToFront { front: usize, life: u64, what: FrontNews },
-    ToServer { server: usize, connection: u64, bytes: Vec<u8> },
-    ServerConnect { server: usize, connection: u64 },
-    ServerLost { server: usize, connection: u64 },
-    ToCallers { front: usize, bytes: Vec<u8> },
+    ToFront {
+        front: usize,
+        life: u64,
+        what: FrontNews,
+    },
+    ToServer {
+        server: usize,
+        connection: u64,
+        bytes: Vec<u8>,
+    },
+    ServerConnect {
+        server: usize,
+        connection: u64,
+    },
+    ServerLost {
+        server: usize,
+        connection: u64,
+    },
+    ToCallers {
+        front: usize,
+        bytes: Vec<u8>,
+    },
     Front(usize),
     Server(usize),
     Callers(usize),
     Feed,
-    NameAsk { front: usize, life: u64, ticket: u64, place: usize, tcp: bool, question: Vec<u8> },
+    NameAsk {
+        front: usize,
+        life: u64,
+        ticket: u64,
+        place: usize,
+        tcp: bool,
+        question: Vec<u8>,
+    },
     Do(usize),
+    /// The front's part in the fleet: its turn, and a frame of another front.
+    Fleet(usize),
+    FleetFrame {
+        front: usize,
+        life: u64,
+        frame: Frame,
+    },
 }
 
 enum FrontNews {
@@ -79,6 +112,8 @@
     pub asked: Vec<f64>,
     /// Verdicts: when, of which front, on which server, whether it is in service.
     pub verdicts: Vec<(f64, usize, usize, bool)>,
+    /// Words on sites: when, of which front, on which site.
+    pub words: Vec<(f64, usize, usize, Word)>,
     /// What was done to the fleet, and when.
     pub actions: Vec<(f64, Action)>,
 }
@@ -137,6 +172,9 @@
     next_connection: u64,
     rng: ChaCha8Rng,
     setup: Setup,
+    country: Option<Country>,
+    fleet_wake: Vec<f64>,
+    words: Vec<(f64, usize, usize, Word)>,
     levels: Vec<(f64, usize, usize, usize)>,
     verdicts: Vec<(f64, usize, usize, bool)>,
 }
@@ -210,6 +248,9 @@
             next_connection: 0,
             rng,
             setup,
+            country: Country::new(scenario).filter(|_| setup.variant != Variant::WithoutPlan),
+            fleet_wake: vec![f64::INFINITY; fronts],
+            words: Vec::new(),
             levels: Vec::new(),
             verdicts: Vec::new(),
         };
@@ -231,7 +272,10 @@
         let count = self.scenario.dns.as_ref().map_or(0, |d| d.name_servers);
         let names: Vec<SocketAddr> = (0..count).map(name_server).collect();
         let mut settings = self.scenario.settings(nowhere, nowhere, &names, MARGIN);
-        settings.levels.on &= self.setup.variant == Variant::Module;
+        settings.levels.on &= matches!(self.setup.variant, Variant::Module | Variant::WithoutPlan);
+        if self.country.is_none() {
+            settings.sites.clear();
+        }
         let mut params = settings.params();
         params.host = front_host(front);
         let planted = self.setup.planted;
@@ -256,6 +300,10 @@
         host.wake = f64::INFINITY;
         let life = host.life;
         self.trace.add(self.now, Seen::FrontUp { front });
+        if let Some(country) = &mut self.country {
+            country.start(self.now, front);
+        }
+        self.fleet_wake(front);
         self.events.set(self.now, Happening::ToFront { front, life, what: FrontNews::FeedUp });
         self.feed.connected(self.now, front);
         self.feed_out();
@@ -265,6 +313,9 @@
         let life = self.hosts[front].life;
         self.hosts[front].front = None;
         self.hosts[front].stopped = None;
+        if let Some(country) = &mut self.country {
+            country.kill(front);
+        }
         self.feed.closed(front);
         self.trace.add(self.now, Seen::FrontKilled { front });
         let lost: Vec<u64> =
@@ -344,6 +395,19 @@
             Happening::NameAsk { front, life, ticket, place, tcp, question } => {
                 self.name_asked(front, life, ticket, place, tcp, &question);
             }
+            Happening::Fleet(front) => {
+                if self.fleet_wake[front] <= now && self.hosts[front].stopped.is_none() {
+                    self.fleet_wake[front] = f64::INFINITY;
+                    self.fleet_turn(front);
+                }
+            }
+            Happening::FleetFrame { front, life, frame } => {
+                let here = self.hosts[front].life == life && self.hosts[front].stopped.is_none();
+                if let Some(country) = self.country.as_mut().filter(|_| here) {
+                    country.heard(now, front, frame);
+                    self.fleet_wake(front);
+                }
+            }
             Happening::Do(place) => {
                 let action = self.actions[place].1.clone();
                 self.act(action);
@@ -351,6 +415,36 @@
         }
     }
 
+    fn fleet_wake(&mut self, front: usize) {
+        let due = self.country.as_ref().map_or(f64::INFINITY, |country| country.due(front)).max(self.now);
+        if due < self.fleet_wake[front] {
+            self.fleet_wake[front] = due;
+            self.events.set(due, Happening::Fleet(front));
+        }
+    }
+
+    /// A front's turn in the fleet: what it tells others, and what the fleet's word leaves it.
+    fn fleet_turn(&mut self, front: usize) {
+        let now = self.now;
+        let Some(country) = &mut self.country else { return };
+        for given in country.turn(now, front) {
+            match given {
+                Given::Frame { to, frame } => {
+                    let (at, life) = (now + self.scenario.fleet.link_delay, self.hosts[to].life);
+                    self.events.set(at, Happening::FleetFrame { front: to, life, frame });
+                }
+                Given::Narrow(narrowing) => {
+                    if let Some(made) = &mut self.hosts[front].front {
+                        made.take(now, now, Input::Narrowed(narrowing));
+                    }
+                }
+                Given::Word { site, word } => self.words.push((now, front, site, word)),
+            }
+        }
+        self.front_turn(front);
+        self.fleet_wake(front);
+    }
+
     fn act(&mut self, action: Action) {
         let now = self.now;
         match action {
@@ -494,7 +588,12 @@
                 }
                 // What comes after is of a ticket that is no more.
                 Output::NameClose { .. } => {}
-                Output::Told(_) | Output::Call { .. } | Output::Whose { .. } | Output::Sees(_) => {}
+                Output::Sees(seen) => {
+                    if let Some(country) = &mut self.country {
+                        country.observed(now, front, &seen);
+                    }
+                }
+                Output::Told(_) | Output::Call { .. } | Output::Whose { .. } => {}
                 Output::ToCaller { .. } | Output::CloseCaller { .. } | Output::Event(_) => {}
             }
         }
@@ -634,6 +733,7 @@
             trace: self.trace,
             asked: self.zone.asked(),
             verdicts: self.verdicts,
+            words: self.words,
             actions: self.actions,
         }
     }
--- a/crates/levels/src/machine.rs
+++ b/crates/levels/src/machine.rs
@@ -93,6 +93,8 @@
     redials: Redials,
     shares: Shares,
     parts: Parts,
+    /// Callers that asked for the first time, by procedure.
+    asked: Vec<u64>,
     /// This front's own factor on thresholds: guards against hundreds of fronts that step as one.
     lean: f64,
     stay: f64,
@@ -124,6 +126,7 @@
             redials: Redials::default(),
             shares: Shares::new(&params.tenant_shares, now),
             parts: Parts::default(),
+            asked: Vec::new(),
             lean,
             stay: params.least_stay,
             patience,
@@ -147,6 +150,13 @@
         let late = now - asked_at > self.params.reach * ask.latency_target;
         let over = self.shares.ask(now, self.params.window, ask.tenant, self.params.evidence);
         let redial = asked_at < now;
+        if !redial {
+            // Counted once a caller, however often it asks: what is refused and comes back is no more demand.
+            if self.asked.len() <= ask.procedure {
+                self.asked.resize(ask.procedure + 1, 0);
+            }
+            self.asked[ask.procedure] += 1;
+        }
         let worth = if late { ask.worth * ask.late_share } else { ask.worth };
         let ticket = Ticket {
             asked_at,
@@ -158,7 +168,8 @@
         };
         let by = if !self.takes(worth, late, redial && over) {
             By::Level
-        } else if !self.parts.ask(now, ask.procedure, ask.tenant) {
+        } else if late && self.parts.is_on() || !self.parts.ask(now, ask.procedure, ask.tenant) {
+            // What comes too late earns least for its processor time: it goes before any procedure's part.
             By::Plan
         } else {
             self.counts.0 += 1;
@@ -169,6 +180,11 @@
         Door::Refuse { pause: self.pause(), by }
     }
 
+    /// Callers that asked for the first time so far, by the place of their procedure.
+    pub fn asked(&self) -> &[u64] {
+        &self.asked
+    }
+
     /// What a plan for the whole fleet leaves this front, attaches a second by procedure; none: all of it. Empty ends
     /// the plan. `floor`: part of each tenant's attaches that is taken ahead of the others'.
     pub fn narrow(&mut self, now: f64, parts: &[Option<f64>], floor: f64) {
--- a/crates/levels/src/parts.rs
+++ b/crates/levels/src/parts.rs
@@ -4,6 +4,8 @@
 
 /// A part may be saved up for so long, seconds: attaches come in no steady row.
 const SAVED: f64 = 2.0;
+/// And up to so many attaches where that is more: at a front that is asked little they come in no row at all.
+const SAVED_WHOLE: f64 = 3.0;
 /// A tenant's floor is kept over about so many of its attaches.
 const FLOOR_OVER: f64 = 20.0;
 
@@ -42,6 +44,11 @@
         self.floor = floor;
     }
 
+    /// Some procedure is not taken whole.
+    pub fn is_on(&self) -> bool {
+        !self.buckets.is_empty()
+    }
+
     /// An attach of that procedure and tenant; false where its part is used up.
     pub fn ask(&mut self, now: f64, procedure: usize, tenant: Option<usize>) -> bool {
         if self.buckets.is_empty() {
@@ -68,7 +75,7 @@
 impl Bucket {
     fn fill(&mut self, now: f64) {
         let a_second = self.a_second.unwrap_or(0.0);
-        let most = (SAVED * a_second).max(1.0);
+        let most = (SAVED * a_second).max(SAVED_WHOLE);
         self.tokens = (self.tokens + a_second * (now - self.at).max(0.0)).min(most);
         self.at = self.at.max(now);
     }
--- a/crates/settings/src/sites.rs
+++ b/crates/settings/src/sites.rs
@@ -74,6 +74,10 @@
     /// Part of each procedure's and each tenant's attaches that is taken whatever the order of refusals says.
     #[garde(range(min = 0.0, max = 1.0))]
     pub floor: f64,
+    /// While a site is out and what is left is full, attaches are refused by the plan's order of procedures; else by
+    /// each front's own bound alone, which did better in fleets of hundreds.
+    #[garde(skip)]
+    pub refuses: bool,
 }
 
 impl Default for SitePlanSettings {
@@ -81,15 +85,16 @@
         SitePlanSettings {
             silent_after: Span::from_millis(3_000),
             lost_after: Span::from_millis(2_000),
-            return_after: Span::from_millis(5_000),
+            return_after: Span::from_millis(1_000),
             return_longest: Span::from_millis(300_000),
             forget_after: Span::from_millis(600_000),
-            step_stay: Span::from_millis(5_000),
-            steps: vec![0.0, 0.125, 0.25, 0.5, 1.0],
+            step_stay: Span::from_millis(1_000),
+            steps: vec![0.25, 1.0],
             every: Span::from_millis(1_000),
             busy_wait: Span::from_millis(300),
-            margin: 0.95,
+            margin: 1.0,
             floor: 0.5,
+            refuses: false,
         }
     }
 }
@@ -189,6 +194,7 @@
         busy_wait: plan.busy_wait.seconds(),
         margin: plan.margin,
         floor: plan.floor,
+        refuses: plan.refuses,
         longest_order: LONGEST_ORDER,
     };
     Some((params, table))
--- a/crates/settings/tests/faults.rs
+++ b/crates/settings/tests/faults.rs
@@ -117,3 +117,44 @@
         assert!(text.contains(&format!("\"{key}\"")), "{key}");
     }
 }
+
+/// The shipped settings as one front of three, in two sites.
+fn with_sites(sites: &str) -> String {
+    let fleet = "[fleet]\nname = \"f0\"\nlisten = \"127.0.0.1:7171\"\nkey_file = \"key\"\n\
+                 [[fleet.peers]]\nname = \"f1\"\naddress = \"127.0.0.2:7171\"\n";
+    format!("{GOOD}\n{fleet}{sites}")
+}
+
+fn site(name: &str, fronts: &str, servers: &str) -> String {
+    format!("[[sites]]\nname = \"{name}\"\nfronts = [{fronts}]\n{servers}\n")
+}
+
+#[test]
+fn sites_are_checked_against_each_other_and_each_fault_says_what_to_do() {
+    let north = || site("north", "\"f0\"", "pools = [0]");
+    let good =
+        with_sites(&(north() + &site("south", "\"f1\"", "networks = [\"10.1.0.0/16\"]\nbears = 40.0")));
+    let (params, table) = parse("front.toml", &good).unwrap().sites_params().unwrap();
+    assert_eq!((params.sites.len(), table.of_server(7, Some([10, 1, 2, 3].into()))), (2, Some(1)));
+    assert!(parse("front.toml", GOOD).unwrap().sites_params().is_none());
+    let rows = [
+        (site("south", "\"f0\"", "pools = [1]"), "sites", "leave it in the `fronts`"),
+        (site("south", "\"f1\"", "pools = [0]"), "sites", "leave it in the `pools`"),
+        (site("north", "\"f1\"", "pools = [1]"), "sites", "a name of its own"),
+        (site("south", "\"f1\"", ""), "sites", "list its servers"),
+        (site("south", "\"f9\"", "pools = [1]"), "sites[1].fronts", "[[fleet.peers]]"),
+        (site("south", "\"f1\"", "networks = [\"10.1\"]"), "sites[1].networks", "IP"),
+        (site("south", "\"f1\"", "pools = [1]\nbears = -1.0"), "sites[1].bears", "lower than"),
+        ("[site_plan]\nsteps = [0.5, 0.2, 1.0]\n".into(), "site_plan.steps", "the last all"),
+        ("[site_plan]\nreturn_longest = \"10ms\"\n".into(), "site_plan.return_longest", "return_after"),
+        ("[site_plan]\nlost_after = \"1h\"\n".into(), "site_plan.lost_after", "fleet.gone_after"),
+    ];
+    for (more, key, why) in rows {
+        let faults = parse("front.toml", &with_sites(&(north() + &more))).unwrap_err();
+        let fault =
+            faults.iter().find(|f| f.key.starts_with(key)).unwrap_or_else(|| panic!("{more}: {faults:?}"));
+        assert!(fault.why.contains(why) && fault.line > 50, "{fault}");
+    }
+    let alone = parse("front.toml", &format!("{GOOD}\n{}", north())).unwrap_err();
+    assert!(alone.iter().any(|f| f.why.contains("[fleet] is needed")), "{alone:?}");
+}
--- a/crates/sites/src/params.rs
+++ b/crates/sites/src/params.rs
@@ -63,6 +63,8 @@
     pub margin: f64,
     /// Part of each procedure's demand, and of each tenant's, that is taken whatever the order says.
     pub floor: f64,
+    /// Attaches are refused by the plan's order while what is left is full; else by the module's own bound alone.
+    pub refuses: bool,
     /// The longest order of an operator.
     pub longest_order: f64,
 }
@@ -84,6 +86,7 @@
             busy_wait: 0.3,
             margin: 0.95,
             floor: 0.5,
+            refuses: true,
             longest_order: 86_400.0,
         }
     }
--- a/crates/sites/src/sites.rs
+++ b/crates/sites/src/sites.rs
@@ -26,6 +26,8 @@
 /// Messages to one front in one beat at most; what does not fit into them waits for the next.
 const MOST_MESSAGES: usize = 4;
 const SITE_ROOM: usize = 14;
+/// Parts stay on for so many sights after a site was last full.
+const FULL_FOR: f64 = 10.0;
 /// In one of so many beats those are asked that have not been heard to speak of sites.
 const ASKED_EVERY: u64 = 4;
 /// Changes kept for the host at most.
@@ -90,6 +92,8 @@
     /// When a site last went a step back, as this front knows it.
     back_at: Vec<f64>,
     pub(crate) held: Vec<Held>,
+    /// When a site in service was last full.
+    full_at: f64,
     pub(crate) sights: Sights,
     rates: Rates,
     beat: u64,
@@ -118,6 +122,7 @@
             since: vec![Since::default(); table.len()],
             back_at: vec![f64::NEG_INFINITY; table.len()],
             held,
+            full_at: f64::NEG_INFINITY,
             sights: Sights::default(),
             rates: Rates::default(),
             beat: 0,
@@ -420,6 +425,9 @@
             let wait = waits.get(waits.len() / 2).copied();
             let usable = self.words[site].stage == Stage::Up;
             held.seen(stood, wait.filter(|_| usable), self.params.busy_wait, refusing && usable);
+            if held.busy {
+                self.full_at = now;
+            }
         }
     }
 
@@ -467,7 +475,10 @@
             }
         }
         let on = !alone && self.words.iter().any(|w| w.stage != Stage::Up);
-        let bears = self.bears(&fleet, |_| false).filter(|_| on);
+        // Only while a site that is left is full by what its servers tell: refusing ahead of that, by what is believed of
+        // them, cost more than it saved (docs/design-notes/sites.md); short of it the module's own bound refuses.
+        let full = now - self.full_at <= FULL_FOR * self.sight_every(peers);
+        let bears = self.bears(&fleet, |_| false).filter(|_| on && full && self.params.refuses);
         self.parts = match bears {
             Some(bears) => {
                 let demand = self.demand(now, peers, &fleet).whole(self.params.classes.len());
