One round of targets, one order on a site, the table's digest hashed once

Reading over the sites' change: sites drew its targets as peers does (peers::Round serves both); the digest of the table was hashed anew for each message; the fleet was collected twice a turn; an operator's order was three equal enums; the sites stood in the parameters and in the table; one send went past the bound of all others.

--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -324,9 +324,9 @@
             }
             Command::Fleet { command: Fleet::Site { name, order, lasts, front } } => {
                 let order = match order {
-                    SiteOrder::Lost => shalespindle_console::SiteOrder::Lost,
-                    SiteOrder::KeepOut => shalespindle_console::SiteOrder::KeepOut,
-                    SiteOrder::Return => shalespindle_console::SiteOrder::Return,
+                    SiteOrder::Lost => shalespindle_console::Order::Lost,
+                    SiteOrder::KeepOut => shalespindle_console::Order::KeepOut,
+                    SiteOrder::Return => shalespindle_console::Order::Return,
                 };
                 console::ask(&front, &Ask::Site { name, order, seconds: lasts.as_secs_f64() }, false)
             }
--- a/crates/cli/tests/sites.rs
+++ b/crates/cli/tests/sites.rs
@@ -6,7 +6,7 @@
 mod process;
 
 use process::{until, until_got};
-use shalespindle_console::{Ask, Reply, SiteOrder};
+use shalespindle_console::{Ask, Order, Reply};
 use shalespindle_rig::{Faults, Fleet, FleetShape, Row, Servers, State};
 use shalespindle_sites::{SiteStatus, Stage, Verdict};
 use std::process::Command;
@@ -97,7 +97,7 @@
         self.servers.cut([]);
     }
 
-    fn order(&self, front: usize, site: &str, order: SiteOrder, seconds: f64) -> Reply {
+    fn order(&self, front: usize, site: &str, order: Order, seconds: f64) -> Reply {
         self.fleet.ask(front, &Ask::Site { name: site.into(), order, seconds }).unwrap()
     }
 }
@@ -171,7 +171,7 @@
         .see(0..EACH, 1, |site| site.verdict == Verdict::CutOff && site.stage == Stage::Up && !site.out_here);
     country.see(0..EACH, 2, |site| site.verdict == Verdict::CutOff && site.stage == Stage::Up);
     // An order is not taken where it would reach too few.
-    let refused = country.order(0, "west", SiteOrder::KeepOut, 60.0);
+    let refused = country.order(0, "west", Order::KeepOut, 60.0);
     assert!(
         matches!(&refused, Reply::Bad { why } if why.contains("cut off") && why.contains("more than half"))
     );
@@ -197,10 +197,10 @@
     country.fleet.hold(3, false).unwrap();
     country.fleet.start(5).unwrap();
     country.see(3..FRONTS, 2, |site| site.stage == Stage::KeptOut && site.out_here);
-    assert!(matches!(country.order(4, "west", SiteOrder::Return, 60.0), Reply::Done { .. }));
+    assert!(matches!(country.order(4, "west", Order::Return, 60.0), Reply::Done { .. }));
     country.see(0..FRONTS, 2, |site| site.verdict == Verdict::Up && !site.out_here);
     for (site, seconds, part) in [("east", 60.0, "north, south, west"), ("west", 0.0, "--for")] {
-        let refused = country.order(1, site, SiteOrder::Lost, seconds);
+        let refused = country.order(1, site, Order::Lost, seconds);
         assert!(matches!(&refused, Reply::Bad { why } if why.contains(part)), "{refused:?}");
     }
     let text =
@@ -217,7 +217,7 @@
     until("all hear each other", heard);
     assert!((0..FRONTS).all(|f| country.fleet.relays.sent_in(f, SITES_VERSION) == 0));
     assert!(country.fleet.standing(0).unwrap().sites.is_none());
-    let refused = country.order(0, "north", SiteOrder::Lost, 60.0);
+    let refused = country.order(0, "north", Order::Lost, 60.0);
     assert!(matches!(&refused, Reply::Bad { why } if why.contains("[[sites]]")), "{refused:?}");
     drop(country);
     // The last front of each site is of before: its settings name no sites, and it answers nothing about them.
--- a/crates/console/src/lib.rs
+++ b/crates/console/src/lib.rs
@@ -7,12 +7,12 @@
 
 pub use client::{ask, ConsoleError};
 pub use server::{serve, Console};
+pub use shalespindle_sites::Order;
 pub use words::differences;
 
 use serde::{Deserialize, Serialize};
 use shalespindle_front::Counters;
 use shalespindle_peer_service::Standing;
-use shalespindle_sites::Order;
 
 /// The longest question taken, bytes.
 pub const LONGEST_LINE: u64 = 4096;
@@ -41,30 +41,11 @@
     /// An operator's word on a site, for all fronts.
     Site {
         name: String,
-        order: SiteOrder,
+        order: Order,
         seconds: f64,
     },
 }
 
-/// What an operator wants of a site.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum SiteOrder {
-    Lost,
-    KeepOut,
-    Return,
-}
-
-impl From<SiteOrder> for Order {
-    fn from(order: SiteOrder) -> Order {
-        match order {
-            SiteOrder::Lost => Order::Lost,
-            SiteOrder::KeepOut => Order::KeepOut,
-            SiteOrder::Return => Order::Return,
-        }
-    }
-}
-
 /// What a front says.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "reply", rename_all = "snake_case")]
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -7,8 +7,10 @@
 //! here. docs/design-notes/replication.md has the ways weighed.
 
 mod peers;
+mod round;
 
 pub use peers::Peers;
+pub use round::Round;
 
 /// A front as fronts name each other; stable over restarts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -1,9 +1,6 @@
 //! The fronts on the list, their lives and beats.
 
-use crate::{Change, FrontId, Life, PeersParams, State, Word};
-use rand::seq::SliceRandom;
-use rand::SeedableRng;
-use rand_chacha::ChaCha8Rng;
+use crate::{Change, FrontId, Life, PeersParams, Round, State, Word};
 use std::collections::{BTreeMap, VecDeque};
 
 /// A turn that comes later than this many beats shows that this front stood still.
@@ -29,9 +26,7 @@
     beat: u64,
     left: bool,
     table: BTreeMap<FrontId, Peer>,
-    /// Those still to be told in this round.
-    round: Vec<FrontId>,
-    rng: ChaCha8Rng,
+    round: Round,
     beat_at: f64,
     renewals: u32,
     renewed_at: f64,
@@ -61,8 +56,7 @@
             beat: 0,
             left: false,
             table: BTreeMap::new(),
-            round: Vec::new(),
-            rng: ChaCha8Rng::seed_from_u64(seed),
+            round: Round::new(seed),
             beat_at: now,
             renewals: 0,
             renewed_at: now,
@@ -213,18 +207,8 @@
     /// Whom to tell at this beat: every front of the list in turn, in an order drawn anew each round, those
     /// that are gone among them, so that a cut that heals is found by either side.
     pub fn targets(&mut self) -> Vec<FrontId> {
-        let mut targets = Vec::new();
-        while targets.len() < self.params.fanout.min(self.table.len()) {
-            if self.round.is_empty() {
-                self.round = self.table.keys().copied().collect();
-                self.round.shuffle(&mut self.rng);
-            }
-            let Some(next) = self.round.pop() else { break };
-            if !targets.contains(&next) {
-                targets.push(next);
-            }
-        }
-        targets
+        let all: Vec<FrontId> = self.table.keys().copied().collect();
+        self.round.next(self.params.fanout, &all)
     }
 
     /// What this front says of itself; nothing once it has given its name up.
--- a/crates/settings/src/sites.rs
+++ b/crates/settings/src/sites.rs
@@ -181,7 +181,6 @@
     };
     let every = plan.every.seconds();
     let params = SitesParams {
-        sites: table.sites().to_vec(),
         classes: procedures.iter().map(class).collect(),
         every,
         sight_for: SIGHTS * every,
--- a/crates/settings/tests/faults.rs
+++ b/crates/settings/tests/faults.rs
@@ -134,8 +134,8 @@
     let north = || site("north", "\"f0\"", "pools = [0]");
     let good =
         with_sites(&(north() + &site("south", "\"f1\"", "networks = [\"10.1.0.0/16\"]\nbears = 40.0")));
-    let (params, table) = parse("front.toml", &good).unwrap().sites_params().unwrap();
-    assert_eq!((params.sites.len(), table.of_server(7, Some([10, 1, 2, 3].into()))), (2, Some(1)));
+    let (_, table) = parse("front.toml", &good).unwrap().sites_params().unwrap();
+    assert_eq!((table.len(), table.of_server(7, Some([10, 1, 2, 3].into()))), (2, Some(1)));
     assert!(parse("front.toml", GOOD).unwrap().sites_params().is_none());
     let rows = [
         (site("south", "\"f0\"", "pools = [1]"), "sites", "leave it in the `fronts`"),
--- a/crates/sites/src/params.rs
+++ b/crates/sites/src/params.rs
@@ -39,7 +39,6 @@
 /// Times are seconds.
 #[derive(Clone, Debug, PartialEq)]
 pub struct SitesParams {
-    pub sites: Vec<SiteSpec>,
     pub classes: Vec<Class>,
     /// Between two sights of this front.
     pub every: f64,
@@ -71,9 +70,8 @@
 
 impl SitesParams {
     /// By the time between beats alone.
-    pub fn beating(every: f64, sites: Vec<SiteSpec>, classes: Vec<Class>) -> SitesParams {
+    pub fn beating(every: f64, classes: Vec<Class>) -> SitesParams {
         SitesParams {
-            sites,
             classes,
             every: 2.0 * every,
             sight_for: 12.0 * every,
--- a/crates/sites/src/sites.rs
+++ b/crates/sites/src/sites.rs
@@ -9,10 +9,8 @@
 use crate::sights::{Kept, Sight, Sights};
 use crate::table::Table;
 use crate::word::{Stage, Word};
-use rand::seq::SliceRandom;
-use rand::SeedableRng;
-use rand_chacha::ChaCha8Rng;
-use shalespindle_peers::{FrontId, Peers, State};
+use serde::{Deserialize, Serialize};
+use shalespindle_peers::{FrontId, Peers, Round, State};
 use std::collections::{BTreeMap, VecDeque};
 
 /// Beats in which a sight is passed on, each time to `fanout` fronts.
@@ -34,7 +32,8 @@
 const MOST_OUT: usize = 4096;
 
 /// An operator's word on a site.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Order {
     /// It is lost, whatever fronts see.
     Lost,
@@ -105,9 +104,7 @@
     out: VecDeque<Out>,
     /// Where the telling of sights goes on.
     told_to: FrontId,
-    /// Those still to be told in this round.
-    round: Vec<FrontId>,
-    rng: ChaCha8Rng,
+    round: Round,
     /// Fronts that were heard to speak of sites, and the number of the life in which they were.
     speak: BTreeMap<FrontId, u64>,
     pub(crate) other_tables: u64,
@@ -133,8 +130,7 @@
             narrowing: Narrowing::default(),
             out: VecDeque::new(),
             told_to: FrontId(0),
-            round: Vec::new(),
-            rng: ChaCha8Rng::seed_from_u64(seed),
+            round: Round::new(seed),
             speak: BTreeMap::new(),
             other_tables: 0,
             bad: 0,
@@ -298,7 +294,7 @@
             }
         }
         self.look(now, peers, &fleet);
-        self.narrow(now, peers);
+        self.narrow(now, peers, &fleet);
         self.send(now, peers, &fleet, fanout, bytes);
     }
 
@@ -462,8 +458,7 @@
         Some(self.params.margin * all)
     }
 
-    fn narrow(&mut self, now: f64, peers: &Peers) {
-        let fleet: Vec<FrontId> = peers.fleet().collect();
+    fn narrow(&mut self, now: f64, peers: &Peers, fleet: &[FrontId]) {
         // A front alone keeps its own unaided part: what it was told before it was cut off is old, but for what an
         // operator wants.
         let alone = self.cut_off.is_some_and(|since| now - since >= self.params.lost_after);
@@ -478,10 +473,10 @@
         // Only while a site that is left is full by what its servers tell: refusing ahead of that, by what is believed of
         // them, cost more than it saved (docs/design-notes/sites.md); short of it the module's own bound refuses.
         let full = now - self.full_at <= FULL_FOR * self.sight_every(peers);
-        let bears = self.bears(&fleet, |_| false).filter(|_| on && full && self.params.refuses);
+        let bears = self.bears(fleet, |_| false).filter(|_| on && full && self.params.refuses);
         self.parts = match bears {
             Some(bears) => {
-                let demand = self.demand(now, peers, &fleet).whole(self.params.classes.len());
+                let demand = self.demand(now, peers, fleet).whole(self.params.classes.len());
                 plan(&self.params.classes, self.params.floor, bears, &demand)
             }
             None => Parts::default(),
@@ -533,34 +528,17 @@
         // A front of an earlier version would drop it: it is asked with an empty one now and then whether it speaks.
         let empty = SitesMessage { table, ..SitesMessage::default() };
         let asks = self.beat % ASKED_EVERY == 1;
-        for to in self.targets(fleet, fanout) {
+        let others: Vec<FrontId> = fleet.iter().copied().filter(|f| *f != self.own).collect();
+        for to in self.round.next(fanout, &others) {
             let of = |life: &u64| peers.life_of(to).is_none_or(|l| l.number == *life);
             if self.speak.get(&to).is_some_and(of) {
-                messages
-                    .iter()
-                    .for_each(|message| self.out.push_back(Out::Send { to, message: message.clone() }));
+                messages.iter().for_each(|message| self.tell(Out::Send { to, message: message.clone() }));
             } else if asks {
                 self.tell(Out::Send { to, message: empty.clone() });
             }
         }
     }
 
-    /// All fronts of the list in turn, in an order drawn anew each round, those that are gone among them.
-    fn targets(&mut self, fleet: &[FrontId], fanout: usize) -> Vec<FrontId> {
-        let mut targets = Vec::new();
-        while targets.len() < fanout.min(fleet.len().saturating_sub(1)) {
-            if self.round.is_empty() {
-                self.round = fleet.iter().copied().filter(|f| *f != self.own).collect();
-                self.round.shuffle(&mut self.rng);
-            }
-            let Some(next) = self.round.pop() else { break };
-            if !targets.contains(&next) && fleet.binary_search(&next).is_ok() {
-                targets.push(next);
-            }
-        }
-        targets
-    }
-
     pub fn next_output(&mut self) -> Option<Out> {
         self.out.pop_front()
     }
--- a/crates/sites/src/table.rs
+++ b/crates/sites/src/table.rs
@@ -15,6 +15,7 @@
     sites: Vec<SiteSpec>,
     by_front: BTreeMap<FrontId, usize>,
     by_pool: BTreeMap<u16, usize>,
+    digest: u64,
 }
 
 impl Table {
@@ -57,7 +58,8 @@
                 }
             }
         }
-        Ok(Table { sites, by_front, by_pool })
+        let digest = digest(&sites);
+        Ok(Table { sites, by_front, by_pool, digest })
     }
 
     pub fn len(&self) -> usize {
@@ -98,19 +100,23 @@
 
     /// Equal on fronts whose settings name the same sites: what others say by place means the same here.
     pub fn digest(&self) -> u64 {
-        // FNV-1a: stable over builds, which the standard library's hasher is not.
-        let mut digest = 0xcbf2_9ce4_8422_2325u64;
-        let mut add = |bytes: &[u8]| {
-            for byte in bytes.iter().chain(&[0xff]) {
-                digest = (digest ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3);
-            }
-        };
-        for site in &self.sites {
-            add(site.name.as_bytes());
-            site.fronts.iter().for_each(|f| add(&f.0.to_le_bytes()));
-            site.pools.iter().for_each(|p| add(&p.to_le_bytes()));
-            site.networks.iter().for_each(|n| add(n.to_string().as_bytes()));
+        self.digest
+    }
+}
+
+fn digest(sites: &[SiteSpec]) -> u64 {
+    // FNV-1a: stable over builds, which the standard library's hasher is not.
+    let mut digest = 0xcbf2_9ce4_8422_2325u64;
+    let mut add = |bytes: &[u8]| {
+        for byte in bytes.iter().chain(&[0xff]) {
+            digest = (digest ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3);
         }
-        digest
+    };
+    for site in sites {
+        add(site.name.as_bytes());
+        site.fronts.iter().for_each(|f| add(&f.0.to_le_bytes()));
+        site.pools.iter().for_each(|p| add(&p.to_le_bytes()));
+        site.networks.iter().for_each(|n| add(n.to_string().as_bytes()));
     }
+    digest
 }
--- a/crates/sites/tests/common/mod.rs
+++ b/crates/sites/tests/common/mod.rs
@@ -54,6 +54,7 @@
     pub rng: ChaCha8Rng,
     pub timeline: Timeline,
     pub params: SitesParams,
+    table: Table,
 }
 
 pub fn id(front: usize) -> FrontId {
@@ -81,7 +82,7 @@
         bears: Some(100.0),
     };
     let specs: Vec<SiteSpec> = sites.iter().enumerate().map(spec).collect();
-    let params = SitesParams::beating(EVERY, specs, vec![class(1.0), class(0.2)]);
+    let params = SitesParams::beating(EVERY, vec![class(1.0), class(0.2)]);
     let count = home.len();
     let mut world = World {
         now: 0.0,
@@ -103,6 +104,7 @@
         rng: ChaCha8Rng::seed_from_u64(seed),
         timeline: Timeline::new(names, 1.0),
         params,
+        table: Table::new(specs, |f| f.0.to_string()).unwrap(),
         home,
     };
     (0..count).for_each(|front| world.start(front));
@@ -115,7 +117,7 @@
         let listed: Vec<FrontId> = (0..self.home.len()).map(id).collect();
         let begin = self.now + EVERY * self.rng.random::<f64>();
         let peers = Peers::new(PeersParams::beating(EVERY), id(front), life, &listed, front as u64, begin);
-        let table = Table::new(self.params.sites.clone(), |f| f.0.to_string()).unwrap();
+        let table = self.table.clone();
         let sites = Sites::new(self.params.clone(), table, id(front), front as u64, begin);
         self.fronts[front] = Some(Front { peers, sites, narrowing: Narrowing::default(), life: life.number });
         self.counted[front] = 0.0;
--- a/crates/transport/src/service.rs
+++ b/crates/transport/src/service.rs
@@ -127,7 +127,7 @@
                         pin_fleet(&outgoing, teller, level, seconds)
                     }
                     (Ask::Site { name, order, seconds }, Some(teller)) => {
-                        teller.order(name.clone(), order.into(), seconds).map(|done| ordered(&name, done))
+                        teller.order(name.clone(), order, seconds).map(|done| ordered(&name, done))
                     }
                     (Ask::Fleet | Ask::PinFleet { .. } | Ask::Site { .. }, None) => {
                         Some(Reply::Bad { why: "this front knows no others: [fleet] is not set".into() })
