A front that ends by itself answers what is in hand first

At fault: edge.rs, is_done: at the longest time allowed the owner returns whatever is in hand, and its connections close. Now all in hand are answered 0.1 s before: 503, and 504 where a setup try is out, which its server is told.

--- /dev/null
+++ b/crates/cli/tests/common/live.rs
@@ -0,0 +1,162 @@
+//! A live front as a process of a test: its configuration, its callers, signals.
+
+use crate::process::{until, Front, PATIENCE};
+use nix::sys::signal::{kill, Signal};
+use nix::unistd::Pid;
+use serde_json::{json, Value};
+use shalespindle_signalling::{Framer, Message, Start};
+use shalespindle_standin::platform::{EventFeed, LineServer};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Command, ExitStatus, Stdio};
+use std::time::{Duration, Instant};
+use tempfile::TempDir;
+
+pub fn signal(front: &Front, signal: Signal) {
+    kill(Pid::from_raw(front.0.id() as i32), signal).unwrap();
+}
+
+pub fn event(n: u64, servers: &[(&str, SocketAddr)]) -> String {
+    let members: Vec<Value> = servers
+        .iter()
+        .enumerate()
+        .map(|(cell, (id, address))| {
+            json!({"id": id, "host_port": address.to_string(), "cell": cell, "phase": "up", "up_since_ms": 0})
+        })
+        .collect();
+    json!({"n": n, "members": {"revision": n, "complete": true, "members": members}}).to_string()
+}
+
+pub fn write_config(path: &Path, listen: SocketAddr, feed: SocketAddr, known: &str) {
+    let settings = json!({
+        "classes": [{"aim_s": 2.0, "deadline_s": 9.0, "late_share": 0.25, "name": "voice", "worth": 1.0}],
+        "domain": {"class_cells": [[0, 1]], "guard_s": 0.5, "tells_wait": false},
+        "limits": {"cancelling": true, "dial_timeout_s": 0.5, "max_attempts": 4, "max_retry_after_s": 2.0,
+            "most_held": 100, "probes": true, "retry_after": true},
+        "safety": {"start_capacity": 0.3, "tip_multiple": 2.0, "warm_after_s": 15.0},
+        "stats": {"fields": ["free", "size", "latency_ms"]}});
+    let known: Value = serde_json::from_str(known).unwrap();
+    let config = json!({"name": "n0", "listen": listen.to_string(), "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256}, "feed": feed.to_string(),
+        "known": {"n": 1, "events": [known]}, "settings": settings});
+    std::fs::write(path, config.to_string()).unwrap();
+}
+
+pub struct Caller {
+    pub stream: TcpStream,
+    framer: Framer,
+}
+
+impl Caller {
+    pub fn new(to: SocketAddr) -> Caller {
+        let begin = Instant::now();
+        let stream = loop {
+            match TcpStream::connect(to) {
+                Ok(stream) => break stream,
+                Err(why) => assert!(begin.elapsed() < PATIENCE, "the front never listens: {why}"),
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        };
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        // What is written must be there for the front to read, whatever else is on its way.
+        stream.set_nodelay(true).unwrap();
+        Caller { stream, framer: Framer::default() }
+    }
+
+    pub fn send(&mut self, method: &str, call: &str, body: &str) {
+        let text = format!(
+            "{method} sip:7f3a9c21e0b4d655@net SIP/2.0\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: {call}\r\n\
+             CSeq: 1 {method}\r\nX-Service: voice\r\nX-Setup-Ms: 9000\r\nX-Route: dest:0;width:1;via:-1\r\n\
+             Content-Length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        self.stream.write_all(text.as_bytes()).unwrap();
+    }
+
+    /// A connection that the front has accepted.
+    pub fn accepted(to: SocketAddr) -> Caller {
+        let mut caller = Caller::new(to);
+        caller.send("OPTIONS", "aaaaaaaaaaaaaaaa", "");
+        assert_eq!(caller.next().0, "200");
+        caller
+    }
+
+    /// Status or method of the next message, and its body.
+    pub fn next(&mut self) -> (String, String) {
+        let mut buffer = [0; 4096];
+        loop {
+            if let Some(frame) = self.framer.next_frame().unwrap() {
+                let message = Message::parse(frame).unwrap();
+                let what = match message.start {
+                    Start::Response { status, .. } => status.to_string(),
+                    Start::Request { method, .. } => method.to_string(),
+                };
+                return (what, String::from_utf8(message.body.to_vec()).unwrap());
+            }
+            let size = self.stream.read(&mut buffer).unwrap();
+            assert!(size > 0, "the front closed the connection");
+            self.framer.push(&buffer[..size]);
+        }
+    }
+}
+
+/// A live front in service beside stand-in servers (`s-0`, `s-1` and so on, a pool each) and its feed.
+pub struct Live {
+    pub front: Front,
+    pub listen: SocketAddr,
+    pub servers: Vec<LineServer>,
+    pub feed: EventFeed,
+    folder: TempDir,
+}
+
+impl Live {
+    pub fn start(servers: usize) -> Live {
+        Live::beside((0..servers).map(|_| LineServer::start().unwrap()).collect())
+    }
+
+    pub fn beside(servers: Vec<LineServer>) -> Live {
+        let names: Vec<String> = (0..servers.len()).map(|n| format!("s-{n}")).collect();
+        let listed: Vec<(&str, SocketAddr)> =
+            names.iter().zip(&servers).map(|(name, server)| (name.as_str(), server.address)).collect();
+        let known = event(1, &listed);
+        let feed = EventFeed::start(vec![known.clone()]).unwrap();
+        let listen = free_address();
+        let folder = tempfile::tempdir().unwrap();
+        write_config(&folder.path().join("config.json"), listen, feed.address, &known);
+        let front = run(&folder.path().join("config.json"), listen);
+        Live { front, listen, servers, feed, folder }
+    }
+
+    pub fn config(&self) -> PathBuf {
+        self.folder.path().join("config.json")
+    }
+
+    /// What is done meanwhile lies unread when the process gets its next turn.
+    pub fn while_stopped(&self, act: impl FnOnce()) {
+        signal(&self.front, Signal::SIGSTOP);
+        let state = PathBuf::from(format!("/proc/{}/stat", self.front.0.id()));
+        until("the stop", || std::fs::read_to_string(&state).is_ok_and(|s| s.contains(") T ")));
+        act();
+        signal(&self.front, Signal::SIGCONT);
+    }
+
+    /// Waits for the process to end.
+    pub fn ended(&mut self) -> ExitStatus {
+        until("the front's end", || self.front.0.try_wait().unwrap().is_some());
+        self.front.0.wait().unwrap()
+    }
+}
+
+/// An address on loopback that nobody listens on.
+pub fn free_address() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+/// Starts a live front with that configuration.
+pub fn run(config: &Path, listen: SocketAddr) -> Front {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_shalespindle"));
+    command.arg("live").env("ROUTER_NAME", "n0").env("ROUTER_LISTEN", listen.to_string());
+    command.env("ROUTER_CONFIG", config).stdout(Stdio::null()).stderr(Stdio::null());
+    Front(command.spawn().unwrap())
+}
--- a/crates/cli/tests/common/process.rs
+++ b/crates/cli/tests/common/process.rs
@@ -29,6 +29,7 @@
 }
 
 /// What the kernel's tables say of the sockets that a process holds.
+#[derive(Debug)]
 pub struct Sockets {
     process: PathBuf,
     /// Inodes of the sockets it holds.
--- a/crates/platform/src/calls.rs
+++ b/crates/platform/src/calls.rs
@@ -109,6 +109,11 @@
         }
     }
 
+    /// Those in hand, in the order of their places.
+    pub fn all_in_hand(&self) -> Vec<UeName> {
+        self.slab.iter().filter(|(_, c)| matches!(c.is, Is::InHand(_))).map(|(_, c)| c.ue).collect()
+    }
+
     /// Those that stand at a pool, in the order of their places.
     pub fn standing_at(&self, pool: PoolName) -> Vec<UeName> {
         let there = |c: &Call| matches!(&c.is, Is::Stands(s) if s.pool == pool);
--- a/crates/platform/src/edge.rs
+++ b/crates/platform/src/edge.rs
@@ -60,6 +60,8 @@
     pub refused: u64,
     pub aborted: u64,
     pub left: u64,
+    /// Answered by the front itself: it ended, or had no room.
+    pub given_up: u64,
     pub bad_form: u64,
     pub unreadable: u64,
     pub no_place: u64,
@@ -98,6 +100,8 @@
     Dial(PoolName),
     /// What stands at a server that was removed is over.
     Gone(PoolName),
+    /// An ending front answers what is still in hand.
+    LastAnswers,
     Sweep,
 }
 
@@ -105,14 +109,6 @@
 const SWEEP: f64 = 0.1;
 /// A platform's time limits are longer by this on sockets; the guard is kept by that much longer too.
 const SOCKET_SLACK: f64 = 0.05;
-/// After SIGTERM set-ups still come for so long; later ones are refused at once.
-const STILL_TAKES: f64 = 0.7;
-/// And after so long a front with nothing in hand ends.
-const STILL_LISTENS: f64 = 0.85;
-/// A front is left for the longest time that a caller waits, at most so long, and `STILL_TAKES` beside.
-const LONGEST_END: f64 = 3.0;
-/// It ends by itself so long before.
-const END_MARGIN: f64 = 0.1;
 /// Descriptors kept for all that is not a caller's connection.
 const OWN_DESCRIPTORS: usize = 72;
 /// Part of the memory limit that descriptions in hand may fill.
@@ -259,25 +255,6 @@
         self.feed.moved(now, file.feed);
     }
 
-    /// An orderly end is asked for.
-    pub fn end(&mut self, now: f64) {
-        self.ending.get_or_insert(now);
-    }
-
-    /// Nothing is left to do after an end was asked for.
-    pub fn is_done(&self, now: f64) -> bool {
-        let Some(since) = self.ending else { return false };
-        let longest = self.procedures.iter().fold(0.0, |l: f64, p| l.max(p.1)).min(LONGEST_END);
-        // Calls that stand are released through this front for as long as it is there.
-        let quiet = self.calls.in_hand() == 0 && self.calls.standing() == 0 && self.byes.is_quiet(now);
-        quiet && now - since > STILL_LISTENS || now - since > longest + STILL_TAKES - END_MARGIN
-    }
-
-    /// A set-up that comes now is refused at once: the front ends.
-    pub(crate) fn takes_no_more(&self, now: f64) -> bool {
-        self.ending.is_some_and(|since| now - since > STILL_TAKES)
-    }
-
     // ---- what it does ----
 
     /// When [`Edge::turn`] is due again at the latest.
@@ -332,6 +309,7 @@
             Due::Silent(wire) => self.link_silent(now, wire),
             Due::Dial(pool) => self.dial_due(now, pool),
             Due::Gone(pool) => self.server_gone(now, pool),
+            Due::LastAnswers => self.last_answers(now),
             Due::Sweep => {
                 self.sweep(now);
                 self.timers.set(now + SWEEP, Due::Sweep);
@@ -471,7 +449,7 @@
     }
 
     /// The attach's one final answer, other than that its call stands.
-    fn final_answer(&mut self, now: f64, ue: UeName, status: u16, pause: Option<f64>) {
+    pub(crate) fn final_answer(&mut self, now: f64, ue: UeName, status: u16, pause: Option<f64>) {
         // The module answers only when no try is out; should one be, it must not be left behind.
         if self.calls.hand(ue).is_some_and(|c| c.2.out.is_some()) {
             self.try_given_up(now, ue, Ended::Cancelled);
--- /dev/null
+++ b/crates/platform/src/ending.rs
@@ -0,0 +1,62 @@
+//! The last seconds of a front: what it still takes after SIGTERM, the answers it owes before it is killed, and
+//! when it is done.
+
+use crate::edge::{Due, Edge};
+use shalespindle_control::interface::UeName;
+
+/// After SIGTERM set-ups still come for so long; later ones are refused at once.
+const STILL_TAKES: f64 = 0.7;
+/// And after so long a front with nothing in hand ends.
+const STILL_LISTENS: f64 = 0.85;
+/// A front is left for the longest time that a caller waits, at most so long, and `STILL_TAKES` beside.
+const LONGEST_END: f64 = 3.0;
+/// It ends by itself so long before.
+const END_MARGIN: f64 = 0.1;
+/// And so long before that end it answers what is still in hand: time for the answers to be read.
+const ANSWERS_READ: f64 = 0.1;
+
+impl Edge {
+    /// An orderly end is asked for.
+    pub fn end(&mut self, now: f64) {
+        if self.ending.is_none() {
+            self.ending = Some(now);
+            self.timers.set(self.ends_at_latest(now) - ANSWERS_READ, Due::LastAnswers);
+        }
+    }
+
+    /// When a front that was asked to end at that time is gone at the latest.
+    fn ends_at_latest(&self, since: f64) -> f64 {
+        let longest = self.procedures.iter().fold(0.0, |l: f64, p| l.max(p.1)).min(LONGEST_END);
+        since + longest + STILL_TAKES - END_MARGIN
+    }
+
+    /// Nothing is left to do after an end was asked for.
+    pub fn is_done(&self, now: f64) -> bool {
+        let Some(since) = self.ending else { return false };
+        // Calls that stand are released through this front for as long as it is there.
+        let quiet = self.calls.in_hand() == 0 && self.calls.standing() == 0 && self.byes.is_quiet(now);
+        quiet && now - since > STILL_LISTENS || now > self.ends_at_latest(since)
+    }
+
+    /// A set-up that comes now is refused at once: the front ends.
+    pub(crate) fn takes_no_more(&self, now: f64) -> bool {
+        self.ending.is_some_and(|since| now - since > STILL_TAKES)
+    }
+
+    /// Guards attaches that are in hand when the front ends by itself: what was taken is answered. A front that left
+    /// them to the close of their connections lost them.
+    pub(crate) fn last_answers(&mut self, now: f64) {
+        for ue in self.calls.all_in_hand() {
+            self.give_up(now, ue);
+        }
+    }
+
+    /// The front itself gives an attach up. Where a setup try is out, another might not be harmless: it has failed.
+    pub(crate) fn give_up(&mut self, now: f64, ue: UeName) {
+        let Some((_, _, hand)) = self.calls.hand(ue) else { return };
+        let went_out = hand.out.as_ref().is_some_and(|t| t.link.is_some());
+        self.counters.given_up += 1;
+        self.final_answer(now, ue, if went_out { 504 } else { 503 }, None);
+        self.control.client_left(now, ue);
+    }
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -7,6 +7,7 @@
 mod calls;
 mod door;
 mod edge;
+mod ending;
 mod feed;
 mod file;
 mod lines;
--- a/crates/platform/tests/callers.rs
+++ b/crates/platform/tests/callers.rs
@@ -266,3 +266,36 @@
     assert!(w.edge.is_done(w.now));
     assert!(!w.took(links[0]).contains("release"), "calls that stand are left standing");
 }
+
+/// Found by roll+mass on seed 6: "the node that took request d85738d9 ended its client's connection with no whole
+/// answer", 3.6 s after SIGTERM, with the attach in hand.
+#[test]
+fn an_ending_front_answers_what_is_in_hand_before_it_is_gone() {
+    let (mut w, links) = World::linked(3);
+    let (out, waits) = (w.door(), w.door());
+    w.edge.end(w.now);
+    w.pass(0.69);
+    let patient = |call: u64| {
+        let lines = format!("X-Setup-Ms: 9000\r\nX-Route: dest:{};width:1;via:-1\r\n", call - 1);
+        invite_with(call, &lines, "9d41\r\n")
+    };
+    w.bytes(out, patient(1).as_bytes());
+    w.bytes(waits, patient(2).as_bytes());
+    assert!(w.took(links[0]).contains(&id(1)) && w.took(links[1]).contains(&id(2)));
+    // No answer: the tries time out, and after the guard others are out at the third server.
+    w.pass(2.7);
+    let again = w.took(links[2]);
+    assert!(again.contains(&id(1)) && again.contains(&id(2)), "{again}");
+    // One of them is cut: when the end comes its guard is not over.
+    w.say(links[2], &release(2, 41, ""));
+    let mut last = Vec::new();
+    while !w.edge.is_done(w.now) {
+        w.pass(0.01);
+        last.extend([out, waits].into_iter().flat_map(|door| w.answers(door)));
+    }
+    // Where a try is out trying again might not be harmless.
+    assert_eq!(last, [("504".into(), id(1)), ("503".into(), id(2))]);
+    let told = w.took(links[2]);
+    assert!(told.contains(r#""release","id":"0000000000000001","fields":{},"cause":16"#), "{told}");
+    assert_eq!(w.edge.held()[0], 0, "in hand at the end");
+}
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -49,20 +49,50 @@
 pub struct LineServer {
     pub address: SocketAddr,
     got: Receiver<Got>,
+    held: Held,
 }
 
+/// The connections whose first word is held back; none where it is not.
+type Held = Shared<Option<Vec<TcpStream>>>;
+
 impl LineServer {
     pub fn start() -> io::Result<LineServer> {
+        LineServer::with(None)
+    }
+
+    /// One that takes connections and says nothing on them before [`LineServer::say_state`].
+    pub fn silent() -> io::Result<LineServer> {
+        LineServer::with(Some(Vec::new()))
+    }
+
+    fn with(held: Option<Vec<TcpStream>>) -> io::Result<LineServer> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let address = listener.local_addr()?;
         let (tell, got) = channel();
+        let held = Arc::new(Mutex::new(held));
+        let holding = held.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let tell = tell.clone();
-                std::thread::spawn(move || serve(stream, &tell));
+                let (tell, held) = (tell.clone(), holding.clone());
+                std::thread::spawn(move || serve(stream, &tell, &held));
             }
         });
-        Ok(LineServer { address, got })
+        Ok(LineServer { address, got, held })
+    }
+
+    /// How many connections wait for its first word.
+    pub fn held(&self) -> usize {
+        locked(&self.held).as_ref().map_or(0, Vec::len)
+    }
+
+    /// Says its state on all connections that wait for it; from now on it is said at once.
+    pub fn say_state(&self) -> io::Result<()> {
+        locked(&self.held).take().into_iter().flatten().try_for_each(|stream| write_line(&stream, &state()))
+    }
+
+    /// All lines that have come so far, tests aside.
+    pub fn so_far(&self) -> Vec<Got> {
+        self.got.try_iter().collect()
     }
 
     /// The next line of that type; others before it are passed over.
@@ -76,10 +106,16 @@
     }
 }
 
+fn state() -> Value {
+    serde_json::json!({"type": "state", "id": "", "fields": {"load": "x0:40;x1:40"}})
+}
+
 /// Ends with its connection, whatever the reason.
-fn serve(stream: TcpStream, tell: &Sender<Got>) -> Option<()> {
-    let state = serde_json::json!({"type": "state", "id": "", "fields": {"load": "x0:40;x1:40"}});
-    write_line(&stream, &state).ok()?;
+fn serve(stream: TcpStream, tell: &Sender<Got>, held: &Held) -> Option<()> {
+    match &mut *locked(held) {
+        Some(waiting) => waiting.push(stream.try_clone().ok()?),
+        None => write_line(&stream, &state()).ok()?,
+    }
     for line in BufReader::new(stream.try_clone().ok()?).lines() {
         let line: Value = serde_json::from_str(&line.ok()?).ok()?;
         if line["type"] == "ping" {
