A cancel that is read before its set-up keeps it back

Observed (by reading, then forced): a CANCEL on another connection than its INVITE, read first, was answered 481 and forgotten; the INVITE was sent on and its server held a call nobody waited for. At fault: callers.rs, cancel (no call, nothing kept).

--- a/crates/cli/tests/races.rs
+++ b/crates/cli/tests/races.rs
@@ -88,3 +88,16 @@
         assert_eq!(set_ups(&live, 0), Vec::<String>::new(), "reset {reset}");
     }
 }
+
+/// The cancel comes on another connection than its set-up, and the front reads it first.
+#[test]
+fn a_cancel_that_is_read_before_its_set_up_keeps_it_back() {
+    let live = Live::start(1);
+    let (mut asking, mut cancelling) = (Caller::accepted(live.listen), Caller::accepted(live.listen));
+    // Answered before the set-up is written: whatever order the front reads its connections in.
+    cancelling.send("CANCEL", CALLS[0], "");
+    assert_eq!(cancelling.next().0, "481");
+    asking.send("INVITE", CALLS[0], "9d41\r\n");
+    assert_eq!(asking.next().0, "487");
+    assert_eq!(set_ups(&live, 0), Vec::<String>::new());
+}
--- a/crates/platform/src/callers.rs
+++ b/crates/platform/src/callers.rs
@@ -102,6 +102,11 @@
             }
             return self.bad(now, wire, message, 482);
         }
+        if self.early_cancels.take(now, id) {
+            self.counters.left += 1;
+            self.doors.used(now, wire, Use::Asks);
+            return self.respond(wire, 487, message);
+        }
         let asked = match sip::asked(message, &route, &self.procedures) {
             Ok(asked) => asked,
             Err(_) => return self.bad(now, wire, message, 400),
@@ -177,10 +182,13 @@
     }
 
     fn cancel(&mut self, now: f64, wire: Wire, message: &Message) {
-        let Some(call) = sip::id(message).and_then(|id| self.calls.by_id(id)) else {
+        let Some(id) = sip::id(message) else { return self.respond(wire, 481, message) };
+        let Some(call) = self.calls.by_id(id) else {
+            let longest = self.procedures.iter().fold(0.0, |l: f64, p| l.max(p.1));
+            self.early_cancels.add(now, id, longest);
             return self.respond(wire, 481, message);
         };
-        let (ue, id) = (call.ue, call.id);
+        let ue = call.ue;
         match &call.is {
             Is::InHand(hand) => {
                 // No answer is owed, but RFC 3261 section 9.2 gives the set-up one.
--- /dev/null
+++ b/crates/platform/src/early_tests.rs
@@ -0,0 +1,20 @@
+use super::*;
+
+#[test]
+fn one_is_remembered_once_for_its_time_and_all_are_bounded() {
+    let mut early = EarlyCancels::default();
+    early.add(0.0, 1, 9.0);
+    assert!(early.take(8.9, 1) && !early.take(8.9, 1));
+    early.add(10.0, 2, 9.0);
+    assert!(!early.take(19.0, 2), "its caller has long stopped waiting");
+    for id in 0..10_000 {
+        early.add(20.0, id, 9.0);
+        assert!(early.order.len() <= MOST && early.until.len() <= MOST);
+    }
+    assert!(early.take(20.0, 9_999) && !early.take(20.0, 0));
+    // The same one again and again takes one place.
+    for _ in 0..10 {
+        early.add(30.0, 5, 9.0);
+    }
+    assert_eq!((early.order.len(), early.until.len()), (1, 1));
+}
--- a/crates/platform/src/edge.rs
+++ b/crates/platform/src/edge.rs
@@ -4,6 +4,7 @@
 use crate::byes::Byes;
 use crate::calls::{Calls, Is, Try};
 use crate::door::{Door, Doors};
+use crate::early::EarlyCancels;
 use crate::feed::{Event, Feed, DIAL_WITHIN};
 use crate::file::StartFile;
 use crate::lines;
@@ -128,6 +129,7 @@
     pub(crate) calls: Calls,
     pub(crate) doors: Doors,
     pub(crate) byes: Byes,
+    pub(crate) early_cancels: EarlyCancels,
     pub(crate) servers: Servers,
     pub(crate) feed: Feed,
     pub(crate) timers: Timers<Due>,
@@ -161,6 +163,7 @@
             calls: Calls::default(),
             doors: Doors::default(),
             byes: Byes::default(),
+            early_cancels: EarlyCancels::default(),
             servers: Servers::default(),
             feed: Feed::new(file.feed, now),
             timers: Timers::default(),
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -6,6 +6,7 @@
 mod callers;
 mod calls;
 mod door;
+mod early;
 mod edge;
 mod ending;
 mod feed;
