Descriptors are kept for list and servers at every limit; no request goes with an eviction

Observed (by reading, then forced): (1) at limits.sockets 64 half was callers' whatever the servers needed: with 27 servers the feed or a link found no descriptor, and only the crowd's own end after 6 s made room; (2) the one evicted was chosen before what had come beside it was read, and where all had a request open the newest was closed without a word. Excluded: the accept loop spinning (it sleeps 5 ms) and the kernel's limit as such (the test runs under ulimit -n 64). At fault: edge.rs, most_doors (max(limit / 2) undoes the reserve) and accepted; door.rs, least_useful (fallback next_back); readers.rs, accept (no bound of its own: up to 256 connections accepted and not yet counted). Callers keep at least a third of the limit, links to servers have their room, the accept loop stops 4 connections past the bound; evictions come after the intake, and what is open there is answered 503 or 504.

--- a/crates/cli/tests/common/live.rs
+++ b/crates/cli/tests/common/live.rs
@@ -160,3 +160,14 @@
     command.env("ROUTER_CONFIG", config).stdout(Stdio::null()).stderr(Stdio::null());
     Front(command.spawn().unwrap())
 }
+
+/// The same on a machine that gives it so many descriptors and no more, as its configuration says.
+pub fn run_limited(config: &Path, listen: SocketAddr, sockets: usize) -> Front {
+    let text = std::fs::read_to_string(config).unwrap();
+    std::fs::write(config, text.replace("\"sockets\":256", &format!("\"sockets\":{sockets}"))).unwrap();
+    let limited = format!("ulimit -n {sockets} && exec {} live", env!("CARGO_BIN_EXE_shalespindle"));
+    let mut command = Command::new("/bin/sh");
+    command.args(["-c", &limited]).env("ROUTER_NAME", "n0").env("ROUTER_LISTEN", listen.to_string());
+    command.env("ROUTER_CONFIG", config).stdout(Stdio::null()).stderr(Stdio::null());
+    Front(command.spawn().unwrap())
+}
--- a/crates/cli/tests/races.rs
+++ b/crates/cli/tests/races.rs
@@ -8,11 +8,12 @@
 #[allow(dead_code)]
 mod process;
 
-use live::{signal, Caller, Live};
+use live::{event, free_address, run_limited, signal, write_config, Caller, Live};
 use nix::sys::signal::Signal;
 use process::{until, PATIENCE};
-use shalespindle_standin::platform::LineServer;
-use std::net::Shutdown;
+use shalespindle_standin::platform::{EventFeed, LineServer};
+use std::net::{Shutdown, TcpStream};
+use std::time::Instant;
 
 const CALLS: [&str; 2] = ["9b1f03aa5c7e2d41", "9b1f03aa5c7e2d42"];
 
@@ -101,3 +102,44 @@
     assert_eq!(asking.next().0, "487");
     assert_eq!(set_ups(&live, 0), Vec::<String>::new());
 }
+
+/// Clients that only hold their connections fill what the front has, at the smallest limit that a deployment may state,
+/// while its feed is away; then the feed tells of many servers at once, and each gets its link although the clients stay.
+#[test]
+fn idle_clients_that_fill_the_descriptors_keep_neither_list_nor_servers_nor_callers_out() {
+    let servers: Vec<LineServer> = (0..27).map(|_| LineServer::start().unwrap()).collect();
+    let names: Vec<String> = (0..servers.len()).map(|n| format!("s-{n}")).collect();
+    let (listen, feed) = (free_address(), free_address());
+    let folder = tempfile::tempdir().unwrap();
+    let config = folder.path().join("config.json");
+    // Nothing listens at the feed's address, and no server is known.
+    write_config(&config, listen, feed, &event(1, &[]));
+    let mut front = run_limited(&config, listen, 64);
+    let mut early = Caller::accepted(listen);
+    early.send("INVITE", CALLS[1], "9d41\r\n");
+    assert_eq!(early.next().0, "503", "there is no server");
+    let crowd: Vec<TcpStream> = (0..200).map(|_| TcpStream::connect(listen).unwrap()).collect();
+    // They last longer than those that never said a word.
+    let testers: Vec<Caller> = (0..60).map(|_| Caller::accepted(listen)).collect();
+
+    let begin = Instant::now();
+    let listed: Vec<_> = names.iter().zip(&servers).map(|(name, s)| (name.as_str(), s.address)).collect();
+    let feed = EventFeed::start_at(feed, vec![event(1, &[]), event(2, &listed)]).unwrap();
+    until("the question to the feed", || !feed.asked().is_empty());
+    let asked = begin.elapsed();
+    until("a link to each server", || servers.iter().all(|s| s.accepted() > 0));
+    let linked = begin.elapsed();
+    let mut caller = Caller::new(listen);
+    caller.send("INVITE", CALLS[0], "9d41\r\n");
+    let set_up = servers[0].expect("setup", PATIENCE).unwrap();
+    set_up.reply(&serde_json::json!({"type": "answer", "id": CALLS[0], "fields": {}, "sdp": "77"})).unwrap();
+    assert_eq!(caller.next(), ("200".into(), "77".into()));
+    let served = begin.elapsed();
+    early.send("OPTIONS", "aaaaaaaaaaaaaaaa", "");
+    assert_eq!(early.next().0, "200", "one that had asked for something lost its place to the crowd");
+    println!("feed asked after {asked:?}, servers linked after {linked:?}, a caller served after {served:?}");
+    // The crowd's connections are closed for idleness only after 6 s: before that nothing has made room by itself.
+    assert!(served.as_secs() < 4, "{asked:?} {linked:?} {served:?}");
+    assert!(front.0.try_wait().unwrap().is_none(), "it ended");
+    drop((crowd, testers));
+}
--- a/crates/platform-service/src/lib.rs
+++ b/crates/platform-service/src/lib.rs
@@ -2,6 +2,7 @@
 //! mailbox; it writes without blocking and decides nothing.
 
 mod owner;
+mod places;
 mod readers;
 mod service;
 
--- a/crates/platform-service/src/owner.rs
+++ b/crates/platform-service/src/owner.rs
@@ -1,7 +1,8 @@
 //! The coroutine that owns the core: letters in, turns, outputs out.
 
+use crate::places::Places;
 use crate::readers;
-use shalespindle_platform::{Edge, Loss, Output, StartFile, Wire};
+use shalespindle_platform::{Edge, Loss, Output, StartFile, Wire, UNCOUNTED};
 use shalespindle_sockets::{Ground, Mail, Mailbox, Writing};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -43,15 +44,22 @@
     mail: Mail<Letter>,
     peers: BTreeMap<Wire, Peer>,
     dialled: BTreeSet<Wire>,
+    places: Places,
     counted_at: f64,
     /// The longest time that the owner was late since the last line of counters.
     late: f64,
 }
 
 impl Owner {
-    pub fn new(edge: Edge, ground: Ground, mailbox: Mailbox<Letter>, mail: Mail<Letter>) -> Owner {
+    pub fn new(
+        edge: Edge,
+        ground: Ground,
+        mailbox: Mailbox<Letter>,
+        mail: Mail<Letter>,
+        places: Places,
+    ) -> Owner {
         let (peers, dialled) = Default::default();
-        Owner { edge, ground, mailbox, mail, peers, dialled, counted_at: 0.0, late: 0.0 }
+        Owner { edge, ground, mailbox, mail, peers, dialled, places, counted_at: 0.0, late: 0.0 }
     }
 
     /// Runs until the end that was asked for.
@@ -72,6 +80,7 @@
             self.take_in(next);
             let now = self.ground.now();
             self.edge.turn(now);
+            self.places.set_most(self.edge.most_doors() + UNCOUNTED);
             if blocked {
                 self.write_on();
             }
@@ -120,8 +129,6 @@
             Letter::Accepted { wire, writing } => {
                 self.peers.insert(wire, Peer { writing, waiting: Vec::new() });
                 self.edge.accepted(now, wire);
-                // One that is closed to make room must be closed before the next is accepted.
-                self.carry();
             }
             Letter::Connected { wire, writing } => {
                 if self.dialled.remove(&wire) {
--- a/crates/platform-service/src/readers.rs
+++ b/crates/platform-service/src/readers.rs
@@ -1,6 +1,7 @@
 //! Coroutines that accept, dial and read.
 
 use crate::owner::Letter;
+use crate::places::Places;
 use may::net::{TcpListener, TcpStream};
 use shalespindle_platform::{Loss, Wire};
 use shalespindle_sockets::{read_all, share, start, Ground, Handle, Mailbox, SMALL_STACK};
@@ -10,17 +11,27 @@
 
 /// Bytes read at once: most messages are far shorter, and every connection has such a buffer.
 const READ: usize = 4 * 1024;
-/// Wait where a connection cannot be accepted: out of descriptors, most likely.
+/// Wait where a connection cannot be accepted: callers hold all that they may, or the system has none left.
 const NO_PLACE: Duration = Duration::from_millis(5);
 
-pub(crate) fn accept(listener: TcpListener, mailbox: Mailbox<Letter>, ground: Ground) -> io::Result<Handle> {
+pub(crate) fn accept(
+    listener: TcpListener,
+    mailbox: Mailbox<Letter>,
+    ground: Ground,
+    places: Places,
+) -> io::Result<Handle> {
     start(SMALL_STACK, move || {
         let mut last: Wire = 0;
         loop {
+            if places.are_full() {
+                may::coroutine::sleep(NO_PLACE);
+                continue;
+            }
             let Ok((stream, _)) = listener.accept() else {
                 may::coroutine::sleep(NO_PLACE);
                 continue;
             };
+            let place = places.take();
             last += 2;
             // A socket that has ended already says so to its reader.
             let _ = stream.set_nodelay(true);
@@ -33,6 +44,7 @@
             let started = start(SMALL_STACK, move || {
                 read(&mut reading, wire, &mailbox_of, &ground);
                 drop(reading);
+                drop(place);
                 let _ = mailbox_of.send(Letter::Lost { wire, loss: Loss::Broken });
             });
             if started.is_err() {
--- a/crates/platform-service/src/service.rs
+++ b/crates/platform-service/src/service.rs
@@ -1,9 +1,10 @@
 //! A live front: its sockets, its coroutines, and the handle that asks it for things.
 
 use crate::owner::{Letter, Owner};
+use crate::places::Places;
 use crate::readers;
 use may::net::TcpListener;
-use shalespindle_platform::{Edge, StartFile};
+use shalespindle_platform::{Edge, StartFile, UNCOUNTED};
 use shalespindle_sockets::{end, mailbox, start, Ground, Handle, Mailbox, LARGE_STACK};
 use std::io;
 use std::net::SocketAddr;
@@ -35,8 +36,9 @@
         let listener = TcpListener::bind(listen)?;
         let address = listener.local_addr()?;
         let (mailbox, mail) = mailbox(ROOM);
-        let accepting = readers::accept(listener, mailbox.clone(), ground.clone())?;
-        let owner = Owner::new(edge, ground, mailbox.clone(), mail);
+        let places = Places::new(edge.most_doors() + UNCOUNTED);
+        let accepting = readers::accept(listener, mailbox.clone(), ground.clone(), places.clone())?;
+        let owner = Owner::new(edge, ground, mailbox.clone(), mail, places);
         let owner = start(LARGE_STACK, move || owner.run())?;
         Ok(Service { address, mailbox, accepting: Some(accepting), owner: Some(owner) })
     }
--- a/crates/platform/src/door.rs
+++ b/crates/platform/src/door.rs
@@ -11,6 +11,8 @@
 const USELESS: f64 = 2.4;
 /// Callers close a connection without a call after 4 s; one that is kept longer is kept for nothing.
 const IDLE: f64 = 6.0;
+/// A caller that connects to ask has asked by then.
+const ON_ITS_WAY: f64 = 0.25;
 /// Messages of bad form after which a connection is closed.
 pub const MOST_BAD: u32 = 4;
 
@@ -76,12 +78,23 @@
         }
     }
 
-    /// The one to close first where there are too many: of least use so far, then longest idle.
-    pub fn least_useful(&self) -> Option<Wire> {
-        let idle = self.all.iter().filter(|d| d.1.is_idle());
-        let least =
-            idle.min_by(|(_, a), (_, b)| a.use_of.cmp(&b.use_of).then(a.last_at.total_cmp(&b.last_at)));
-        least.or_else(|| self.all.iter().next_back()).map(|d| *d.0)
+    /// The one to close first where there are too many: of least use so far, then longest idle. After them the one that
+    /// came last, whose request may still be on its way; then those that wait for their caller's word on an answer; one
+    /// on which an answer is owed only where all owe one, and then the newest.
+    pub fn least_useful(&self, now: f64) -> Option<Wire> {
+        let rank = |wire, d: &Door| (!d.is_idle(), !d.unconfirmed.is_empty(), self.is_awaited(now, wire));
+        let least = self.all.iter().min_by(|(a_wire, a), (b_wire, b)| {
+            let order = rank(**a_wire, a).cmp(&rank(**b_wire, b)).then(a.use_of.cmp(&b.use_of));
+            let newest_first = b.opened_at.total_cmp(&a.opened_at);
+            order.then(if a.is_idle() { a.last_at.total_cmp(&b.last_at) } else { newest_first })
+        });
+        least.map(|d| *d.0)
+    }
+
+    /// The one that came last, only just now, and has said nothing yet.
+    pub fn is_awaited(&self, now: f64, wire: Wire) -> bool {
+        let last = self.all.last_key_value().filter(|d| *d.0 == wire);
+        last.is_some_and(|(_, d)| d.use_of == Use::None && now - d.opened_at < ON_ITS_WAY)
     }
 
     /// Those that have had their time.
--- a/crates/platform/src/edge.rs
+++ b/crates/platform/src/edge.rs
@@ -78,6 +78,8 @@
     pub late_answers: u64,
     pub doors_evicted: u64,
     pub doors_overdue: u64,
+    /// Links that were not made for want of a descriptor.
+    pub no_descriptor: u64,
     pub tests: u64,
     /// Releases written to callers, those written again elsewhere, confirmed, and never confirmed.
     pub byes: u64,
@@ -110,8 +112,6 @@
 const SWEEP: f64 = 0.1;
 /// A platform's time limits are longer by this on sockets; the guard is kept by that much longer too.
 const SOCKET_SLACK: f64 = 0.05;
-/// Descriptors kept for all that is not a caller's connection.
-const OWN_DESCRIPTORS: usize = 72;
 /// Part of the memory limit that descriptions in hand may fill.
 const HELD_PART: f64 = 0.125;
 
@@ -122,7 +122,7 @@
     pub(crate) procedures: Vec<(String, f64)>,
     pub(crate) most_held: usize,
     pub(crate) most_bytes: usize,
-    pub(crate) most_doors: usize,
+    pub(crate) most_sockets: usize,
     pub(crate) dial_within: f64,
     /// Unix time of the clock's zero, seconds.
     pub(crate) zero: f64,
@@ -157,7 +157,7 @@
             procedures,
             most_held: startup.place.most_held,
             most_bytes: (file.limits.memory_mb * 1e6 * HELD_PART) as usize,
-            most_doors: file.limits.sockets.saturating_sub(OWN_DESCRIPTORS).max(file.limits.sockets / 2),
+            most_sockets: file.limits.sockets,
             dial_within: startup.place.dial_within,
             zero: unix - now,
             calls: Calls::default(),
@@ -192,12 +192,6 @@
 
     /// A caller's connection was accepted.
     pub fn accepted(&mut self, now: f64, wire: Wire) {
-        if self.doors.all.len() >= self.most_doors {
-            if let Some(least) = self.doors.least_useful() {
-                self.counters.doors_evicted += 1;
-                self.close_door(now, least);
-            }
-        }
         self.doors.open(now, wire);
     }
 
@@ -310,6 +304,7 @@
         while let Some(decision) = self.control.next_decision(now) {
             self.carry(now, decision);
         }
+        self.make_room(now);
     }
 
     fn due(&mut self, now: f64, due: Due) {
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -13,9 +13,11 @@
 mod file;
 mod lines;
 mod link;
+mod room;
 mod servers;
 mod sip;
 mod sse;
 
 pub use edge::{Counters, Edge, Loss, Output, Wire};
 pub use file::{read_file, StartFile};
+pub use room::UNCOUNTED;
--- a/crates/platform/src/servers.rs
+++ b/crates/platform/src/servers.rs
@@ -148,7 +148,12 @@
                 None => return,
             }
         }
-        let Some(to) = self.servers.all.get(&pool).map(|s| s.address) else { return };
+        let found = self.servers.all.get(&pool).map(|s| (s.address, s.links.is_empty()));
+        let Some((to, is_first)) = found else { return };
+        if !self.has_room_for_link(is_first) {
+            self.counters.no_descriptor += 1;
+            return;
+        }
         let wire = self.new_wire();
         if let Some(server) = self.servers.all.get_mut(&pool) {
             server.links.push(wire);
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -5,6 +5,7 @@
 use serde_json::Value;
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{channel, Receiver, RecvTimeoutError, Sender};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -50,6 +51,7 @@
     pub address: SocketAddr,
     got: Receiver<Got>,
     held: Held,
+    accepted: Arc<AtomicUsize>,
 }
 
 /// The connections whose first word is held back; none where it is not.
@@ -71,13 +73,21 @@
         let (tell, got) = channel();
         let held = Arc::new(Mutex::new(held));
         let holding = held.clone();
+        let accepted = Arc::new(AtomicUsize::new(0));
+        let counting = accepted.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                counting.fetch_add(1, Ordering::Relaxed);
                 let (tell, held) = (tell.clone(), holding.clone());
                 std::thread::spawn(move || serve(stream, &tell, &held));
             }
         });
-        Ok(LineServer { address, got, held })
+        Ok(LineServer { address, got, held, accepted })
+    }
+
+    /// How many connections have been made to it so far.
+    pub fn accepted(&self) -> usize {
+        self.accepted.load(Ordering::Relaxed)
     }
 
     /// How many connections wait for its first word.
@@ -145,7 +155,12 @@
 impl EventFeed {
     /// A feed that has so many events behind it already.
     pub fn start(events: Vec<String>) -> io::Result<EventFeed> {
-        let listener = TcpListener::bind("127.0.0.1:0")?;
+        EventFeed::start_at(SocketAddr::from(([127, 0, 0, 1], 0)), events)
+    }
+
+    /// The same at an address that fronts have been told already.
+    pub fn start_at(at: SocketAddr, events: Vec<String>) -> io::Result<EventFeed> {
+        let listener = TcpListener::bind(at)?;
         let address = listener.local_addr()?;
         let told: Shared<Told> = Arc::new(Mutex::new(Told { events, ..Told::default() }));
         let (asking, ticking) = (told.clone(), Arc::downgrade(&told));
