Signals count from the first moment; a configuration announced half written is read again

Observed (forced): SIGHUP or SIGTERM while the first configuration is read ended the process; a file announced before it was whole was refused and never taken, since its one signal had come. At fault: cli/src/live.rs, run: signals registered after read, and one try a signal. Without the fix: 'the front never listens', success() false, 'the question to the new feed never came'.

--- a/crates/cli/src/live.rs
+++ b/crates/cli/src/live.rs
@@ -9,16 +9,23 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::process::ExitCode;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tracing::{error, info};
 use tracing_subscriber::EnvFilter;
 
+/// A new configuration that cannot be read may be half written: it is read again for so long.
+const REREAD_FOR: Duration = Duration::from_secs(5);
+/// Time between two looks at signals.
+const LOOK: Duration = Duration::from_millis(10);
+
 fn read(config: &Path) -> Result<StartFile, String> {
     let text = std::fs::read(config).map_err(|e| format!("{}: {e}", config.display()))?;
     read_file(&text).map_err(|e| format!("{}: {e}", config.display()))
 }
 
 pub fn run(config: &Path, listen: Option<SocketAddr>, name: Option<String>) -> io::Result<ExitCode> {
+    // Before anything else: a signal must not end the process in the middle of its start.
+    let signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
     let mut file = match read(config) {
         Ok(file) => file,
         Err(why) => {
@@ -32,27 +39,52 @@
     file.listen = listen.unwrap_or(file.listen);
     file.name = name.unwrap_or(file.name);
     let name = file.name.clone();
-    // Before the first coroutine, and before a signal could end the process in the middle of its start.
-    let signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
+    // Before the first coroutine.
     one_core();
     let service = Service::start(file)?;
     info!(target: "shalespindle::platform", name, address = %service.address(), "in service");
     let mut asked = false;
+    let mut reload = Reload::default();
     while !service.is_over() {
         for signal in signals.pending() {
             if signal == SIGHUP {
-                match read(config) {
-                    Ok(file) => service.reload(file),
-                    Err(why) => error!(target: "shalespindle::platform", why, "the old configuration stays"),
-                }
+                reload = Reload { until: Some(Instant::now() + REREAD_FOR), told: false };
             } else {
                 asked = true;
                 info!(target: "shalespindle::platform", signal, "asked to end");
                 service.end();
             }
         }
-        std::thread::sleep(Duration::from_millis(10));
+        reload.go_on(config, &service);
+        std::thread::sleep(LOOK);
     }
     info!(target: "shalespindle::platform", name, "ended");
     Ok(if asked { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
+
+/// A new configuration that was announced and is not taken yet.
+#[derive(Default)]
+struct Reload {
+    until: Option<Instant>,
+    /// Its fault has been logged.
+    told: bool,
+}
+
+impl Reload {
+    /// Guards against a file that is announced before it is whole: its one signal has come by then.
+    fn go_on(&mut self, config: &Path, service: &Service) {
+        let Some(until) = self.until else { return };
+        match read(config) {
+            Ok(file) => {
+                service.reload(file);
+                self.until = None;
+            }
+            Err(why) => {
+                if !std::mem::replace(&mut self.told, true) {
+                    error!(target: "shalespindle::platform", why, "the old configuration stays");
+                }
+                self.until = Some(until).filter(|until| Instant::now() < *until);
+            }
+        }
+    }
+}
--- a/crates/cli/tests/common/live.rs
+++ b/crates/cli/tests/common/live.rs
@@ -132,6 +132,11 @@
         self.folder.path().join("config.json")
     }
 
+    /// What the front has logged so far.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(self.config().with_extension("log")).unwrap_or_default()
+    }
+
     /// What is done meanwhile lies unread when the process gets its next turn.
     pub fn while_stopped(&self, act: impl FnOnce()) {
         signal(&self.front, Signal::SIGSTOP);
@@ -153,11 +158,12 @@
     TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
 }
 
-/// Starts a live front with that configuration.
+/// Starts a live front with that configuration; its log goes into a file beside it.
 pub fn run(config: &Path, listen: SocketAddr) -> Front {
     let mut command = Command::new(env!("CARGO_BIN_EXE_shalespindle"));
     command.arg("live").env("ROUTER_NAME", "n0").env("ROUTER_LISTEN", listen.to_string());
-    command.env("ROUTER_CONFIG", config).stdout(Stdio::null()).stderr(Stdio::null());
+    let log = std::fs::File::create(config.with_extension("log")).unwrap();
+    command.env("ROUTER_CONFIG", config).stdout(Stdio::null()).stderr(log);
     Front(command.spawn().unwrap())
 }
 
--- a/crates/cli/tests/races.rs
+++ b/crates/cli/tests/races.rs
@@ -8,12 +8,15 @@
 #[allow(dead_code)]
 mod process;
 
-use live::{event, free_address, run_limited, signal, write_config, Caller, Live};
+use live::{event, free_address, run, run_limited, signal, write_config, Caller, Live};
 use nix::sys::signal::Signal;
-use process::{until, PATIENCE};
+use process::{until, Front, PATIENCE};
 use shalespindle_standin::platform::{EventFeed, LineServer};
-use std::net::{Shutdown, TcpStream};
+use std::io::Write;
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::os::unix::fs::OpenOptionsExt;
 use std::time::Instant;
+use tempfile::TempDir;
 
 const CALLS: [&str; 2] = ["9b1f03aa5c7e2d41", "9b1f03aa5c7e2d42"];
 
@@ -143,3 +146,60 @@
     assert!(front.0.try_wait().unwrap().is_none(), "it ended");
     drop((crowd, testers));
 }
+
+/// The process is held while it reads its configuration: a pipe that the test has not written to yet.
+fn held_at_its_start(act: impl FnOnce(&Front)) -> (Front, SocketAddr, TempDir) {
+    let (listen, folder) = (free_address(), tempfile::tempdir().unwrap());
+    let (config, whole) = (folder.path().join("config.json"), folder.path().join("whole.json"));
+    write_config(&whole, listen, free_address(), &event(1, &[]));
+    nix::unistd::mkfifo(&config, nix::sys::stat::Mode::S_IRWXU).unwrap();
+    let front = run(&config, listen);
+    // Opens only where somebody reads already.
+    let mut options = std::fs::OpenOptions::new();
+    options.write(true).custom_flags(nix::libc::O_NONBLOCK);
+    let mut pipe = None;
+    until("the front's look at its configuration", || {
+        pipe = options.open(&config).ok();
+        pipe.is_some()
+    });
+    act(&front);
+    let text = std::fs::read(&whole).unwrap();
+    // From now on its name leads to the file itself.
+    std::fs::rename(&whole, &config).unwrap();
+    pipe.unwrap().write_all(&text).unwrap();
+    (front, listen, folder)
+}
+
+#[test]
+fn a_new_configuration_announced_while_the_front_reads_its_first_does_not_end_it() {
+    let (mut front, listen, _folder) = held_at_its_start(|front| signal(front, Signal::SIGHUP));
+    Caller::accepted(listen);
+    assert!(front.0.try_wait().unwrap().is_none());
+}
+
+#[test]
+fn an_end_asked_for_before_the_front_is_ready_is_an_orderly_one_and_further_signals_change_nothing() {
+    let (mut front, _, _folder) = held_at_its_start(|front| signal(front, Signal::SIGTERM));
+    for again in [Signal::SIGHUP, Signal::SIGTERM] {
+        signal(&front, again);
+    }
+    until("the front's end", || front.0.try_wait().unwrap().is_some());
+    assert!(front.0.wait().unwrap().success());
+}
+
+/// SIGHUP comes when half of the new file is there, and once only.
+#[test]
+fn a_configuration_announced_before_it_is_whole_is_taken_when_it_is() {
+    let live = Live::start(1);
+    let _caller = Caller::accepted(live.listen);
+    let moved = EventFeed::start(vec![event(1, &[])]).unwrap();
+    let whole = live.config().with_extension("new");
+    write_config(&whole, live.listen, moved.address, &event(1, &[]));
+    let text = std::fs::read(&whole).unwrap();
+    std::fs::write(live.config(), &text[..text.len() / 2]).unwrap();
+    signal(&live.front, Signal::SIGHUP);
+    until("the word that it cannot be read", || live.log().contains("the old configuration stays"));
+    assert!(moved.asked().is_empty());
+    std::fs::write(live.config(), &text).unwrap();
+    until("the question to the new feed", || !moved.asked().is_empty());
+}
