A front whose address is still taken asks for it again

Observed (forced): a start while the address is held ended with 'Address already in use', a refused start. At fault: service.rs, start: one bind. Asked again each 20 ms for 5 s, logged. Without the fix: 'it ended: shalespindle: Address already in use'.

--- a/crates/cli/tests/races.rs
+++ b/crates/cli/tests/races.rs
@@ -203,3 +203,19 @@
     std::fs::write(live.config(), &text).unwrap();
     until("the question to the new feed", || !moved.asked().is_empty());
 }
+
+#[test]
+fn a_front_whose_address_is_still_taken_starts_when_it_is_free() {
+    let taken = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (listen, folder) = (taken.local_addr().unwrap(), tempfile::tempdir().unwrap());
+    let config = folder.path().join("config.json");
+    write_config(&config, listen, free_address(), &event(1, &[]));
+    let mut front = run(&config, listen);
+    let log = || std::fs::read_to_string(config.with_extension("log")).unwrap_or_default();
+    until("the first try", || {
+        assert!(front.0.try_wait().unwrap().is_none(), "it ended: {}", log());
+        log().contains("asked for again")
+    });
+    drop(taken);
+    Caller::accepted(listen);
+}
--- a/crates/platform-service/src/service.rs
+++ b/crates/platform-service/src/service.rs
@@ -8,11 +8,16 @@
 use shalespindle_sockets::{end, mailbox, start, Ground, Handle, Mailbox, LARGE_STACK};
 use std::io;
 use std::net::SocketAddr;
-use std::time::{Duration, SystemTime};
+use std::time::{Duration, Instant, SystemTime};
+use tracing::warn;
 
 /// Letters that may wait for the owner; each holds one read at most.
 const ROOM: usize = 256;
 
+/// An address that is taken is asked for again for so long, and so often.
+const TAKEN_FOR: Duration = Duration::from_secs(5);
+const BIND_AGAIN: Duration = Duration::from_millis(20);
+
 /// Fits the coroutines' scheduler to a machine of one core. Called once, before the first coroutine.
 pub fn one_core() {
     may::config().set_workers(1);
@@ -33,7 +38,7 @@
         let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or(Duration::ZERO);
         let listen = file.listen;
         let edge = Edge::new(file, ground.now(), unix.as_secs_f64()).map_err(io::Error::other)?;
-        let listener = TcpListener::bind(listen)?;
+        let listener = bind(listen)?;
         let address = listener.local_addr()?;
         let (mailbox, mail) = mailbox(ROOM);
         let places = Places::new(edge.most_doors() + UNCOUNTED);
@@ -62,6 +67,20 @@
     }
 }
 
+/// Guards a restart against its own predecessor, whose listener the system may not have taken back yet.
+fn bind(listen: SocketAddr) -> io::Result<TcpListener> {
+    let begin = Instant::now();
+    loop {
+        match TcpListener::bind(listen) {
+            Err(why) if why.kind() == io::ErrorKind::AddrInUse && begin.elapsed() < TAKEN_FOR => {
+                warn!(target: "shalespindle::platform", %listen, %why, "asked for again");
+                std::thread::sleep(BIND_AGAIN);
+            }
+            bound => return bound,
+        }
+    }
+}
+
 impl Drop for Service {
     fn drop(&mut self) {
         if let Some(accepting) = self.accepting.take() {
