A call handed over before its server is known is held, not ended

Observed (by reading, then forced): a call handed over (at) that names a server which the front's list does not have yet was told to be over at once, while it stood at its server. At fault: callers.rs, handed_over (None: send_bye). It waits for the list now: 0.5 s where the feed is followed, 2 s where it is not (of a server that is gone the caller is to be told within 8 s); a BYE meanwhile is passed on when the server is known. handover.rs has it. cases.rs: 'of a server that is gone nothing stands' asserted the BYE in the same instant, which is the fault; it asserts now that it comes after the list has had its time and not before, on both states of the feed. Without the fix: races.rs 'the call was ended', left BYE right 200; cases.rs the same.

--- a/crates/platform/src/callers.rs
+++ b/crates/platform/src/callers.rs
@@ -146,28 +146,6 @@
         self.send_byes(now);
     }
 
-    /// A call that stands already, set up by another front or by this one before it started.
-    fn handed_over(&mut self, now: f64, wire: Wire, id: u64, server: &str) {
-        if self.calls.by_id(id).is_some() {
-            return;
-        }
-        match self.servers.named(server) {
-            // Bounded like the attaches in hand; beyond that it is not held and its caller not told.
-            Some(pool) if self.calls.standing() < self.most_held => {
-                self.calls.add(id, wire, Is::Stands(Stands { pool, confirmed: true }));
-                if let Some(server) = self.servers.all.get_mut(&pool) {
-                    server.standing += 1;
-                }
-                self.doors.used(now, wire, Use::Asks);
-                self.keep_linked(now, pool);
-                self.send_byes(now);
-            }
-            Some(_) => self.counters.no_place += 1,
-            // Of a server that is gone nothing stands.
-            None => self.send_bye(now, wire, id, CUT),
-        }
-    }
-
     fn ack(&mut self, now: f64, wire: Wire, message: &Message) {
         let Some(call) = sip::id(message).and_then(|id| self.calls.by_id(id)) else { return };
         let (ue, door) = (call.ue, call.door);
@@ -210,14 +188,16 @@
     }
 
     fn bye(&mut self, now: f64, wire: Wire, message: &Message) {
+        let cause = message.q850_cause().unwrap_or(16);
         let Some(call) = sip::id(message).and_then(|id| self.calls.by_id(id)) else {
-            return self.respond(wire, 481, message);
+            let handed = sip::id(message).is_some_and(|id| self.handed_released(id, cause));
+            return self.respond(wire, if handed { 200 } else { 481 }, message);
         };
         let (ue, stands) = (call.ue, matches!(call.is, Is::Stands(_)));
         self.doors.used(now, wire, if stands { Use::Caller } else { Use::Asks });
         self.respond(wire, 200, message);
         if stands {
-            self.released_by_caller(now, ue, message.q850_cause().unwrap_or(16));
+            self.released_by_caller(now, ue, cause);
         } else {
             self.client_left(now, ue);
         }
@@ -256,7 +236,7 @@
         self.stands_no_more(pool);
     }
 
-    fn send_bye(&mut self, now: f64, own: Wire, id: u64, cause: u16) {
+    pub(crate) fn send_bye(&mut self, now: f64, own: Wire, id: u64, cause: u16) {
         self.byes.owe(now, id, cause, own);
         self.send_byes(now);
     }
@@ -316,6 +296,7 @@
             }
             self.close_door(now, wire);
         }
+        self.expire_handed(now);
         for id in self.byes.expire(now) {
             self.counters.byes_unheard += 1;
             self.belief("release never heard", format!("{id:016x}"), "given up".into());
--- a/crates/platform/src/edge.rs
+++ b/crates/platform/src/edge.rs
@@ -7,6 +7,7 @@
 use crate::early::EarlyCancels;
 use crate::feed::{Event, Feed, DIAL_WITHIN};
 use crate::file::StartFile;
+use crate::handover::Handed;
 use crate::lines;
 use crate::link::{LinkState, Phase, Servers};
 use crate::sip;
@@ -135,6 +136,8 @@
     pub(crate) timers: Timers<Due>,
     pub(crate) out: VecDeque<Output>,
     pub(crate) counters: Counters,
+    /// Calls handed over whose server is not known yet.
+    pub(crate) handed: Vec<Handed>,
     pub(crate) ending: Option<f64>,
     /// Servers that have a link again: what waits for one goes out in the front's next turn.
     pub(crate) linked: Vec<PoolName>,
@@ -169,6 +172,7 @@
             timers: Timers::default(),
             out: VecDeque::new(),
             counters: Counters::default(),
+            handed: Vec::new(),
             ending: None,
             linked: Vec::new(),
             last_wire: 1,
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -11,6 +11,7 @@
 mod ending;
 mod feed;
 mod file;
+mod handover;
 mod lines;
 mod link;
 mod room;
--- a/crates/platform/src/servers.rs
+++ b/crates/platform/src/servers.rs
@@ -71,6 +71,7 @@
             self.phase(now, pool, phase);
         }
         self.control.pools_listed(now, &entries, news.complete);
+        self.take_handed(now);
     }
 
     fn phase(&mut self, now: f64, pool: PoolName, phase: Phase) {
--- a/crates/platform/tests/cases.rs
+++ b/crates/platform/tests/cases.rs
@@ -284,8 +284,43 @@
     assert_eq!(w.edge.held()[1], 1);
     w.say(links[0], &release(1, 16, ""));
     assert_eq!(w.answers(door), [("BYE".into(), id(1))]);
+    // Of a server that is gone nothing stands; that it is gone, and not only unknown yet, shows when the list has had
+    // its time.
     w.bytes(door, handed(2, "nobody").as_bytes());
+    w.pass(1.9);
+    assert_eq!(w.took(door), "", "its list may not have come yet");
+    w.pass(0.2);
     assert_eq!(w.answers(door), [("BYE".into(), id(2))]);
+    let feed = w.dialled_feed(4222);
+    w.edge.connected(w.now, feed);
+    w.bytes(door, handed(3, "nobody").as_bytes());
+    w.pass(0.7);
+    assert_eq!(w.answers(door), [("BYE".into(), id(3))], "the list is followed");
+}
+
+/// The front starts, or its feed is away, while a call is handed over that stands at a server which is new.
+#[test]
+fn a_call_handed_over_before_its_server_is_known_is_held_and_not_ended() {
+    let (mut w, _) = World::linked(1);
+    let door = w.door();
+    let handed = |call| invite_with(call, "X-Setup-Ms: 3000\r\nX-Route: at:s1\r\n", "x");
+    w.bytes(door, [handed(1), handed(1), handed(2)].concat().as_bytes());
+    w.bytes(door, request("BYE", 2).as_bytes());
+    assert_eq!(w.first(door), "200");
+    w.pass(1.0);
+    let feed = w.dialled_feed(4222);
+    w.edge.connected(w.now, feed);
+    let news = event(2, false, &[member("s1", 1, "up", 0)]);
+    let stream = format!("HTTP/1.1 200 OK\r\n\r\nid: 2\ndata: {news}\n\n");
+    w.bytes(feed, stream.as_bytes());
+    let link = w.link(1);
+    // The one is released at its server as its caller wished, the other stands.
+    let told = w.took(link);
+    assert!(told.contains(r#""release","id":"0000000000000002""#) && !told.contains(&id(1)), "{told}");
+    w.pass(3.0);
+    assert_eq!((w.took(door), w.edge.held()[1]), (String::new(), 1));
+    w.say(link, &release(1, 16, ""));
+    assert_eq!(w.answers(door), [("BYE".into(), id(1))]);
 }
 
 #[test]
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -128,6 +128,10 @@
     }
     for line in BufReader::new(stream.try_clone().ok()?).lines() {
         let line: Value = serde_json::from_str(&line.ok()?).ok()?;
+        if line["type"] == "ping" && locked(held).is_some() {
+            // Silent altogether: an answer would be a first word too.
+            continue;
+        }
         if line["type"] == "ping" {
             let fields = serde_json::json!({"load": "x0:40;x1:40;latency_ms:1"});
             let pong = serde_json::json!({"type": "pong", "id": line["id"], "fields": fields, "cause": 1});
