A front that ends writes what it has answered first

Observed (by reading, then forced): answers that a caller's socket had no room for yet were dropped when the front was done, 0.85 s after SIGTERM. At fault: owner.rs, run: is_done asks the core alone, which counts an answer as given once it is decided. The end waits for them up to the latest end; that writing waits is logged once.

--- a/crates/cli/tests/common/live.rs
+++ b/crates/cli/tests/common/live.rs
@@ -6,6 +6,7 @@
 use serde_json::{json, Value};
 use shalespindle_signalling::{Framer, Message, Start};
 use shalespindle_standin::platform::{EventFeed, LineServer};
+use socket2::{Domain, Socket, Type};
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
@@ -60,12 +61,27 @@
             }
             std::thread::sleep(Duration::from_millis(5));
         };
+        Caller::on(stream)
+    }
+
+    fn on(stream: TcpStream) -> Caller {
         stream.set_read_timeout(Some(PATIENCE)).unwrap();
         // What is written must be there for the front to read, whatever else is on its way.
         stream.set_nodelay(true).unwrap();
         Caller { stream, framer: Framer::default() }
     }
 
+    /// One whose socket holds next to nothing of what it has not read, on either side.
+    pub fn that_takes_little(to: SocketAddr) -> Caller {
+        drop(Caller::accepted(to));
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        socket.set_recv_buffer_size(4096).unwrap();
+        // With small segments the other side gives it a small buffer too.
+        socket.set_tcp_mss(536).unwrap();
+        socket.connect(&to.into()).unwrap();
+        Caller::on(socket.into())
+    }
+
     pub fn send(&mut self, method: &str, call: &str, body: &str) {
         self.send_with(method, call, "dest:0;width:1;via:-1", body);
     }
--- a/crates/cli/tests/races.rs
+++ b/crates/cli/tests/races.rs
@@ -239,3 +239,32 @@
     assert_eq!(caller.next().0, "200");
     assert_eq!(server.expect("release", PATIENCE).unwrap().id(), CALLS[0]);
 }
+
+/// More answers than the sockets between them hold are decided before the front ends; their caller reads them after the
+/// time at which a front with nothing in hand is done.
+#[test]
+fn a_front_that_ends_has_written_what_it_answered() {
+    let mut live = Live::start(0);
+    let mut caller = Caller::that_takes_little(live.listen);
+    let mut pace = Caller::accepted(live.listen);
+    let mut asked = 0;
+    while !live.log().contains("writing waits for its reader") {
+        caller.send("INVITE", &format!("{asked:016x}"), "9d41\r\n");
+        asked += 1;
+        assert!(asked < 10_000, "everything fits");
+        // Not far ahead of the front: its bound on what waits is not what is tested.
+        if asked % 20 == 0 {
+            pace.send("OPTIONS", "aaaaaaaaaaaaaaaa", "");
+            assert_eq!(pace.next().0, "200");
+        }
+    }
+    signal(&live.front, Signal::SIGTERM);
+    let begin = Instant::now();
+    while begin.elapsed().as_millis() < 1200 && live.front.0.try_wait().unwrap().is_none() {
+        std::thread::sleep(std::time::Duration::from_millis(5));
+    }
+    for n in 0..asked {
+        assert_eq!(caller.next().0, "503", "answer {n} of {asked}");
+    }
+    assert!(live.ended().success());
+}
--- a/crates/platform-service/src/owner.rs
+++ b/crates/platform-service/src/owner.rs
@@ -86,7 +86,9 @@
             }
             self.carry();
             self.count(now);
-            if self.edge.is_done(now) {
+            // Guards answers that a caller has not made room for yet: they are written, and not only decided, before the end.
+            let blocked = self.peers.values().any(|p| !p.waiting.is_empty());
+            if self.edge.is_done(now) && (!blocked || self.edge.is_overdue(now)) {
                 return;
             }
         }
@@ -179,7 +181,12 @@
         let Some(peer) = self.peers.get_mut(&wire) else { return };
         let written = if peer.waiting.is_empty() { peer.writing.write_some(bytes) } else { Ok(0) };
         match written {
-            Ok(size) => peer.waiting.extend_from_slice(&bytes[size..]),
+            Ok(size) => {
+                if peer.waiting.is_empty() && size < bytes.len() {
+                    info!(target: "shalespindle::platform", wire, "writing waits for its reader");
+                }
+                peer.waiting.extend_from_slice(&bytes[size..]);
+            }
             // Its reader reports the loss.
             Err(_) => return,
         }
--- a/crates/platform/src/ending.rs
+++ b/crates/platform/src/ending.rs
@@ -35,7 +35,12 @@
         let Some(since) = self.ending else { return false };
         // Calls that stand are released through this front for as long as it is there.
         let quiet = self.calls.in_hand() == 0 && self.calls.standing() == 0 && self.byes.is_quiet(now);
-        quiet && now - since > STILL_LISTENS || now > self.ends_at_latest(since)
+        quiet && now - since > STILL_LISTENS || self.is_overdue(now)
+    }
+
+    /// It ends now, whatever is left to do.
+    pub fn is_overdue(&self, now: f64) -> bool {
+        self.ending.is_some_and(|since| now > self.ends_at_latest(since))
     }
 
     /// A set-up that comes now is refused at once: the front ends.
