--- a/crates/standin/src/checker.rs
+++ b/crates/standin/src/checker.rs
@@ -205,6 +205,7 @@
                     stop.1 = now;
                 }
             }
+            Seen::Gone { .. } | Seen::FrontLaunched { .. } => {}
             Seen::FrontUp { .. } | Seen::Probed { .. } | Seen::Acknowledged { .. } => {}
         }
     }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -12,4 +12,5 @@
 pub mod platform;
 pub mod processor;
 pub mod server;
+pub mod terms;
 pub mod trace;
--- a/crates/standin/src/trace.rs
+++ b/crates/standin/src/trace.rs
@@ -26,6 +26,10 @@
     Withdrawn {
         session: Arc<str>,
     },
+    /// The caller closed or reset the connection that its set-up came on.
+    Gone {
+        session: Arc<str>,
+    },
     /// An INVITE reached a server. `leg` is its Call-ID.
     SetUp {
         server: ServerId,
@@ -87,6 +91,11 @@
         front: FrontId,
         servers: Vec<ServerId>,
     },
+    /// A front's process was started.
+    FrontLaunched {
+        front: FrontId,
+    },
+    /// It serves: it has answered a test.
     FrontUp {
         front: FrontId,
     },
