--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -5,6 +5,7 @@
 mod check;
 mod feed;
 mod fleet;
+mod live;
 mod plan;
 mod play;
 mod relay;
@@ -13,6 +14,7 @@
 pub use check::{check, Breach, Seen};
 pub use feed::{ListFeed, Row};
 pub use fleet::{Fleet, FleetShape};
+pub use live::{play_live, LiveShape, LiveSummary};
 pub use plan::{plan, Action};
 pub use play::{look, play, Summary};
 pub use relay::{Faults, Relays};
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -154,6 +154,8 @@
     events: Vec<String>,
     open: Vec<TcpStream>,
     asked: Vec<usize>,
+    /// Takes connections and ends them without a word.
+    away: bool,
 }
 
 impl EventFeed {
@@ -190,6 +192,15 @@
         told.open.retain_mut(|stream| write!(stream, "id: {number}\ndata: {text}\n\n").is_ok());
     }
 
+    /// Goes away, and with it all who listen, or comes back; what is told meanwhile is kept.
+    pub fn set_away(&self, away: bool) {
+        let mut told = locked(&self.told);
+        told.away = away;
+        if away {
+            told.open.clear();
+        }
+    }
+
     /// The numbers after which fronts have asked so far.
     pub fn asked(&self) -> Vec<usize> {
         locked(&self.told).asked.clone()
@@ -206,6 +217,9 @@
     let text = String::from_utf8(head).ok()?;
     let after = text.lines().find_map(|l| l.strip_prefix("Last-Event-ID: "))?.parse::<usize>().ok()?;
     let mut told = locked(told);
+    if told.away {
+        return None;
+    }
     told.asked.push(after);
     write!(stream, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n").ok()?;
     for (place, event) in told.events.iter().enumerate().skip(after) {
