--- a/crates/platform/src/file.rs
+++ b/crates/platform/src/file.rs
@@ -40,6 +40,8 @@
 /// Least limits that a front can serve within.
 const LEAST_SOCKETS: usize = 64;
 const LEAST_MEMORY_MB: f64 = 8.0;
+/// No machine has more.
+const MOST_MEMORY_MB: f64 = 1e9;
 
 /// Reads the file's text; a fault names its place and what is allowed there.
 pub fn read_file(text: &[u8]) -> Result<StartFile, String> {
@@ -48,9 +50,11 @@
     if file.limits.sockets < LEAST_SOCKETS {
         return Err(format!("limits.sockets is {}; {LEAST_SOCKETS} or more is allowed", file.limits.sockets));
     }
-    if file.limits.memory_mb < LEAST_MEMORY_MB {
+    if !(LEAST_MEMORY_MB..=MOST_MEMORY_MB).contains(&file.limits.memory_mb) {
         let found = file.limits.memory_mb;
-        return Err(format!("limits.memory_mb is {found}; {LEAST_MEMORY_MB} or more is allowed"));
+        return Err(format!(
+            "limits.memory_mb is {found}; {LEAST_MEMORY_MB} or more, up to {MOST_MEMORY_MB} is allowed"
+        ));
     }
     // Checked here so that nothing starts, or is taken over, on settings that cannot be used.
     file.settings.clone().take()?;
--- a/crates/startup/src/lib.rs
+++ b/crates/startup/src/lib.rs
@@ -137,26 +137,71 @@
     }
 
     fn check(&self) -> Result<(), String> {
-        let above = |place: String, value: f64| match value > 0.0 && value.is_finite() {
-            true => Ok(()),
-            false => Err(format!("settings.{place} is {value}; more than 0 is allowed")),
-        };
-        let from = |place: &str, value: f64| match value >= 0.0 && value.is_finite() {
-            true => Ok(()),
-            false => Err(format!("settings.{place} is {value}; 0 or more is allowed")),
-        };
         if self.classes.is_empty() {
             return Err("settings.classes is empty; one procedure at least is allowed".into());
         }
         for (place, class) in self.classes.iter().enumerate() {
-            above(format!("classes[{place}].aim_s"), class.aim_s)?;
-            above(format!("classes[{place}].deadline_s"), class.deadline_s)?;
+            let of = |key: &str| format!("classes[{place}].{key}");
+            time(&of("aim_s"), class.aim_s)?;
+            time(&of("deadline_s"), class.deadline_s)?;
+            within(&of("worth"), class.worth, 0.0, MOST)?;
+            within(&of("late_share"), class.late_share, 0.0, 1.0)?;
+            let earlier = &self.classes[..place];
+            if !class.name.is_empty() && earlier.iter().any(|c| c.name == class.name) {
+                return Err(format!(
+                    "settings.{} is {:?} again; each name once is allowed",
+                    of("name"),
+                    class.name
+                ));
+            }
+        }
+        if self.classes.iter().all(|c| c.worth == 0.0) {
+            return Err("settings.classes: worth is 0 of all; more than 0 of one at least is needed".into());
+        }
+        let (cells, classes) = (self.domain.class_cells.len(), self.classes.len());
+        if cells < classes {
+            return Err(format!(
+                "settings.domain.class_cells has {cells} lists; one for each of {classes} is needed"
+            ));
+        }
+        time("limits.dial_timeout_s", self.limits.dial_timeout_s)?;
+        time("safety.warm_after_s", self.safety.warm_after_s)?;
+        time("safety.fall_s", self.safety.fall_s)?;
+        within("domain.guard_s", self.domain.guard_s, 0.0, MOST_SECONDS)?;
+        within("limits.max_retry_after_s", self.limits.max_retry_after_s, 0.0, MOST_SECONDS)?;
+        within("safety.tip_multiple", self.safety.tip_multiple, 1.0, MOST)?;
+        if !(self.safety.start_capacity > 0.0 && self.safety.start_capacity <= 1.0) {
+            let found = self.safety.start_capacity;
+            return Err(format!(
+                "settings.safety.start_capacity is {found}; more than 0, up to 1 is allowed"
+            ));
+        }
+        if self.limits.max_attempts == 0 {
+            return Err("settings.limits.max_attempts is 0; 1 or more is allowed".into());
+        }
+        if self.limits.most_held == 0 {
+            return Err("settings.limits.most_held is 0; 1 or more is allowed".into());
         }
-        above("limits.dial_timeout_s".into(), self.limits.dial_timeout_s)?;
-        above("safety.warm_after_s".into(), self.safety.warm_after_s)?;
-        above("safety.fall_s".into(), self.safety.fall_s)?;
-        from("domain.guard_s", self.domain.guard_s)?;
-        from("limits.max_retry_after_s", self.limits.max_retry_after_s)
+        Ok(())
+    }
+}
+
+/// No time of a deployment is longer, seconds: past it hosts could not take it for a time at all.
+const MOST_SECONDS: f64 = 86_400.0;
+/// No other figure is higher.
+const MOST: f64 = 1e9;
+
+fn time(place: &str, value: f64) -> Result<(), String> {
+    match value > 0.0 && value <= MOST_SECONDS {
+        true => Ok(()),
+        false => Err(format!("settings.{place} is {value}; more than 0, up to {MOST_SECONDS} is allowed")),
+    }
+}
+
+fn within(place: &str, value: f64, least: f64, most: f64) -> Result<(), String> {
+    match value >= least && value <= most {
+        true => Ok(()),
+        false => Err(format!("settings.{place} is {value}; {least} or more, up to {most} is allowed")),
     }
 }
 
