--- a/crates/platform/src/link.rs
+++ b/crates/platform/src/link.rs
@@ -113,6 +113,8 @@
     /// Since when its address has refused every connection.
     pub refused_since: Option<f64>,
     pub standing: usize,
+    /// When it was removed.
+    pub removed_at: f64,
 }
 
 /// Servers by the name the module knows them by, and links by wire.
@@ -148,6 +150,7 @@
             pause: 0.0,
             refused_since: None,
             standing: 0,
+            removed_at: 0.0,
         };
         self.all.insert(pool, server);
         pool
--- a/crates/platform/src/servers.rs
+++ b/crates/platform/src/servers.rs
@@ -85,6 +85,9 @@
             self.try_over(now, ue, Ended::Unreached, Report::default());
         }
         if phase == Phase::Removed && before != Phase::Removed {
+            if let Some(server) = self.servers.all.get_mut(&pool) {
+                server.removed_at = now;
+            }
             self.timers.set(now + LAST_WORDS, Due::Gone(pool));
         }
     }
@@ -100,7 +103,11 @@
 
     /// A server that was removed has had the time for its last words.
     pub(crate) fn server_gone(&mut self, now: f64, pool: PoolName) {
-        let Some(server) = self.servers.all.get(&pool).filter(|s| s.phase == Phase::Removed) else { return };
+        // Guards the last words of one that was back in between and is removed again: its first removal's time is no
+        // longer its own.
+        let due =
+            |s: &&crate::link::Server| s.phase == Phase::Removed && now >= s.removed_at + LAST_WORDS - 1e-6;
+        let Some(server) = self.servers.all.get(&pool).filter(due) else { return };
         for wire in server.links.clone() {
             self.drop_link(now, wire, "its server was removed");
         }
