A set-up that has not left the front goes with its caller or its time

Observed (by reading, then forced): a server that takes connections and reads nothing; a set-up waits in the owner's own memory, its caller closes, and set-up and release both reach the server when it reads again: an attempt begun long after the caller had gone, and beside a further try a second one out. At fault: callers.rs client_left and edge.rs try_given_up (a release is written behind what waits); link.rs is_sound (a blocked link is chosen again). The owner says which connections are blocked; no set-up goes out on such a link, and one given up there resets it.

--- a/crates/cli/tests/races.rs
+++ b/crates/cli/tests/races.rs
@@ -11,7 +11,7 @@
 use live::{closing, event, free_address, run, run_limited, signal, write_config, Caller, Live};
 use nix::sys::signal::Signal;
 use process::{until, Front, PATIENCE};
-use shalespindle_standin::platform::{EventFeed, LineServer};
+use shalespindle_standin::platform::{DeafServer, EventFeed, LineServer};
 use std::io::Write;
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::os::unix::fs::OpenOptionsExt;
@@ -268,3 +268,29 @@
     }
     assert!(live.ended().success());
 }
+
+/// A server takes connections and reads nothing: set-ups wait in the front's own memory when their callers close.
+#[test]
+fn a_set_up_that_has_not_left_the_front_does_not_leave_it_when_its_caller_has_gone() {
+    let server = DeafServer::start().unwrap();
+    let (listen, folder) = (free_address(), tempfile::tempdir().unwrap());
+    let config = folder.path().join("config.json");
+    write_config(&config, listen, free_address(), &event(1, &[("s-0", server.address)]));
+    let _front = run(&config, listen);
+    let log = || std::fs::read_to_string(config.with_extension("log")).unwrap_or_default();
+    until("a link", || log().contains("link up"));
+    // Each is longer than what the server's socket holds, so none has come there whole.
+    let long = "x".repeat(15_000);
+    let mut callers = Vec::new();
+    while !log().contains("writing waits for its reader") {
+        let mut caller = Caller::accepted(listen);
+        caller.send("INVITE", &format!("{:016x}", callers.len()), &long);
+        callers.push(caller);
+        assert!(callers.len() < 90, "everything fits");
+    }
+    closing(|| callers.iter().for_each(|c| c.stream.shutdown(Shutdown::Both).unwrap()));
+    // Answered after what came before it: connections are read in the order in which they have something to read.
+    Caller::accepted(listen);
+    let heard = server.hear(std::time::Duration::from_millis(300)).unwrap();
+    assert_eq!(heard, Vec::<String>::new());
+}
--- a/crates/platform-service/src/owner.rs
+++ b/crates/platform-service/src/owner.rs
@@ -183,6 +183,7 @@
         match written {
             Ok(size) => {
                 if peer.waiting.is_empty() && size < bytes.len() {
+                    self.edge.blocked(wire, true);
                     info!(target: "shalespindle::platform", wire, "writing waits for its reader");
                 }
                 peer.waiting.extend_from_slice(&bytes[size..]);
@@ -201,7 +202,12 @@
         let mut lost = Vec::new();
         for (wire, peer) in self.peers.iter_mut().filter(|p| !p.1.waiting.is_empty()) {
             match peer.writing.write_some(&peer.waiting) {
-                Ok(size) => drop(peer.waiting.drain(..size)),
+                Ok(size) => {
+                    peer.waiting.drain(..size);
+                    if peer.waiting.is_empty() {
+                        self.edge.blocked(*wire, false);
+                    }
+                }
                 Err(_) => lost.push(*wire),
             }
         }
--- a/crates/platform/src/callers.rs
+++ b/crates/platform/src/callers.rs
@@ -4,7 +4,6 @@
 use crate::calls::{InHand, Is, Stands};
 use crate::door::{Use, MOST_BAD};
 use crate::edge::{Edge, Output, Wire};
-use crate::lines;
 use crate::sip;
 use shalespindle_control::interface::{Ended, NewAttach, PoolName, Report, UeName};
 use shalespindle_signalling::write::{ResponseHead, Writer};
@@ -210,7 +209,7 @@
         let Some((id, door, _)) = self.calls.hand(ue) else { return };
         if let Some(out) = self.take_try(now, ue) {
             if let Some(wire) = out.link {
-                self.out.push_back(Output::Write { wire, bytes: lines::release(id, 16) });
+                self.end_try_on(now, wire, id);
             }
             self.count(Ended::Cancelled);
             self.control.try_ended(now, ue, out.pool, Ended::Cancelled, true, Report::default());
--- a/crates/platform/src/edge.rs
+++ b/crates/platform/src/edge.rs
@@ -442,10 +442,11 @@
     /// The front itself ends a setup try: its server is told, so that nothing of it is left there.
     fn try_given_up(&mut self, now: f64, ue: UeName, ended: Ended) {
         let Some((id, _, hand)) = self.calls.hand(ue) else { return };
-        if let Some(wire) = hand.out.as_ref().and_then(|t| t.link) {
-            self.out.push_back(Output::Write { wire, bytes: lines::release(id, 16) });
-        }
+        let wire = hand.out.as_ref().and_then(|t| t.link);
         self.try_over(now, ue, ended, Report::default());
+        if let Some(wire) = wire {
+            self.end_try_on(now, wire, id);
+        }
     }
 
     fn try_due(&mut self, now: f64, ue: UeName, number: u32) {
--- a/crates/platform/src/link.rs
+++ b/crates/platform/src/link.rs
@@ -41,6 +41,8 @@
     asked_at: Option<f64>,
     /// Takes nothing new and is closed when nothing is out on it.
     pub retired: bool,
+    /// Its server does not read: what is written waits in the front's own memory.
+    pub blocked: bool,
 }
 
 impl Link {
@@ -54,6 +56,7 @@
             heard_at: now,
             asked_at: None,
             retired: false,
+            blocked: false,
         }
     }
 
@@ -88,7 +91,7 @@
     }
 
     fn is_sound(&self, now: f64, within: f64) -> bool {
-        self.state == LinkState::Up && !self.retired && !self.is_doubtful(now, within)
+        self.state == LinkState::Up && !self.retired && !self.blocked && !self.is_doubtful(now, within)
     }
 }
 
--- a/crates/platform/src/servers.rs
+++ b/crates/platform/src/servers.rs
@@ -217,6 +217,23 @@
         }
     }
 
+    /// The host can not write on for now, or can again.
+    pub fn blocked(&mut self, wire: Wire, blocked: bool) {
+        if let Some(link) = self.servers.links.get_mut(&wire) {
+            link.blocked = blocked;
+        }
+    }
+
+    /// Tells a server that a setup try is given up. Where its link is blocked the try itself may not have left yet: it
+    /// must not arrive after its end, so the link goes with all that waits there.
+    pub(crate) fn end_try_on(&mut self, now: f64, wire: Wire, id: u64) {
+        if self.servers.links.get(&wire).is_some_and(|l| l.blocked) {
+            self.drop_link(now, wire, "blocked, with a set-up that was given up");
+        } else {
+            self.out.push_back(Output::Write { wire, bytes: lines::release(id, 16) });
+        }
+    }
+
     pub(crate) fn link_lost(&mut self, now: f64, wire: Wire, loss: Loss) {
         let Some(link) = self.servers.links.remove(&wire) else { return };
         let pool = link.pool;
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -3,6 +3,7 @@
 //! channel.
 
 use serde_json::Value;
+use socket2::{Domain, Socket, Type};
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -143,6 +144,51 @@
     Some(())
 }
 
+/// A server that says its state and reads nothing, with sockets that hold next to nothing, until it is told to.
+pub struct DeafServer {
+    pub address: SocketAddr,
+    streams: Shared<Vec<TcpStream>>,
+}
+
+impl DeafServer {
+    pub fn start() -> io::Result<DeafServer> {
+        let listener = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+        listener.set_recv_buffer_size(2048)?;
+        // With small segments the other side gives its socket a small buffer too.
+        listener.set_tcp_mss(536)?;
+        listener.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into())?;
+        listener.listen(64)?;
+        let listener = TcpListener::from(listener);
+        let (address, streams): (_, Shared<Vec<TcpStream>>) = (listener.local_addr()?, Shared::default());
+        let kept = streams.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                if write_line(&stream, &state()).is_ok() {
+                    locked(&kept).push(stream);
+                }
+            }
+        });
+        Ok(DeafServer { address, streams })
+    }
+
+    /// Reads at last: the ids of all set-ups that come whole on the connections made so far, until each of them has ended
+    /// or has been silent for that long.
+    pub fn hear(&self, silent_for: Duration) -> io::Result<Vec<String>> {
+        let mut ids = Vec::new();
+        for stream in locked(&self.streams).drain(..) {
+            stream.set_read_timeout(Some(silent_for))?;
+            // Reset, or silent: nothing more comes on it.
+            for line in BufReader::new(stream).lines().map_while(Result::ok) {
+                let line: Value = serde_json::from_str(&line)?;
+                if line["type"] == "setup" {
+                    ids.push(line["id"].as_str().unwrap_or("").to_string());
+                }
+            }
+        }
+        Ok(ids)
+    }
+}
+
 /// A control feed: keeps all events, and tells a front those after the number it names.
 pub struct EventFeed {
     pub address: SocketAddr,
--- a/crates/standin/src/terms.rs
+++ b/crates/standin/src/terms.rs
@@ -87,10 +87,8 @@
             Seen::Answered { session, .. } => {
                 answered.entry(session.clone()).or_insert(*now);
             }
-            Seen::Withdrawn { session } | Seen::Gone { session } => {
-                if !answered.contains_key(session) {
-                    gone.entry(session.clone()).or_insert(*now);
-                }
+            Seen::Withdrawn { session } | Seen::Gone { session } if !answered.contains_key(session) => {
+                gone.entry(session.clone()).or_insert(*now);
             }
             Seen::SetUp { server, session, .. } => {
                 if let Some(at) = gone.get(session) {
