--- /dev/null
+++ b/crates/startup/src/tests.rs
@@ -0,0 +1,26 @@
+use super::*;
+
+const GOOD: &str = r#"{"classes": [{"aim_s": 2.0, "deadline_s": 9.0, "late_share": 0.25, "name": "login",
+    "worth": 1.0}], "domain": {"class_cells": [[0, 1]], "guard_s": 0.5, "tells_wait": false},
+    "limits": {"cancelling": true, "dial_timeout_s": 0.5, "max_attempts": 4, "max_retry_after_s": 2.0,
+    "most_held": 20000, "probes": true, "retry_after": true}, "safety": {"start_capacity": 0.29,
+    "tip_multiple": 2.0, "warm_after_s": 15.0}, "stats": {"fields": ["free", "size", "latency_ms"]}}"#;
+
+#[test]
+fn settings_are_taken_apart() {
+    let startup = decode(GOOD.as_bytes()).unwrap();
+    assert_eq!(startup.place.procedures, ["login"]);
+    assert_eq!((startup.reading.wait_at, startup.reading.tells_wait), (Some(2), false));
+    assert_eq!(startup.deployment.procedures[0].pools, [0, 1]);
+    assert_eq!((startup.place.most_held, startup.deployment.longest_pause), (20_000, 2.0));
+}
+
+#[test]
+fn faults_name_their_place_and_what_is_allowed() {
+    let fails = |from: &str, to: &str| decode(GOOD.replace(from, to).as_bytes()).unwrap_err();
+    let why = fails("\"aim_s\": 2.0", "\"aim_s\": 0");
+    assert!(why.contains("classes[0].aim_s is 0; more than 0"), "{why}");
+    assert!(fails("\"guard_s\": 0.5", "\"guard_s\": -1").contains("domain.guard_s is -1; 0 or more"));
+    assert!(fails("\"guard_s\": 0.5, ", "").contains("guard_s"));
+    assert!(decode(b"nonsense").unwrap_err().contains("line 1"));
+}
