--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -90,10 +90,11 @@
     stood_at: f64,
     /// Set-ups a second that this front brought to it when last in service, or to its predecessor.
     part: Option<f64>,
-    /// Begun anywhere below one set-up: guards against hundreds of fronts none of which has saved up a whole
-    /// one by the time the pool is warm, or all at once. Their sum is the same from the first second on.
-    cold_budget: f64,
-    cold_budget_at: f64,
+    /// A token bucket. Begun anywhere below one set-up: guards against hundreds of fronts none of which has
+    /// saved up a whole one by the time the pool is warm, or all at once. Their sum is the same from the first
+    /// second on.
+    cold_tokens: f64,
+    cold_tokens_at: f64,
     /// Turns of attaches with another first choice so far, each open for a moment, and the last one used.
     /// Begins anywhere below one.
     cold_turns: f64,
@@ -201,7 +202,7 @@
                 *pool = Pool { unanswered, part, ..Pool::unheard(entry, probe_due, self.rng.random()) };
             }
             if entry.ready && !pool.ready {
-                pool.cold_budget_at = now;
+                pool.cold_tokens_at = now;
             }
             pool.ready = entry.ready;
         }
@@ -445,7 +446,7 @@
         pool.last_sent = now;
         pool.trial_due = now + spread / trials;
         if pool.warmth(now, &self.deployment.cold) < 1.0 {
-            pool.cold_budget -= 1.0;
+            pool.cold_tokens -= 1.0;
             pool.cold_turn_used = pool.cold_turns.floor();
         }
         // Guards against single lost set-ups or answers: where they are known, time is left for another try.
@@ -568,7 +569,7 @@
 }
 
 impl Pool {
-    fn unheard(entry: &PoolEntry, probe_due: f64, cold_budget: f64) -> Pool {
+    fn unheard(entry: &PoolEntry, probe_due: f64, cold_tokens: f64) -> Pool {
         Pool {
             name: entry.name,
             number: entry.number,
@@ -594,9 +595,9 @@
             stood: 0.0,
             stood_at: 0.0,
             part: None,
-            cold_budget,
-            cold_budget_at: 0.0,
-            cold_turns: cold_budget,
+            cold_tokens,
+            cold_tokens_at: 0.0,
+            cold_turns: cold_tokens,
             cold_turn_used: 0.0,
             cold_open: 0.0,
         }
@@ -668,11 +669,11 @@
         // Little where its predecessor bore next to nothing or none is known.
         let borne = self.part.unwrap_or(0.0) * cold.tip_multiple * COLD_SHARE;
         let rate = borne.max(COLD_LEAST * even_part);
-        let grown = rate * self.warmth(now, cold) * (now - self.cold_budget_at).max(0.0);
-        self.cold_budget = (self.cold_budget + grown).min(COLD_SAVED);
+        let grown = rate * self.warmth(now, cold) * (now - self.cold_tokens_at).max(0.0);
+        self.cold_tokens = (self.cold_tokens + grown).min(COLD_SAVED);
         self.cold_turns += grown;
         self.cold_open = rate * self.warmth(now, cold) * COLD_TURN * cold.fall_after;
-        self.cold_budget_at = now;
+        self.cold_tokens_at = now;
     }
 
     /// Whether silence or an empty cold budget keeps the attach away. Such a pool is skipped like one
@@ -681,7 +682,7 @@
         if self.warmth(asking.now, &asking.deployment.cold) < 1.0 {
             // The less it is worth the more must be saved up: the budget must not go to late redials first.
             let needed = 1.0 + (COLD_SAVED - 1.0) * (1.0 - asking.worth);
-            if self.cold_budget < needed || self.in_line().next().is_some() {
+            if self.cold_tokens < needed || self.in_line().next().is_some() {
                 return true;
             }
             // Guards against what hundreds of fronts have saved up there while it was nobody's choice, and
--- a/crates/platform-service/src/owner.rs
+++ b/crates/platform-service/src/owner.rs
@@ -79,7 +79,7 @@
             }
             self.take_in(next);
             let now = self.ground.now();
-            self.edge.turn(now);
+            self.edge.poll(now);
             self.places.set_most(self.edge.most_doors() + UNCOUNTED);
             if blocked {
                 self.write_on();
--- a/crates/platform/src/edge.rs
+++ b/crates/platform/src/edge.rs
@@ -1,4 +1,4 @@
-//! One front: what it is told, what it does about it. Inputs update what is known; [`Edge::turn`] then pulls
+//! One front: what it is told, what it does about it. Inputs update what is known; [`Edge::poll`] then pulls
 //! the module's decisions and carries them out; [`Edge::next_output`] hands out what the host is to do.
 
 use crate::byes::Byes;
@@ -261,7 +261,7 @@
 
     // ---- what it does ----
 
-    /// When [`Edge::turn`] is due again at the latest.
+    /// When [`Edge::poll`] is due again at the latest.
     pub fn wake_at(&self) -> f64 {
         self.timers.next().min(self.feed.due())
     }
@@ -291,7 +291,7 @@
     }
 
     /// Deals with what is due, then decides and carries out until there is nothing more.
-    pub fn turn(&mut self, now: f64) {
+    pub fn poll(&mut self, now: f64) {
         self.send_waiting(now);
         while let Some(due) = self.timers.pop(now) {
             self.due(now, due);
--- a/crates/platform/tests/callers.rs
+++ b/crates/platform/tests/callers.rs
@@ -139,7 +139,7 @@
     let mut w = World::new(1);
     let feed = w.dialled_feed(4222);
     w.edge.connected(w.now, feed);
-    w.turn();
+    w.poll();
     assert!(w.took(feed).contains("Last-Event-ID: 1\r\n"));
     w.bytes(feed, b"HTTP/1.1 200 OK\r\n\r\n: hi\n\n");
     let said = |n, cell| format!("id: {n}\ndata: {}\n\n", event(n, false, &[member("n", cell, "up", 0)]));
@@ -152,7 +152,7 @@
     w.pass(0.2);
     let feed = w.dialled_feed(4222);
     w.edge.connected(w.now, feed);
-    w.turn();
+    w.poll();
     assert!(w.took(feed).contains("Last-Event-ID: 2\r\n"));
     // A gap.
     w.bytes(feed, b"HTTP/1.1 200 OK\r\n\r\n");
@@ -197,7 +197,7 @@
         assert!(w.closed.contains(&(feed, false)));
         let again = w.dialled_feed(4222);
         w.edge.connected(w.now, again);
-        w.turn();
+        w.poll();
         assert!(w.took(again).contains("Last-Event-ID: 1\r\n"));
         w.bytes(again, format!("HTTP/1.1 200 OK\r\n\r\n{said}").as_bytes());
         w.pass(0.55);
@@ -216,11 +216,11 @@
     w.bytes(old, b"HTTP/1.1 200 OK\r\n\r\n");
     let known = [event(1, true, &[member("s0", 0, "up", 0)]), event(2, false, &[member("s1", 1, "up", 0)])];
     w.edge.reconfigured(w.now, read_file(file(&known, 4333).as_bytes()).unwrap());
-    w.turn();
+    w.poll();
     assert!(w.closed.contains(&(old, false)));
     let feed = w.dialled_feed(4333);
     w.edge.connected(w.now, feed);
-    w.turn();
+    w.poll();
     assert!(w.took(feed).contains("Last-Event-ID: 2\r\n"));
     assert!(!w.closed.contains(&(links[0], true)));
     w.dialled(1);
--- a/crates/platform/tests/cases.rs
+++ b/crates/platform/tests/cases.rs
@@ -191,7 +191,7 @@
     w.bytes(door, invite(2, 0).as_bytes());
     let next = w.dialled(0);
     w.edge.connected(w.now, next);
-    w.turn();
+    w.poll();
     assert!(w.took(next).contains(&id(2)));
 }
 
--- a/crates/platform/tests/common/mod.rs
+++ b/crates/platform/tests/common/mod.rs
@@ -69,7 +69,7 @@
         let edge = Edge::new(read_file(text.as_bytes()).unwrap(), BEGIN, UNIX).unwrap();
         let (written, log, dials, closed) = Default::default();
         let mut world = World { edge, now: BEGIN, written, log, dials, closed, next: 0 };
-        world.turn();
+        world.poll();
         world
     }
 
@@ -80,8 +80,8 @@
         (world, links)
     }
 
-    pub fn turn(&mut self) {
-        self.edge.turn(self.now);
+    pub fn poll(&mut self) {
+        self.edge.poll(self.now);
         while let Some(output) = self.edge.next_output() {
             match output {
                 Output::Dial { wire, to, .. } => self.dials.push((wire, to.port())),
@@ -103,10 +103,10 @@
         let until = self.now + seconds;
         while self.edge.wake_at() <= until {
             self.now = self.edge.wake_at().max(self.now + 1e-6);
-            self.turn();
+            self.poll();
         }
         self.now = until;
-        self.turn();
+        self.poll();
     }
 
     /// The dial to a server's address that is under way.
@@ -135,19 +135,19 @@
 
     pub fn bytes(&mut self, wire: Wire, bytes: &[u8]) {
         self.edge.bytes(self.now, self.now, wire, bytes);
-        self.turn();
+        self.poll();
     }
 
     pub fn lose(&mut self, wire: Wire, loss: Loss) {
         self.edge.lost(self.now, wire, loss);
-        self.turn();
+        self.poll();
     }
 
     /// A caller's connection.
     pub fn door(&mut self) -> Wire {
         self.next += 2;
         self.edge.accepted(self.now, self.next);
-        self.turn();
+        self.poll();
         self.next
     }
 
--- a/crates/platform/tests/room.rs
+++ b/crates/platform/tests/room.rs
@@ -20,7 +20,7 @@
     // In one turn: a connection more than there may be, and a set-up on the one that would have gone first.
     w.edge.accepted(w.now, 10_000);
     w.edge.bytes(w.now, w.now, doors[0], invite(1, 0).as_bytes());
-    w.turn();
+    w.poll();
     assert!(!w.closed.contains(&(doors[0], false)) && w.closed.contains(&(doors[1], false)));
     assert!(w.took(link).contains(&id(1)));
 }
--- a/crates/platform/tests/settings.rs
+++ b/crates/platform/tests/settings.rs
@@ -296,7 +296,7 @@
             let Ok(file) = read_file(text.as_bytes()) else { continue };
             accepted.push((name, bad));
             let mut edge = shalespindle_platform::Edge::new(file, BEGIN, UNIX).unwrap();
-            edge.turn(BEGIN);
+            edge.poll(BEGIN);
             while let Some(output) = edge.next_output() {
                 if let shalespindle_platform::Output::Dial { within, .. } = output {
                     // What the shell does with it.
--- a/crates/platform/tests/watches.rs
+++ b/crates/platform/tests/watches.rs
@@ -85,16 +85,16 @@
     let old = w.dialled_feed(4222);
     let moved = file(&[event(1, true, &[member("s0", 0, "up", 0)])], 4333);
     w.edge.reconfigured(w.now, read_file(moved.as_bytes()).unwrap());
-    w.turn();
+    w.poll();
     assert!(w.closed.contains(&(old, false)));
     let new = w.dialled_feed(4333);
     // The old dial comes up all the same, and is lost; neither is taken for the new one.
     w.edge.connected(w.now, old);
-    w.turn();
+    w.poll();
     assert_eq!(w.took(old), "");
     w.lose(old, Loss::Broken);
     w.edge.connected(w.now, new);
-    w.turn();
+    w.poll();
     assert!(w.took(new).contains("Last-Event-ID: 1"));
 }
 
