--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -91,8 +91,8 @@
     /// Set-ups a second that this front brought to it when last in service, or to its predecessor.
     part: Option<f64>,
     /// A token bucket. Begun anywhere below one set-up: guards against hundreds of fronts none of which has
-    /// saved up a whole one by the time the pool is warm, or all at once. Their sum is the same from the first
-    /// second on.
+    /// saved up a whole one by the time the pool is warm, or all at once. Their sum is the same from the
+    /// first second on.
     cold_tokens: f64,
     cold_tokens_at: f64,
     /// Turns of attaches with another first choice so far, each open for a moment, and the last one used.
