--- a/crates/cli/tests/live_fleet.rs
+++ b/crates/cli/tests/live_fleet.rs
@@ -4,6 +4,7 @@
 use shalespindle_rig::{play_live, LiveShape};
 use shalespindle_standin::processor::Cold;
 use shalespindle_standin::terms::{look, Terms};
+use std::os::unix::fs::PermissionsExt;
 use std::path::Path;
 
 fn number<T: std::str::FromStr>(text: &str) -> T {
@@ -54,3 +55,19 @@
     }
     assert!(broken.is_empty(), "{broken:#?}");
 }
+
+/// The planted fault: fronts that are gone two seconds after their start without anybody having told them to.
+#[test]
+fn fronts_that_end_by_themselves_are_found_and_so_is_what_they_held() {
+    let folder = tempfile::tempdir().unwrap();
+    let faulty = folder.path().join("faulty");
+    // Whoever kills the script takes the front with it.
+    let front = env!("CARGO_BIN_EXE_shalespindle");
+    let script = format!("#!/bin/sh\nexec timeout -s KILL 2 setpriv --pdeathsig KILL {front} \"$@\"\n");
+    std::fs::write(&faulty, script).unwrap();
+    std::fs::set_permissions(&faulty, std::fs::Permissions::from_mode(0o755)).unwrap();
+    let shape =
+        LiveShape { fronts: 4, servers: 2, callers: 16, capacity: 40.0, seconds: 5.0, descriptors: 128 };
+    let (_, summary) = play_live(&faulty, folder.path(), 90, shape).unwrap();
+    assert!(!summary.crashed.is_empty(), "{summary:?}");
+}
