A call that ended before its answer came fails at once and is not set up again

Excluded: quiet links (n6 opened no second link before 7.7 s), unheard releases (all heard), an answer that swallowed a line. At fault: Edge::released in servers.rs, which read cause 16 before the answer as a reset. Change: such a call has run; it gets its final answer (504) at once and is not set up again; counted as ended_before_answer.

--- a/crates/platform/src/edge.rs
+++ b/crates/platform/src/edge.rs
@@ -77,6 +77,8 @@
     pub links_spoilt: u64,
     pub links_lost: u64,
     pub late_answers: u64,
+    /// Calls that came to their end at their server before their answer was heard.
+    pub ended_before_answer: u64,
     pub doors_evicted: u64,
     pub doors_overdue: u64,
     /// Links that were not made for want of a descriptor.
--- a/crates/platform/src/servers.rs
+++ b/crates/platform/src/servers.rs
@@ -7,7 +7,7 @@
 use crate::lines::{self, Kind, Line};
 use crate::link::{Link, LinkState, Phase, MOST_LINKS};
 use crate::sip;
-use shalespindle_control::interface::{Ended, PoolEntry, PoolName, Report};
+use shalespindle_control::interface::{Ended, PoolEntry, PoolName, Report, UeName};
 use std::collections::HashSet;
 
 /// Pauses between dials to a server that cannot be reached, doubling.
@@ -19,6 +19,8 @@
 const DEAD_AFTER: f64 = 2.0;
 /// Part of the time for a dial that a server has to say its state unasked.
 const UNASKED: f64 = 0.2;
+/// Cause of a release for a call that came to its ordinary end (Q.850: normal call clearing).
+const CLEARED: u16 = 16;
 /// Releases that wait for a link to one server.
 const MOST_OWED: usize = 4096;
 
@@ -399,10 +401,14 @@
         let call = self.calls.by_id(id).map(|call| (call.ue, &call.is));
         match call {
             Some((ue, Is::InHand(hand))) if hand.out.as_ref().is_some_and(|t| t.link == Some(wire)) => {
-                self.try_over(now, ue, line.ended(), report);
+                if line.cause == CLEARED {
+                    self.ended_before_answer(now, ue, report);
+                } else {
+                    self.try_over(now, ue, line.ended(), report);
+                }
             }
             Some((ue, Is::Stands(stands))) if stands.pool == pool => {
-                let ended = if line.cause == 16 { Ended::Released } else { Ended::Cut };
+                let ended = if line.cause == CLEARED { Ended::Released } else { Ended::Cut };
                 self.control.try_ended(now, ue, pool, ended, true, report);
                 self.out.push_back(Output::Write { wire, bytes: lines::released(id) });
                 self.over(now, ue, pool, line.cause);
@@ -411,6 +417,15 @@
         }
     }
 
+    /// The call came to its ordinary end while its answer is still on the way, or lost. It ran, so it is not set up
+    /// again: its caller would hold a call standing that is over by its first server's word.
+    fn ended_before_answer(&mut self, now: f64, ue: UeName, report: Report) {
+        self.counters.ended_before_answer += 1;
+        self.try_over(now, ue, Ended::Released, report);
+        self.final_answer(now, ue, 504, None);
+        self.control.client_left(now, ue);
+    }
+
     /// Releases a call at its server, now or as soon as there is a link.
     pub(crate) fn release_to(&mut self, now: f64, pool: PoolName, id: u64, cause: u16) {
         if let Some(wire) = self.servers.any_link(now, pool, self.dial_within) {
