Random faults over six processes in three sites, by seed, end with all sites up

Written anew: 24 faults drawn by seed, then every remedy; fronts that are down or stopped are not asked, since a question to a stopped process waits 10 s for its answer.

--- a/crates/cli/tests/sites.rs
+++ b/crates/cli/tests/sites.rs
@@ -8,8 +8,12 @@
 use process::{until, until_got};
 use shalespindle_console::{Ask, Order, Reply};
 use shalespindle_rig::{Faults, Fleet, FleetShape, Row, Servers, State};
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use shalespindle_sites::{SiteStatus, Stage, Verdict};
 use std::process::Command;
+use std::time::Duration;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_shalespindle");
 const SITES: [&str; 3] = ["north", "south", "west"];
@@ -238,3 +242,103 @@
     country.see(0..1, 2, |site| site.verdict == Verdict::Doubtful);
     assert_eq!(country.site(2, 2).unwrap().stage, Stage::Up);
 }
+
+/// One fault, or one remedy, of a random run.
+#[derive(Clone, Copy, Debug)]
+enum Fault {
+    Kill(usize),
+    Start(usize),
+    Stop(usize),
+    Continue(usize),
+    CutOff(usize),
+    Heal,
+    StopServer(usize),
+    StartServer(usize),
+    Order(usize, usize, Order),
+}
+
+impl Fault {
+    fn draw(rng: &mut ChaCha8Rng) -> Fault {
+        let (front, site) = (rng.random_range(0..FRONTS), rng.random_range(0..SITES.len()));
+        let order = *[Order::Lost, Order::KeepOut, Order::Return].choose(rng).unwrap();
+        let server = rng.random_range(0..EACH * SITES.len());
+        let all = [
+            Fault::Kill(front),
+            Fault::Start(front),
+            Fault::Stop(front),
+            Fault::Continue(front),
+            Fault::CutOff(site),
+            Fault::Heal,
+            Fault::StopServer(server),
+            Fault::StartServer(server),
+            Fault::Order(front, site, order),
+        ];
+        *all.choose(rng).unwrap()
+    }
+
+    fn happen(self, country: &mut Country) {
+        match self {
+            Fault::Kill(front) => country.fleet.kill(front),
+            Fault::Start(front) => country.fleet.start(front).unwrap(),
+            Fault::Stop(front) => country.fleet.hold(front, true).unwrap(),
+            Fault::Continue(front) => country.fleet.hold(front, false).unwrap(),
+            Fault::CutOff(site) => country.cut_off(site),
+            Fault::Heal => country.heal(),
+            Fault::StopServer(server) => country.servers.stop(server),
+            Fault::StartServer(server) => country.servers.start_again(server).unwrap(),
+            // A front that is down or stopped answers nothing; one that is cut off may refuse.
+            Fault::Order(front, site, order) if country.fleet.is_up(front) => {
+                country.order(front, SITES[site], order, 60.0);
+            }
+            Fault::Order(..) => {}
+        }
+    }
+}
+
+/// Faults drawn by seed, then every remedy: all fronts see all sites up again.
+fn random_faults_end_with_all_sites_up(seed: u64) {
+    const STEPS: usize = 24;
+    const APART: Duration = Duration::from_millis(300);
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut country = Country::settled();
+    let mut servers_down = std::collections::BTreeSet::new();
+    for _ in 0..STEPS {
+        let fault = Fault::draw(&mut rng);
+        match fault {
+            Fault::StopServer(server) if !servers_down.insert(server) => continue,
+            Fault::StartServer(server) if !servers_down.remove(&server) => continue,
+            _ => {}
+        }
+        eprintln!("seed {seed}: {fault:?}");
+        fault.happen(&mut country);
+        std::thread::sleep(APART);
+    }
+    country.heal();
+    servers_down.into_iter().for_each(|server| country.servers.start_again(server).unwrap());
+    for front in 0..FRONTS {
+        country.fleet.hold(front, false).unwrap();
+        country.fleet.start(front).unwrap();
+    }
+    until("all hear each other", || {
+        (0..FRONTS).all(|f| country.fleet.standing(f).unwrap().peers.iter().all(|p| p.state == "alive"))
+    });
+    for site in SITES {
+        until("the order is taken", || matches!(country.order(0, site, Order::Return, 60.0), Reply::Done { .. }));
+    }
+    country.all(0..FRONTS, |site| site.verdict == Verdict::Up && !site.out_here);
+}
+
+#[test]
+fn random_faults_of_the_first_seed_end_with_all_sites_up() {
+    random_faults_end_with_all_sites_up(1);
+}
+
+#[test]
+fn random_faults_of_the_second_seed_end_with_all_sites_up() {
+    random_faults_end_with_all_sites_up(2);
+}
+
+#[test]
+fn random_faults_of_the_third_seed_end_with_all_sites_up() {
+    random_faults_end_with_all_sites_up(3);
+}
