lab fleet-size: bytes both ways, digests, processor time, memory; real processes beside

The idle part of the measurement now gives bytes both ways and of the front with the most, the part that is digests, processor time by getrusage of the thread, and resident memory; churn and catch-up are left out where they are asked for with 0. The rig can do without relays, which need a thread a pair.

--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -260,6 +260,9 @@
     FleetSize {
         #[arg(long, num_args = 1.., default_values_t = [8, 64])]
         fronts: Vec<usize>,
+        /// Real processes of this program instead, idle, for so many seconds: what simulated fronts are held against.
+        #[arg(long, value_name = "SECONDS")]
+        processes: Option<f64>,
         /// Calls that stand in the whole fleet.
         #[arg(long, default_value_t = 1000)]
         calls: u64,
--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -158,7 +158,15 @@
             );
             Ok(if walked.broken.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
         }
-        Lab::FleetSize { fronts, calls, calls_a_second, loss, seed } => {
+        Lab::FleetSize { fronts, processes: Some(seconds), .. } => {
+            let program = std::env::current_exe()?;
+            for fronts in fronts {
+                let cost = shalespindle_rig::measure_processes(&program, fronts, seconds)?;
+                println!("{}", serde_json::to_string(&cost)?);
+            }
+            Ok(ExitCode::SUCCESS)
+        }
+        Lab::FleetSize { fronts, processes: None, calls, calls_a_second, loss, seed } => {
             for fronts in fronts {
                 let shape = fleet_size::SizeShape { fronts, calls, calls_a_second, loss, seed };
                 println!("{}", serde_json::to_string(&fleet_size::measure(&shape))?);
--- a/crates/cli/tests/sites.rs
+++ b/crates/cli/tests/sites.rs
@@ -6,11 +6,11 @@
 mod process;
 
 use process::{until, until_got};
-use shalespindle_console::{Ask, Order, Reply};
-use shalespindle_rig::{Faults, Fleet, FleetShape, Row, Servers, State};
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use shalespindle_console::{Ask, Order, Reply};
+use shalespindle_rig::{Faults, Fleet, FleetShape, Row, Servers, State};
 use shalespindle_sites::{SiteStatus, Stage, Verdict};
 use std::process::Command;
 use std::time::Duration;
@@ -323,7 +323,9 @@
         (0..FRONTS).all(|f| country.fleet.standing(f).unwrap().peers.iter().all(|p| p.state == "alive"))
     });
     for site in SITES {
-        until("the order is taken", || matches!(country.order(0, site, Order::Return, 60.0), Reply::Done { .. }));
+        until("the order is taken", || {
+            matches!(country.order(0, site, Order::Return, 60.0), Reply::Done { .. })
+        });
     }
     country.all(0..FRONTS, |site| site.verdict == Verdict::Up && !site.out_here);
 }
--- a/crates/lab/src/fleet_size.rs
+++ b/crates/lab/src/fleet_size.rs
@@ -1,12 +1,13 @@
 //! How what crosses between fronts grows with the fleet: the fronts' own cores and codec under virtual time, with a
 //! network that delays and loses; figures of simulated fronts, not of sockets.
 
+use crate::resources::{resident_bytes, thread_seconds};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde::Serialize;
 use shalespindle_peer_wire::{front_id, Body, Codec};
 use shalespindle_peers::{FrontId, Life};
-use shalespindle_replica::{CallWord, Fleet, FleetParams, Out, ServerWord, Told};
+use shalespindle_replica::{CallWord, Fleet, FleetParams, Message, Out, ServerWord, Told};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
@@ -18,14 +19,17 @@
 const DELAY: (f64, f64) = (0.02, 0.02);
 /// How long a call stands in the churn, seconds.
 const STANDS: f64 = 10.0;
+/// How long a fleet in which nothing happens is measured, seconds.
+const IDLE: f64 = 10.0;
 
 /// What is measured.
 #[derive(Clone, Debug)]
 pub struct SizeShape {
     pub fronts: usize,
     /// Calls that stand in the whole fleet when one front returns empty.
+    /// None: no front returns.
     pub calls: u64,
-    /// Calls that begin at each front in a second of the churn.
+    /// Calls that begin at each front in a second of the churn; none: no churn.
     pub calls_a_second: f64,
     pub loss: f64,
     pub seed: u64,
@@ -40,6 +44,16 @@
     /// Sent by a front in a second when nothing happens; and frames of it.
     pub idle_bytes: f64,
     pub idle_frames: f64,
+    /// Received by a front in a second when nothing happens.
+    pub idle_received_bytes: f64,
+    /// The most that any front sent and received together.
+    pub idle_bytes_max: f64,
+    /// Of the bytes sent idle, those of digests; the rest are of parts.
+    pub idle_digest_bytes: f64,
+    /// Processor time of a front over its time, idle; the simulated network's own work is in it.
+    pub idle_core_share: f64,
+    /// Resident memory that a front adds to the process, megabytes; frames under way are in it.
+    pub memory_mb: f64,
     /// Sent by a front in a second while calls come and go.
     pub churn_bytes: f64,
     /// Seconds until a warning of one front is known to half of the others, and to all.
@@ -65,7 +79,22 @@
     look: u64,
     rng: ChaCha8Rng,
     loss: f64,
+    /// Frames and bytes sent by each front.
     sent: Vec<(u64, u64)>,
+    received_bytes: Vec<u64>,
+    digest_bytes: u64,
+}
+
+/// What fronts sent and received in a second of some time.
+#[derive(Clone, Copy, Debug, Default)]
+struct Rates {
+    frames: f64,
+    bytes: f64,
+    received_bytes: f64,
+    /// Both ways, of the front with the most.
+    bytes_max: f64,
+    digest_bytes: f64,
+    core_share: f64,
 }
 
 impl Sim {
@@ -84,6 +113,8 @@
             rng: ChaCha8Rng::seed_from_u64(shape.seed),
             loss: shape.loss,
             sent: vec![(0, 0); shape.fronts],
+            received_bytes: vec![0; shape.fronts],
+            digest_bytes: 0,
         };
         (0..shape.fronts).for_each(|_| sim.fronts.push(None));
         (0..shape.fronts).for_each(|place| sim.start(place, 1));
@@ -109,6 +140,7 @@
         let now = self.now;
         for (to, frame) in self.under_way.remove(&self.look).unwrap_or_default() {
             let Some((fleet, codec)) = &mut self.fronts[to] else { continue };
+            self.received_bytes[to] += frame.len() as u64;
             if let Ok((from, Body::Fleet(message))) = codec.read(&frame) {
                 fleet.heard(now, from, message);
             }
@@ -121,9 +153,11 @@
             while fleet.next_news().is_some() {}
             while let Some(out) = fleet.next_output() {
                 let Out::Send { to, message } = out else { continue };
+                let is_digest = matches!(message, Message::Digest { .. });
                 let Some(frame) = codec.write(to, fleet.life(), message) else { continue };
                 let sent = &mut self.sent[place];
                 *sent = (sent.0 + 1, sent.1 + frame.len() as u64);
+                self.digest_bytes += if is_digest { frame.len() as u64 } else { 0 };
                 if self.rng.random::<f64>() >= self.loss {
                     let delay = DELAY.0 + DELAY.1 * self.rng.random::<f64>();
                     let look = self.look + (delay / fine).ceil().max(1.0) as u64;
@@ -149,16 +183,28 @@
         self.now - begin
     }
 
-    fn rate(&mut self, seconds: f64, mut each: impl FnMut(&mut Sim)) -> (f64, f64) {
-        let before: (u64, u64) = self.sent.iter().fold((0, 0), |a, b| (a.0 + b.0, a.1 + b.1));
+    fn rates(&mut self, seconds: f64, mut each: impl FnMut(&mut Sim)) -> Rates {
+        let (sent, received) = (self.sent.clone(), self.received_bytes.clone());
+        let (digests, processor) = (self.digest_bytes, thread_seconds());
         let until = self.now + seconds;
         while self.now < until {
             self.step();
             each(self);
         }
-        let after = self.sent.iter().fold((0, 0), |a, b| (a.0 + b.0, a.1 + b.1));
+        let mut rates = Rates::default();
         let per = seconds * self.fronts.len() as f64;
-        ((after.0 - before.0) as f64 / per, (after.1 - before.1) as f64 / per)
+        for place in 0..self.fronts.len() {
+            let frames = self.sent[place].0 - sent[place].0;
+            let bytes = self.sent[place].1 - sent[place].1;
+            let received_bytes = self.received_bytes[place] - received[place];
+            rates.frames += frames as f64 / per;
+            rates.bytes += bytes as f64 / per;
+            rates.received_bytes += received_bytes as f64 / per;
+            rates.bytes_max = rates.bytes_max.max((bytes + received_bytes) as f64 / seconds);
+        }
+        rates.digest_bytes = (self.digest_bytes - digests) as f64 / per;
+        rates.core_share = (thread_seconds() - processor) / per;
+        rates
     }
 }
 
@@ -181,6 +227,7 @@
 
 /// Measures one fleet.
 pub fn measure(shape: &SizeShape) -> Size {
+    let resident_before = resident_bytes();
     let mut sim = Sim::new(shape);
     let count = shape.fronts;
     let mut out = Size { fronts: count, calls: shape.calls, loss: shape.loss, ..Size::default() };
@@ -193,10 +240,18 @@
                 sim.at(n).is_some_and(knows)
             })
     });
-    (out.idle_frames, out.idle_bytes) = sim.rate(10.0, |_| ());
+    let idle = sim.rates(IDLE, |_| ());
+    (out.idle_frames, out.idle_bytes) = (idle.frames, idle.bytes);
+    (out.idle_received_bytes, out.idle_bytes_max) = (idle.received_bytes, idle.bytes_max);
+    (out.idle_digest_bytes, out.idle_core_share) = (idle.digest_bytes, idle.core_share);
+    out.memory_mb = resident_bytes().saturating_sub(resident_before) as f64 / 1e6 / count as f64;
     spread(&mut sim, &mut out);
-    churn(&mut sim, shape, &mut out);
-    catch_up(&mut sim, shape, &mut out);
+    if shape.calls_a_second > 0.0 {
+        churn(&mut sim, shape, &mut out);
+    }
+    if shape.calls > 0 {
+        catch_up(&mut sim, shape, &mut out);
+    }
     out
 }
 
@@ -244,8 +299,8 @@
         }
     };
     // Until as many end as begin.
-    sim.rate(STANDS, &mut each);
-    out.churn_bytes = sim.rate(10.0, &mut each).1;
+    sim.rates(STANDS, &mut each);
+    out.churn_bytes = sim.rates(10.0, &mut each).bytes;
     // The rest ends, so that what follows begins from nothing.
     for (place, n) in std::mem::take(&mut ending).into_values().flatten() {
         let now = sim.now;
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -10,6 +10,7 @@
 mod parallel;
 pub mod plan;
 pub mod play;
+pub mod resources;
 pub mod scale;
 pub mod scenario;
 pub mod sim;
--- a/crates/lab/src/throughput.rs
+++ b/crates/lab/src/throughput.rs
@@ -2,6 +2,7 @@
 //! nothing: a stateless proxy (RFC 3261 section 16.11) that adds a Via on the way there and takes it off on
 //! the way back. And what time a front adds at half of that rate.
 
+use crate::resources::resident_bytes;
 use crate::scenario::{Scenario, BAD_DAY};
 use hdrhistogram::Histogram;
 use may::net::{TcpListener, TcpStream, UdpSocket};
@@ -141,7 +142,7 @@
     std::thread::sleep(Duration::from_millis(500));
     let socket = std::net::UdpSocket::bind("127.0.0.1:0")?;
     let host = socket.local_addr()?.to_string();
-    let before = resident()?;
+    let before = resident_bytes();
     let count = 4000;
     for call in 0..count {
         socket.send_to(&invite(&host, service.address(), call), service.address())?;
@@ -151,16 +152,10 @@
     }
     std::thread::sleep(Duration::from_millis(300));
     let held = service.snapshot().map_or(0, |s| s.in_hand.max(s.attaches_held));
-    let grown = resident()?.saturating_sub(before);
+    let grown = resident_bytes().saturating_sub(before);
     Ok(grown as f64 / (held.max(1) as f64))
 }
 
-fn resident() -> io::Result<u64> {
-    let text = std::fs::read_to_string("/proc/self/statm")?;
-    let pages = text.split_whitespace().nth(1).and_then(|p| p.parse::<u64>().ok());
-    Ok(pages.ok_or_else(|| io::Error::other("statm"))? * 4096)
-}
-
 fn invite(host: &str, to: SocketAddr, call: u64) -> Vec<u8> {
     Writer::request(
         Method::Invite,
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -38,6 +38,8 @@
     pub tables: String,
     /// Numbers of the pools that attaches may go to.
     pub pools: Vec<u16>,
+    /// A relay on every path between fronts, for faults; without, they send straight to each other.
+    pub relayed: bool,
 }
 
 impl FleetShape {
@@ -53,6 +55,7 @@
             more: String::new(),
             tables: String::new(),
             pools: vec![0, 1, 2],
+            relayed: true,
         }
     }
 }
@@ -103,7 +106,10 @@
             |kind, front| free_address(networks + kind, std::process::id() as usize % 250 * 250 + front);
         let listen: Vec<SocketAddr> =
             (0..shape.fronts).map(|front| address(FRONTS, front)).collect::<io::Result<_>>()?;
-        let relays = Relays::start(&listen, shape.seed)?;
+        let relays = match shape.relayed {
+            true => Relays::start(&listen, shape.seed)?,
+            false => Relays::direct(&listen, shape.seed)?,
+        };
         let (mut fronts, mut feeds) = (Vec::new(), Vec::new());
         for (place, at) in listen.iter().enumerate() {
             let feed = ListFeed::start()?;
@@ -225,6 +231,11 @@
         self.fronts[place].process.as_ref().map_or(Ok(()), |process| signal(process, Signal::SIGHUP))
     }
 
+    /// The process id of a front that runs.
+    pub fn process_id(&self, place: usize) -> Option<u32> {
+        self.fronts[place].process.as_ref().map(Child::id)
+    }
+
     pub fn is_up(&self, place: usize) -> bool {
         self.fronts[place].process.is_some() && !self.fronts[place].stopped
     }
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -10,6 +10,7 @@
 mod play;
 mod relay;
 mod servers;
+mod size;
 
 pub use check::{check, Breach, Seen};
 pub use feed::{ListFeed, Row};
@@ -20,3 +21,4 @@
 pub use relay::{Faults, Relays};
 pub use servers::Servers;
 pub use shalespindle_front::pool_list::ServerState as State;
+pub use size::{measure_processes, ProcessCost};
--- a/crates/rig/src/relay.rs
+++ b/crates/rig/src/relay.rs
@@ -78,6 +78,13 @@
         Ok(Relays { shared, addresses, threads })
     }
 
+    /// No relays: fronts send straight to each other, and no fault can be set. For fleets too large for a thread a pair.
+    pub fn direct(fronts: &[SocketAddr], seed: u64) -> io::Result<Relays> {
+        let mut relays = Relays::start(&[], seed)?;
+        relays.addresses = vec![fronts.to_vec(); fronts.len()];
+        Ok(relays)
+    }
+
     pub fn address(&self, from: usize, to: usize) -> SocketAddr {
         self.addresses[from][to]
     }
