--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -263,6 +263,12 @@
         /// Real processes of this program instead, idle, for so many seconds: what simulated fronts are held against.
         #[arg(long, value_name = "SECONDS")]
         processes: Option<f64>,
+        /// Simulated fronts as clients of so many coordinators instead of each other's peers.
+        #[arg(long, conflicts_with = "processes")]
+        coordinators: Option<usize>,
+        /// What happens to fronts with coordinators.
+        #[arg(long, value_enum, default_value_t = shalespindle_lab::coordinated::Scenario::Steady)]
+        scenario: shalespindle_lab::coordinated::Scenario,
         /// Calls that stand in the whole fleet.
         #[arg(long, default_value_t = 1000)]
         calls: u64,
--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -7,13 +7,16 @@
 use shalespindle_lab::play::{play, Fronts};
 use shalespindle_lab::scenario::{Scenario, BAD_DAY};
 use shalespindle_lab::summary::{Knowledge, LevelSteps, Report};
-use shalespindle_lab::{fleet_cost, fleet_size, names, scale, sim, throughput, walk};
+use shalespindle_lab::{coordinated, fleet_cost, fleet_size, names, scale, sim, throughput, walk};
 use shalespindle_rig::FleetShape;
 use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
+/// Regions of a simulated fleet.
+const REGIONS: usize = 3;
+
 /// Routers that only the lab knows.
 #[derive(Clone, Copy, Debug, ValueEnum)]
 pub enum Baseline {
@@ -166,7 +169,10 @@
             }
             Ok(ExitCode::SUCCESS)
         }
-        Lab::FleetSize { fronts, processes: None, calls, calls_a_second, loss, seed } => {
+        Lab::FleetSize { fronts, coordinators: Some(coordinators), scenario, loss, seed, .. } => {
+            coordinated_sizes(&fronts, coordinators, scenario, loss, seed)
+        }
+        Lab::FleetSize { fronts, calls, calls_a_second, loss, seed, .. } => {
             for fronts in fronts {
                 let shape = fleet_size::SizeShape { fronts, calls, calls_a_second, loss, seed };
                 println!("{}", serde_json::to_string(&fleet_size::measure(&shape))?);
@@ -184,6 +190,31 @@
     }
 }
 
+/// One JSON line a size; fails where a front was left behind, went back, or something deleted came back.
+fn coordinated_sizes(
+    fronts: &[usize],
+    coordinators: usize,
+    scenario: coordinated::Scenario,
+    loss: f64,
+    seed: u64,
+) -> io::Result<ExitCode> {
+    if coordinators == 0 || coordinators % REGIONS != 0 {
+        eprintln!(
+            "--coordinators is {coordinators}; a multiple of {REGIONS} is allowed, as many for each region"
+        );
+        return Ok(ExitCode::from(BAD_INPUT));
+    }
+    let mut is_kept = true;
+    for fronts in fronts {
+        let mut shape = coordinated::CoordinatedShape::new(*fronts, coordinators, scenario, seed);
+        shape.loss = loss;
+        let cost = coordinated::measure(&shape);
+        println!("{}", serde_json::to_string(&cost)?);
+        is_kept &= cost.behind == 0 && cost.went_back == 0 && cost.resurrected == 0;
+    }
+    Ok(if is_kept { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
 fn on_sockets(scenario: &Scenario, with: &RunWith, inside: bool) -> io::Result<ExitCode> {
     let temporary = tempfile::tempdir()?;
     let folder: PathBuf = with.out.clone().unwrap_or_else(|| temporary.path().to_path_buf());
--- /dev/null
+++ b/crates/lab/src/coordinated/fleet.rs
@@ -0,0 +1,255 @@
+//! The simulated fleet: nodes, the frames under way between them, and what each spent.
+
+use crate::resources::thread_seconds;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use shalespindle_coordinator::{
+    Client, ClientEvent, ClientParams, Coordinator, CoordinatorParams, Incarnation, NodeId, Outgoing,
+};
+use shalespindle_peer_wire::{front_id, Body, Codec};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// Seconds between two looks at the clock.
+pub(crate) const STEP: f64 = 0.025;
+/// A frame's way, seconds: at least, and so much more at most.
+const DELAY: (f64, f64) = (0.02, 0.02);
+/// A start in milliseconds of Unix time, as large as a process has it.
+const START: u64 = 1_790_000_000_000;
+/// Senders that one codec remembers at most.
+const MOST_SENDERS: usize = 4096;
+
+/// One node's place in the fleet: coordinators first, then fronts.
+pub(crate) type Place = usize;
+
+/// A simulated front, and what its host would do.
+pub(crate) struct Front {
+    pub client: Client,
+    pub started_at: f64,
+    /// The highest version in force that this process knew of.
+    pub in_force: u64,
+    /// The servers that its list names, the first of them in scope.
+    pub scope: Vec<SocketAddr>,
+}
+
+pub(crate) enum Node {
+    Down,
+    Coordinator(Box<Coordinator>),
+    Front(Box<Front>),
+}
+
+/// Bytes of frames, both ways.
+#[derive(Clone, Copy, Default)]
+pub(crate) struct Traffic {
+    pub bytes: u64,
+    pub frames: u64,
+}
+
+pub(crate) struct Fleet {
+    pub now: f64,
+    look: u64,
+    pub coordinators: usize,
+    pub regions: usize,
+    pub nodes: Vec<Node>,
+    codecs: Vec<Option<Codec>>,
+    pub names: Vec<NodeId>,
+    places: BTreeMap<NodeId, Place>,
+    /// By the look at which they arrive: to, frame.
+    under_way: BTreeMap<u64, Vec<(Place, Vec<u8>)>>,
+    pub rng: ChaCha8Rng,
+    loss: f64,
+    /// The region that is cut off from the others.
+    pub cut_off: Option<usize>,
+    pub traffic: Vec<Traffic>,
+    /// Processor time spent in fronts and in coordinators, their codecs included.
+    pub front_seconds: f64,
+    pub coordinator_seconds: f64,
+    starts: u64,
+    /// Fronts whose version in force went down in one process.
+    pub went_back: u64,
+}
+
+impl Fleet {
+    pub fn new(coordinators: usize, fronts: usize, regions: usize, loss: f64, seed: u64) -> Fleet {
+        let coordinator_names = (0..coordinators).map(|n| format!("c{n}"));
+        let names = coordinator_names.chain((0..fronts).map(|n| format!("f{n}")));
+        let names: Vec<NodeId> = names.map(|name| NodeId(front_id(&name).0)).collect();
+        let count = names.len();
+        Fleet {
+            now: 0.0,
+            look: 0,
+            coordinators,
+            regions,
+            nodes: (0..count).map(|_| Node::Down).collect(),
+            codecs: (0..count).map(|_| None).collect(),
+            places: names.iter().enumerate().map(|(place, name)| (*name, place)).collect(),
+            names,
+            under_way: BTreeMap::new(),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            loss,
+            cut_off: None,
+            traffic: vec![Traffic::default(); count],
+            front_seconds: 0.0,
+            coordinator_seconds: 0.0,
+            starts: 0,
+            went_back: 0,
+        }
+    }
+
+    /// Nodes take turns at regions.
+    pub fn region(&self, place: Place) -> usize {
+        match place.checked_sub(self.coordinators) {
+            Some(front) => front % self.regions,
+            None => place % self.regions,
+        }
+    }
+
+    pub fn fronts(&self) -> std::ops::Range<Place> {
+        self.coordinators..self.nodes.len()
+    }
+
+    fn incarnation(&mut self) -> Incarnation {
+        self.starts += 1;
+        Incarnation { number: START + self.starts, nonce: self.rng.random() }
+    }
+
+    fn codec(&self, place: Place) -> Codec {
+        Codec::new([7; 32], shalespindle_peers::FrontId(self.names[place].0), MOST_SENDERS)
+    }
+
+    pub fn start_coordinator(&mut self, place: Place) {
+        let incarnation = self.incarnation();
+        let peers = self.names[..self.coordinators].to_vec();
+        let seed = self.rng.random();
+        let params = CoordinatorParams::default();
+        let coordinator = Coordinator::new(params, self.names[place], incarnation, &peers, seed, self.now);
+        self.codecs[place] = Some(self.codec(place));
+        self.nodes[place] = Node::Coordinator(Box::new(coordinator));
+    }
+
+    /// Starts a front whose list names these servers, all of them ready.
+    pub fn start_front(&mut self, place: Place, scope: Vec<SocketAddr>) {
+        let incarnation = self.incarnation();
+        let region = self.region(place);
+        let own_region = (0..self.coordinators).filter(|c| self.region(*c) == region);
+        let coordinators: Vec<NodeId> = own_region.map(|c| self.names[c]).collect();
+        let seed = self.rng.random();
+        let params = ClientParams::default();
+        let mut client = Client::new(params, self.names[place], incarnation, &coordinators, seed, self.now);
+        client.subscribe(self.now, scope.iter().copied());
+        self.codecs[place] = Some(self.codec(place));
+        let started_at = self.now;
+        self.nodes[place] = Node::Front(Box::new(Front { client, started_at, in_force: 0, scope }));
+    }
+
+    pub fn kill(&mut self, place: Place) {
+        self.nodes[place] = Node::Down;
+        self.codecs[place] = None;
+    }
+
+    pub fn front(&mut self, place: Place) -> Option<&mut Front> {
+        match &mut self.nodes[place] {
+            Node::Front(front) => Some(front),
+            _ => None,
+        }
+    }
+
+    pub fn coordinator(&mut self, place: Place) -> Option<&mut Coordinator> {
+        match &mut self.nodes[place] {
+            Node::Coordinator(coordinator) => Some(coordinator),
+            _ => None,
+        }
+    }
+
+    fn is_cut(&self, a: Place, b: Place) -> bool {
+        self.cut_off.is_some_and(|region| (self.region(a) == region) != (self.region(b) == region))
+    }
+
+    /// One look at the clock: what has arrived, what is due, what goes out.
+    pub fn step(&mut self) {
+        self.look += 1;
+        self.now = self.look as f64 * STEP;
+        let arrived = self.under_way.remove(&self.look).unwrap_or_default();
+        let (to_coordinators, to_fronts): (Vec<_>, Vec<_>) =
+            arrived.into_iter().partition(|(to, _)| *to < self.coordinators);
+        let begin = thread_seconds();
+        to_coordinators.into_iter().for_each(|(to, frame)| self.deliver(to, &frame));
+        (0..self.coordinators).for_each(|place| self.poll(place));
+        let between = thread_seconds();
+        to_fronts.into_iter().for_each(|(to, frame)| self.deliver(to, &frame));
+        self.fronts().for_each(|place| self.poll(place));
+        self.coordinator_seconds += between - begin;
+        self.front_seconds += thread_seconds() - between;
+    }
+
+    fn deliver(&mut self, to: Place, frame: &[u8]) {
+        let Some(codec) = &mut self.codecs[to] else { return };
+        self.traffic[to].bytes += frame.len() as u64;
+        self.traffic[to].frames += 1;
+        let Ok((from, Body::Coordinator(message))) = codec.read(frame) else { return };
+        match &mut self.nodes[to] {
+            Node::Coordinator(coordinator) => coordinator.heard(self.now, NodeId(from.0), message),
+            Node::Front(front) => front.client.heard(self.now, NodeId(from.0), message),
+            Node::Down => {}
+        }
+    }
+
+    fn poll(&mut self, place: Place) {
+        let now = self.now;
+        let mut outgoing = Vec::new();
+        let incarnation = match &mut self.nodes[place] {
+            Node::Down => return,
+            Node::Coordinator(coordinator) => {
+                if coordinator.wake_at() <= now {
+                    coordinator.poll(now);
+                }
+                while coordinator.next_event().is_some() {}
+                outgoing.extend(std::iter::from_fn(|| coordinator.next_outgoing()));
+                coordinator.incarnation()
+            }
+            Node::Front(front) => {
+                self.went_back += front.host(now);
+                outgoing.extend(std::iter::from_fn(|| front.client.next_outgoing()));
+                front.client.incarnation()
+            }
+        };
+        outgoing.into_iter().for_each(|message| self.send(place, incarnation, message));
+    }
+
+    fn send(&mut self, from: Place, incarnation: Incarnation, outgoing: Outgoing) {
+        let Some(codec) = &mut self.codecs[from] else { return };
+        let Some(frame) = codec.write_coordinator(outgoing.to, incarnation, outgoing.message) else { return };
+        self.traffic[from].bytes += frame.len() as u64;
+        self.traffic[from].frames += 1;
+        let Some(to) = self.places.get(&outgoing.to).copied() else { return };
+        if self.rng.random::<f64>() < self.loss || self.is_cut(from, to) {
+            return;
+        }
+        let delay = DELAY.0 + DELAY.1 * self.rng.random::<f64>();
+        let look = self.look + (delay / STEP).ceil().max(1.0) as u64;
+        self.under_way.entry(look).or_default().push((to, frame));
+    }
+}
+
+impl Front {
+    /// What a front's host does with what becomes known: acts on the version in force. Returns 1 where that is older
+    /// than one it knew of before.
+    fn host(&mut self, now: f64) -> u64 {
+        if self.client.wake_at() <= now {
+            self.client.poll(now);
+        }
+        let mut went_back = 0;
+        while let Some(event) = self.client.next_event() {
+            if let ClientEvent::InForce(version) = event {
+                went_back += u64::from(version.id.number < self.in_force);
+                self.in_force = version.id.number;
+                self.client.act(now);
+            }
+        }
+        // What acting called forth goes out in the same turn.
+        if self.client.wake_at() <= now {
+            self.client.poll(now);
+        }
+        went_back
+    }
+}
--- /dev/null
+++ b/crates/lab/src/coordinated/measure.rs
@@ -0,0 +1,511 @@
+//! Measures a simulated fleet with coordinators under one scenario.
+
+use super::fleet::{Fleet, Node, Place};
+use super::scenario::{CoordinatedShape, Scenario};
+use crate::resources::resident_bytes;
+use rand::Rng;
+use serde::Serialize;
+use shalespindle_coordinator::{Key, ServerState, Value};
+use shalespindle_membership::Told;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// Bytes are counted in windows of so many seconds.
+const WINDOW: f64 = 10.0;
+/// The steady scenario: a day's changes and restarts in so many seconds.
+const DAY: f64 = 600.0;
+const CHANGES_A_DAY: usize = 430;
+const RESTARTS_A_DAY: usize = 230;
+/// How long a scenario may take to come to rest.
+const REST_WITHIN: f64 = 120.0;
+/// A killed zone or coordinator stays away so long.
+const AWAY: f64 = 30.0;
+/// Fronts have noticed by then that their coordinator is another process.
+const NOTICED_WITHIN: f64 = 3.0;
+/// A region stays cut off so long.
+const CUT: f64 = 300.0;
+
+/// What came of it. Bytes are of frames, without IP and UDP, both ways together; the largest over all nodes and over
+/// all windows of ten seconds, as bytes a second.
+#[derive(Clone, Debug, Serialize)]
+pub struct CoordinatedCost {
+    /// Fronts.
+    pub fronts: usize,
+    /// Coordinators.
+    pub coordinators: usize,
+    /// What happened.
+    pub scenario: Scenario,
+    /// The seed.
+    pub seed: u64,
+    /// Of the front with the most, in its worst window.
+    pub front_bytes_max: f64,
+    /// Of the median front, over the whole scenario.
+    pub front_bytes_median: f64,
+    /// Of the coordinator with the most, in its worst window.
+    pub coordinator_bytes_max: f64,
+    /// Processor time of a front over its time, codec included.
+    pub front_core_share: f64,
+    /// The same of a coordinator.
+    pub coordinator_core_share: f64,
+    /// Resident memory of the whole simulation over its fronts, megabytes: coordinators, frames under way and the
+    /// simulation itself are in it.
+    pub front_memory_mb: f64,
+    /// Seconds until the slowest change was acted on by all fronts that were up and reachable.
+    pub change_all_s: f64,
+    /// Seconds from the last remedy until all fronts are connected, level, and act on one version.
+    pub recovered_s: f64,
+    /// The longest time since a front was last level with a coordinator, seconds.
+    pub age_max_s: f64,
+    /// Snapshots that coordinators began, and clients told that they hold all already.
+    pub snapshots: u64,
+    /// See `snapshots`.
+    pub confirmed: u64,
+    /// Looks of any coordinator at which clients were suspected, and fronts that stayed up and were suspected.
+    pub suspicions: u64,
+    /// See `suspicions`.
+    pub suspected_wrongly: u64,
+    /// Versions that lost, as the coordinators list them at the end.
+    pub lost_versions: usize,
+    /// Fronts that do not act on the version in force at the end.
+    pub behind: u64,
+    /// Fronts that ever acted on a version older than one they had acted on.
+    pub went_back: u64,
+    /// Statements of ended processes, or deleted ones, that some coordinator holds at the end.
+    pub resurrected: u64,
+}
+
+struct Announced {
+    at: f64,
+    number: u64,
+}
+
+struct Run {
+    fleet: Fleet,
+    shape: CoordinatedShape,
+    /// Counts the starts of each server.
+    server_starts: Vec<u64>,
+    next_number: u64,
+    pending: Vec<Announced>,
+    change_all_s: f64,
+    age_max_s: f64,
+    window_begin: f64,
+    window_bytes: Vec<u64>,
+    front_bytes_max: f64,
+    coordinator_bytes_max: f64,
+}
+
+/// Measures one fleet.
+pub fn measure(shape: &CoordinatedShape) -> CoordinatedCost {
+    let resident_before = resident_bytes();
+    let mut run = Run::new(shape.clone());
+    run.settle();
+    let traffic_before: Vec<u64> = run.fleet.traffic.iter().map(|t| t.bytes).collect();
+    let begin = run.fleet.now;
+    let (front_before, coordinator_before) = (run.fleet.front_seconds, run.fleet.coordinator_seconds);
+    let recovered_s = match shape.scenario {
+        Scenario::Steady => run.steady(),
+        Scenario::RestartZone => run.restart_zone(),
+        Scenario::RegionCut => run.region_cut(),
+        Scenario::CoordinatorsDown => run.coordinators_down(),
+        Scenario::SessionsLost => run.sessions_lost(),
+    };
+    let seconds = run.fleet.now - begin;
+    let share = |spent: f64, nodes: usize| spent / seconds / nodes.max(1) as f64;
+    let mut front_bytes: Vec<f64> = run
+        .fleet
+        .fronts()
+        .map(|place| (run.fleet.traffic[place].bytes - traffic_before[place]) as f64 / seconds)
+        .collect();
+    front_bytes.sort_by(f64::total_cmp);
+    let (snapshots, confirmed, suspicions) = run.totals();
+    CoordinatedCost {
+        fronts: shape.fronts,
+        coordinators: shape.coordinators,
+        scenario: shape.scenario,
+        seed: shape.seed,
+        front_bytes_max: run.front_bytes_max,
+        front_bytes_median: front_bytes.get(front_bytes.len() / 2).copied().unwrap_or(0.0),
+        coordinator_bytes_max: run.coordinator_bytes_max,
+        front_core_share: share(run.fleet.front_seconds - front_before, shape.fronts),
+        coordinator_core_share: share(run.fleet.coordinator_seconds - coordinator_before, shape.coordinators),
+        front_memory_mb: resident_bytes().saturating_sub(resident_before) as f64 / 1e6 / shape.fronts as f64,
+        change_all_s: run.change_all_s,
+        recovered_s,
+        age_max_s: run.age_max_s,
+        snapshots,
+        confirmed,
+        suspicions,
+        suspected_wrongly: run.suspected_wrongly(),
+        lost_versions: run.lost_versions(),
+        behind: run.behind(),
+        went_back: run.fleet.went_back,
+        resurrected: run.resurrected(),
+    }
+}
+
+fn server_address(server: usize) -> SocketAddr {
+    SocketAddr::from(([10, 1, (server / 250) as u8, (server % 250) as u8], 5060))
+}
+
+impl Run {
+    fn new(shape: CoordinatedShape) -> Run {
+        let mut fleet = Fleet::new(shape.coordinators, shape.fronts, shape.regions, shape.loss, shape.seed);
+        (0..shape.coordinators).for_each(|place| fleet.start_coordinator(place));
+        let count = fleet.nodes.len();
+        let mut run = Run {
+            fleet,
+            // A server stands beside each front.
+            server_starts: vec![1; shape.fronts],
+            shape,
+            next_number: 1,
+            pending: Vec::new(),
+            change_all_s: 0.0,
+            age_max_s: 0.0,
+            window_begin: 0.0,
+            window_bytes: vec![0; count],
+            front_bytes_max: 0.0,
+            coordinator_bytes_max: 0.0,
+        };
+        run.fleet.fronts().for_each(|place| run.start_front(place));
+        run
+    }
+
+    /// The servers in a front's scope: those from its own on, round the fleet.
+    fn scope(&self, place: Place) -> Vec<usize> {
+        let front = place - self.shape.coordinators;
+        let count = self.shape.servers_in_scope.min(self.shape.fronts);
+        (0..count).map(|n| (front + n) % self.shape.fronts).collect()
+    }
+
+    fn start_front(&mut self, place: Place) {
+        let scope = self.scope(place);
+        self.fleet.start_front(place, scope.iter().map(|server| server_address(*server)).collect());
+    }
+
+    fn announce_at(&mut self, place: Place) {
+        let (now, number) = (self.fleet.now, self.next_number);
+        let announced = match &mut self.fleet.nodes[place] {
+            Node::Coordinator(coordinator) => coordinator.announce(now, number, number).is_ok(),
+            Node::Front(front) => front.client.announce(now, number, number).is_ok(),
+            Node::Down => false,
+        };
+        if announced {
+            self.next_number += 1;
+            self.pending.push(Announced { at: now, number });
+        }
+    }
+
+    /// Every front whose list names the server tells what it tells of it.
+    fn tell_server(&mut self, server: usize, told: Told) {
+        let now = self.fleet.now;
+        let (address, state) =
+            (server_address(server), ServerState { incarnation: self.server_starts[server], told });
+        for place in self.fleet.fronts() {
+            if let Some(front) = self.fleet.front(place).filter(|front| front.scope.contains(&address)) {
+                front.client.tell_server(now, address, Some(state));
+            }
+        }
+    }
+
+    // ---- looking ----
+
+    fn step(&mut self) {
+        self.fleet.step();
+        let now = self.fleet.now;
+        if now - self.window_begin >= WINDOW {
+            self.close_window();
+        }
+        let number = |fleet: &mut Fleet, place| fleet.front(place).map_or(u64::MAX, |front| front.in_force);
+        while let Some(oldest) = self.pending.first() {
+            let (at, wanted) = (oldest.at, oldest.number);
+            let fleet = &mut self.fleet;
+            let mut reached = fleet.fronts();
+            let all = reached.all(|place| {
+                let started = fleet.front(place).map_or(f64::INFINITY, |front| front.started_at);
+                started > at || number(fleet, place) >= wanted
+            });
+            if !all {
+                break;
+            }
+            self.change_all_s = self.change_all_s.max(now - at);
+            self.pending.remove(0);
+        }
+    }
+
+    fn close_window(&mut self) {
+        let seconds = self.fleet.now - self.window_begin;
+        for place in 0..self.fleet.nodes.len() {
+            let bytes = self.fleet.traffic[place].bytes;
+            let rate = (bytes - self.window_bytes[place]) as f64 / seconds;
+            let max = match place < self.shape.coordinators {
+                true => &mut self.coordinator_bytes_max,
+                false => &mut self.front_bytes_max,
+            };
+            *max = max.max(rate);
+            self.window_bytes[place] = bytes;
+        }
+        self.window_begin = self.fleet.now;
+        let now = self.fleet.now;
+        for place in self.fleet.fronts() {
+            if let Some(front) = self.fleet.front(place) {
+                let age = front.client.status(now).age.unwrap_or(now - front.started_at);
+                self.age_max_s = self.age_max_s.max(age);
+            }
+        }
+    }
+
+    fn pass(&mut self, seconds: f64) {
+        let until = self.fleet.now + seconds;
+        while self.fleet.now < until {
+            self.step();
+        }
+    }
+
+    /// All fronts are connected, level, and act on the newest version that anybody announced.
+    fn is_at_rest(&mut self) -> bool {
+        let now = self.fleet.now;
+        let newest = self.next_number - 1;
+        let fleet = &mut self.fleet;
+        let mut fronts = fleet.fronts();
+        fronts.all(|place| {
+            fleet.front(place).is_some_and(|front| {
+                let status = front.client.status(now);
+                status.coordinator.is_some() && status.unpublished == 0 && front.in_force >= newest
+            })
+        })
+    }
+
+    /// Steps until all is at rest: seconds, infinite where that does not come.
+    fn rest(&mut self) -> f64 {
+        let begin = self.fleet.now;
+        while !self.is_at_rest() {
+            if self.fleet.now - begin > REST_WITHIN {
+                return f64::INFINITY;
+            }
+            self.step();
+        }
+        self.fleet.now - begin
+    }
+
+    /// From the start until a first version is in force everywhere; what that cost is not measured.
+    fn settle(&mut self) {
+        (0..self.shape.fronts).for_each(|server| self.tell_server(server, Told::Ready));
+        self.pass(5.0);
+        self.announce_at(0);
+        self.rest();
+        self.pass(10.0);
+        self.close_window();
+        (self.front_bytes_max, self.coordinator_bytes_max) = (0.0, 0.0);
+        (self.change_all_s, self.age_max_s) = (0.0, 0.0);
+    }
+
+    // ---- scenarios: each returns the time from the last remedy to rest ----
+
+    fn steady(&mut self) -> f64 {
+        // In order of time: a change at any node, or a server that is drained, restarted and ready again.
+        let mut due: BTreeMap<u64, Vec<Happening>> = BTreeMap::new();
+        let millis = |seconds: f64| (seconds * 1000.0) as u64;
+        for _ in 0..CHANGES_A_DAY {
+            let at = millis(DAY * self.fleet.rng.random::<f64>());
+            due.entry(at).or_default().push(Happening::Change);
+        }
+        for _ in 0..RESTARTS_A_DAY {
+            let at = DAY * self.fleet.rng.random::<f64>();
+            let server = self.fleet.rng.random_range(0..self.shape.fronts);
+            due.entry(millis(at)).or_default().push(Happening::Drain(server));
+            due.entry(millis(at + 5.0)).or_default().push(Happening::Restart(server));
+        }
+        let begin = self.fleet.now;
+        while let Some((at, happenings)) = due.pop_first() {
+            while millis(self.fleet.now - begin) < at {
+                self.step();
+            }
+            happenings.into_iter().for_each(|happening| self.happen(happening));
+        }
+        let recovered = self.rest();
+        self.pass(10.0);
+        recovered
+    }
+
+    fn happen(&mut self, happening: Happening) {
+        match happening {
+            Happening::Change => {
+                let place = self.fleet.rng.random_range(0..self.fleet.nodes.len());
+                self.announce_at(place);
+            }
+            Happening::Drain(server) => self.tell_server(server, Told::Draining),
+            Happening::Restart(server) => {
+                self.server_starts[server] += 1;
+                // Its front goes with it.
+                let place = self.shape.coordinators + server;
+                self.fleet.kill(place);
+                self.start_front(place);
+                self.tell_own_list(place);
+                self.tell_server(server, Told::Ready);
+            }
+        }
+    }
+
+    /// A front that starts tells what its list names.
+    fn tell_own_list(&mut self, place: Place) {
+        let now = self.fleet.now;
+        for server in self.scope(place) {
+            let state = ServerState { incarnation: self.server_starts[server], told: Told::Ready };
+            if let Some(front) = self.fleet.front(place) {
+                front.client.tell_server(now, server_address(server), Some(state));
+            }
+        }
+    }
+
+    fn zone(&self, zone: usize) -> Vec<Place> {
+        let zones = self.shape.zones;
+        self.fleet.fronts().filter(|place| (place - self.shape.coordinators) % zones == zone).collect()
+    }
+
+    fn restart_zone(&mut self) -> f64 {
+        let zone = self.zone(0);
+        zone.iter().for_each(|place| self.fleet.kill(*place));
+        self.pass(AWAY);
+        for place in zone {
+            self.start_front(place);
+            self.tell_own_list(place);
+        }
+        self.rest()
+    }
+
+    fn region_cut(&mut self) -> f64 {
+        self.fleet.cut_off = Some(0);
+        self.pass(CUT / 2.0);
+        // The same number on both sides: neither side knows of the other's.
+        let number = self.next_number;
+        self.announce_at(0);
+        self.next_number = number;
+        self.announce_at(1);
+        self.pending.clear();
+        self.pass(CUT / 2.0);
+        self.fleet.cut_off = None;
+        let recovered = self.rest_equal();
+        self.pass(WINDOW);
+        recovered
+    }
+
+    /// Steps until all fronts act on the very same version.
+    fn rest_equal(&mut self) -> f64 {
+        let begin = self.fleet.now;
+        loop {
+            let now = self.fleet.now;
+            let fleet = &mut self.fleet;
+            let versions: std::collections::BTreeSet<_> = fleet
+                .fronts()
+                .filter_map(|place| Some(fleet.front(place)?.client.status(now).acts_on))
+                .collect();
+            if versions.len() == 1 && self.is_at_rest() {
+                return now - begin;
+            }
+            if now - begin > REST_WITHIN {
+                return f64::INFINITY;
+            }
+            self.step();
+        }
+    }
+
+    fn coordinators_down(&mut self) -> f64 {
+        for place in 0..self.shape.coordinators {
+            self.fleet.kill(place);
+            self.pass(5.0);
+        }
+        self.pass(2.0 * AWAY);
+        (0..self.shape.coordinators).for_each(|place| self.fleet.start_coordinator(place));
+        self.restart_one_and_rest()
+    }
+
+    /// A front that starts anew learns from coordinators that lost everything what the other fronts still know.
+    fn restart_one_and_rest(&mut self) -> f64 {
+        let recovered = self.rest();
+        let place = self.shape.coordinators;
+        self.start_front(place);
+        self.tell_own_list(place);
+        if self.rest().is_infinite() {
+            return f64::INFINITY;
+        }
+        self.pass(WINDOW);
+        recovered
+    }
+
+    fn sessions_lost(&mut self) -> f64 {
+        for place in 0..self.shape.coordinators {
+            self.fleet.kill(place);
+            self.fleet.start_coordinator(place);
+        }
+        // Fronts notice only when they ask next.
+        self.pass(NOTICED_WITHIN);
+        NOTICED_WITHIN + self.restart_one_and_rest()
+    }
+
+    // ---- what is left at the end ----
+
+    fn totals(&mut self) -> (u64, u64, u64) {
+        let mut totals = (0, 0, 0);
+        for place in 0..self.shape.coordinators {
+            if let Some(coordinator) = self.fleet.coordinator(place) {
+                let counts = coordinator.counts();
+                totals.0 += counts.snapshots;
+                totals.1 += counts.confirmed;
+                totals.2 += counts.suspicions;
+            }
+        }
+        totals
+    }
+
+    fn behind(&mut self) -> u64 {
+        let newest = self.next_number - 1;
+        let fleet = &mut self.fleet;
+        let behind = fleet.fronts().filter(|place| fleet.front(*place).is_some_and(|f| f.in_force < newest));
+        behind.count() as u64
+    }
+
+    fn lost_versions(&mut self) -> usize {
+        self.fleet.coordinator(0).map_or(0, |coordinator| coordinator.store().lost().len())
+    }
+
+    /// Fronts that have been up for long and that a coordinator holds to be suspected.
+    fn suspected_wrongly(&mut self) -> u64 {
+        let names = self.fleet.names.clone();
+        let up: Vec<Place> =
+            self.fleet.fronts().filter(|place| matches!(self.fleet.nodes[*place], Node::Front(_))).collect();
+        let mut wrong = 0;
+        for place in 0..self.shape.coordinators {
+            let Some(coordinator) = self.fleet.coordinator(place) else { continue };
+            let state = |front: &Place| coordinator.store().member(names[*front]);
+            let suspected = Some(shalespindle_coordinator::MemberState::Suspected);
+            wrong += up.iter().filter(|front| state(front) == suspected).count() as u64;
+        }
+        wrong
+    }
+
+    /// Live statements on servers by a process that has ended: those of an incarnation before its front's own.
+    fn resurrected(&mut self) -> u64 {
+        let names = self.fleet.names.clone();
+        let current: BTreeMap<_, _> = self
+            .fleet
+            .fronts()
+            .filter_map(|place| Some((names[place], self.fleet.front(place)?.client.incarnation())))
+            .collect();
+        let mut wrong = 0;
+        for place in 0..self.shape.coordinators {
+            let Some(coordinator) = self.fleet.coordinator(place) else { continue };
+            for (owner, key, value) in coordinator.store().live() {
+                let is_server = matches!((key, value), (Key::Server(_), Value::Server(_)));
+                let written = coordinator.store().incarnation_of(owner, key);
+                wrong += u64::from(is_server && current.get(&owner) > written.as_ref());
+            }
+        }
+        wrong
+    }
+}
+
+enum Happening {
+    Change,
+    Drain(usize),
+    Restart(usize),
+}
--- a/crates/lab/src/fleet_size.rs
+++ b/crates/lab/src/fleet_size.rs
@@ -19,6 +19,8 @@
 const DELAY: (f64, f64) = (0.02, 0.02);
 /// How long a call stands in the churn, seconds.
 const STANDS: f64 = 10.0;
+/// A start in milliseconds of Unix time.
+const LIFE_BASE: u64 = 1_790_000_000_000;
 /// How long a fleet in which nothing happens is measured, seconds.
 const IDLE: f64 = 10.0;
 
@@ -122,7 +124,9 @@
     }
 
     fn start(&mut self, place: usize, life: u64) {
-        let (own, life) = (self.names[place], Life { number: life, nonce: place as u64 });
+        // As large as a process has them: its start in milliseconds of Unix time, and 64 random bits.
+        let life = Life { number: LIFE_BASE + life, nonce: self.rng.random() };
+        let own = self.names[place];
         // Beats of fronts are not in step.
         let begin = self.now + EVERY * self.rng.random::<f64>();
         let fleet = Fleet::new(self.params.clone(), own, life, &self.names, place as u64, begin);
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod baseline;
 pub mod compare;
+pub mod coordinated;
 pub mod country;
 pub mod fleet_cost;
 pub mod fleet_size;
--- a/crates/peer-service/src/owner.rs
+++ b/crates/peer-service/src/owner.rs
@@ -211,7 +211,7 @@
                         sites.core.heard(now, self.fleet.peers(), from, message);
                     }
                     // Dropped and counted, or of no use to a front without sites.
-                    (Err(_), _) | (Ok((_, Body::Sites(_))), None) => {}
+                    (Err(_), _) | (Ok((_, Body::Sites(_) | Body::Coordinator(_))), _) => {}
                 }
             }
             Letter::Say(sayings) => sayings.into_iter().for_each(|saying| self.say(now, saying)),
--- a/crates/peer-wire/src/lib.rs
+++ b/crates/peer-wire/src/lib.rs
@@ -4,6 +4,7 @@
 
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
+use shalespindle_coordinator::{Incarnation, Message as CoordinatorMessage, NodeId};
 use shalespindle_peers::{FrontId, Life};
 use shalespindle_replica::Message;
 use shalespindle_sites::SitesMessage;
@@ -14,6 +15,8 @@
 /// The version of frames about sites. Fronts of before drop them and count them; all else still goes in [`VERSION`], so
 /// that fronts of both serve side by side.
 pub const SITES_VERSION: u8 = 3;
+/// The version of frames between coordinators and their clients. Whoever knows of none drops them and counts them.
+pub const COORDINATOR_VERSION: u8 = 4;
 const MARK: [u8; 2] = *b"sf";
 /// Bytes of the hash that a frame carries.
 const HASH: usize = 16;
@@ -36,7 +39,7 @@
     Large,
     #[error("not a frame of this kind")]
     Foreign,
-    #[error("of version {0}; {VERSION} and {SITES_VERSION} are read")]
+    #[error("of version {0}; {VERSION}, {SITES_VERSION} and {COORDINATOR_VERSION} are read")]
     Version(u8),
     #[error("its hash is wrong")]
     Forged,
@@ -65,6 +68,7 @@
 pub enum Body {
     Fleet(Message),
     Sites(SitesMessage),
+    Coordinator(CoordinatorMessage),
 }
 
 #[derive(Serialize, Deserialize)]
@@ -137,6 +141,17 @@
         self.frame(SITES_VERSION, to, life, message)
     }
 
+    /// A frame between a coordinator and a client of it.
+    pub fn write_coordinator(
+        &mut self,
+        to: NodeId,
+        incarnation: Incarnation,
+        message: CoordinatorMessage,
+    ) -> Option<Vec<u8>> {
+        let life = Life { number: incarnation.number, nonce: incarnation.nonce };
+        self.frame(COORDINATOR_VERSION, FrontId(to.0), life, message)
+    }
+
     fn frame(&mut self, version: u8, to: FrontId, life: Life, message: impl Serialize) -> Option<Vec<u8>> {
         self.number += 1;
         let life = (life.number, life.nonce);
@@ -177,7 +192,7 @@
         if mark != MARK {
             return Err(Dropped::Foreign);
         }
-        if !matches!(rest[0], VERSION | SITES_VERSION) {
+        if !matches!(rest[0], VERSION | SITES_VERSION | COORDINATOR_VERSION) {
             return Err(Dropped::Version(rest[0]));
         }
         // In constant time: a forger must not learn how much of a hash was right.
@@ -187,6 +202,7 @@
         }
         match rest[0] {
             VERSION => self.take(body, Body::Fleet),
+            COORDINATOR_VERSION => self.take(body, Body::Coordinator),
             _ => self.take(body, Body::Sites),
         }
     }
--- a/crates/peer-wire/tests/frames.rs
+++ b/crates/peer-wire/tests/frames.rs
@@ -2,7 +2,9 @@
 
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use shalespindle_peer_wire::{front_id, Body, Codec, Dropped, LARGEST, SITES_VERSION, VERSION};
+use shalespindle_peer_wire::{
+    front_id, Body, Codec, Dropped, COORDINATOR_VERSION, LARGEST, SITES_VERSION, VERSION,
+};
 use shalespindle_peers::{FrontId, Life};
 use shalespindle_replica::{
     Fact, Item, Key, Known, LevelWord, Message, Part, PastReach, Reach, ServerWord, Told,
@@ -71,12 +73,12 @@
     let (mut a, mut b, to) = pair();
     let good = a.write(to, LIFE, parts()).unwrap();
     let other = Codec::new([8; 32], front_id("a"), 8).write(to, LIFE, parts()).unwrap();
-    let version = [&good[..2], &[SITES_VERSION + 1], &good[3..]].concat();
+    let version = [&good[..2], &[COORDINATOR_VERSION + 1], &good[3..]].concat();
     let cases = [
         (vec![0; LARGEST + 1], Dropped::Large),
         (b"sf".to_vec(), Dropped::Foreign),
         ([b"sip ", &good[4..]].concat(), Dropped::Foreign),
-        (version, Dropped::Version(SITES_VERSION + 1)),
+        (version, Dropped::Version(COORDINATOR_VERSION + 1)),
         (other, Dropped::Forged),
         (good[..good.len() - 1].to_vec(), Dropped::Forged),
         ([&good[..], b"x"].concat(), Dropped::Forged),
