--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -198,7 +198,7 @@
     loss: f64,
     seed: u64,
 ) -> io::Result<ExitCode> {
-    if coordinators == 0 || coordinators % REGIONS != 0 {
+    if coordinators == 0 || !coordinators.is_multiple_of(REGIONS) {
         eprintln!(
             "--coordinators is {coordinators}; a multiple of {REGIONS} is allowed, as many for each region"
         );
--- a/crates/coordinator/src/client.rs
+++ b/crates/coordinator/src/client.rs
@@ -430,7 +430,7 @@
             publish.clear();
         }
         let is_unknown = self.is_connected && self.subscribed != self.subscription_number;
-        let servers = || Subscription::Servers(self.servers.iter().copied().collect());
+        let servers = || Subscription { servers: self.servers.iter().copied().collect() };
         let heartbeat = Heartbeat {
             incarnation: self.incarnation,
             number: self.heartbeat,
--- a/crates/coordinator/src/coordinator.rs
+++ b/crates/coordinator/src/coordinator.rs
@@ -2,7 +2,7 @@
 
 use crate::configuration::{ConfigurationVersion, Outdated, VersionId};
 use crate::follower::Follower;
-use crate::message::{Continuity, Heartbeat, Message, Subscription, Update, MOST_PUBLISHED};
+use crate::message::{Heartbeat, Message, Update, MOST_PUBLISHED};
 use crate::session::Session;
 use crate::statement::{Incarnation, Key, LevelPin, MemberState, NodeId, Statement, Value, Version};
 use crate::store::{Applied, Filter, Source, Store};
@@ -11,11 +11,8 @@
 use rand_chacha::ChaCha8Rng;
 use std::collections::{BTreeMap, VecDeque};
 
-/// Updates to one client that may be under way at once.
-const MOST_IN_FLIGHT: usize = 8;
-
-/// A snapshot of which nothing has been sent for so many times `resend_after` holds up no other.
-const STALLED: f64 = 4.0;
+/// The number of the subscription of every coordinator at every other one.
+const REPLICA_SUBSCRIPTION: u64 = 1;
 
 /// What a coordinator is started with. Times are seconds.
 #[derive(Clone, Debug, PartialEq)]
@@ -54,7 +51,7 @@
             heartbeat_every: 0.5,
             suspect_after: 4.0,
             gather: 0.05,
-            resend_after: 0.5,
+            resend_after: 0.3,
             remember: 86_400.0,
             repair_after: 3.0,
             most_sessions: 1024,
@@ -106,23 +103,23 @@
 pub struct Coordinator {
     pub(crate) params: CoordinatorParams,
     own: NodeId,
-    incarnation: Incarnation,
+    pub(crate) incarnation: Incarnation,
     pub(crate) store: Store,
     pub(crate) sessions: BTreeMap<NodeId, Session>,
     pub(crate) followed: BTreeMap<NodeId, Follower>,
     sequence: u64,
     heartbeat: u64,
     heartbeat_at: f64,
-    poll_at: f64,
+    pub(crate) poll_at: f64,
     /// Bytes that may be sent now, and when that was counted.
-    allowance: f64,
-    allowance_at: f64,
+    pub(crate) allowance: f64,
+    pub(crate) allowance_at: f64,
     /// The client served last: the next poll goes on behind it.
-    served_last: Option<NodeId>,
+    pub(crate) served_last: Option<NodeId>,
     pub(crate) is_isolated: bool,
     told_in_force: Option<ConfigurationVersion>,
     rng: ChaCha8Rng,
-    outgoing: VecDeque<Outgoing>,
+    pub(crate) outgoing: VecDeque<Outgoing>,
     events: VecDeque<CoordinatorEvent>,
     pub(crate) counts: Counts,
 }
@@ -266,12 +263,17 @@
         if self.store.member_version(from).is_some_and(|known| known.incarnation > heartbeat.incarnation) {
             return false;
         }
-        self.sessions.insert(from, Session::new(now, heartbeat.incarnation, heartbeat.number));
+        let mut session = Session::new(now, heartbeat.incarnation, heartbeat.number);
+        if is_peer {
+            // A coordinator is told all, whether it has heard that its last session was over or not.
+            (session.filter, session.subscription_number) = (Filter::Everything, REPLICA_SUBSCRIPTION);
+        }
+        self.sessions.insert(from, session);
         self.state_member(now, from, heartbeat.incarnation, heartbeat.number, MemberState::Alive);
         true
     }
 
-    fn turn_away(&mut self, from: NodeId) {
+    pub(crate) fn turn_away(&mut self, from: NodeId) {
         self.counts.turned_away += 1;
         let retry_after = self.params.retry_after * (1.0 + self.rng.random::<f64>());
         self.outgoing.push_back(Outgoing { to: from, message: Message::Busy { retry_after } });
@@ -376,7 +378,7 @@
         self.poll_at
     }
 
-    fn poll_soon(&mut self, now: f64) {
+    pub(crate) fn poll_soon(&mut self, now: f64) {
         self.poll_at = self.poll_at.min(now + self.params.gather);
     }
 
@@ -426,8 +428,8 @@
             number: self.heartbeat,
             cursor,
             digest: cursor.is_none().then(|| self.store.replica_digest()),
-            subscription_number: 1,
-            subscription: cursor.is_none().then_some(Subscription::Everything),
+            subscription_number: REPLICA_SUBSCRIPTION,
+            subscription: None,
             publish: Vec::new(),
             wants_answer,
             leaves: false,
@@ -435,128 +437,6 @@
         self.outgoing.push_back(Outgoing { to, message: Message::Heartbeat(heartbeat) });
     }
 
-    fn refill(&mut self, now: f64) {
-        let rate = self.params.bytes_a_second;
-        let gained = rate * (now - self.allowance_at).max(0.0);
-        self.allowance = (self.allowance + gained).min(rate);
-        self.allowance_at = now;
-    }
-
-    /// Tells each client what is news to it, in turn, as far as the allowance goes.
-    fn serve_clients(&mut self, now: f64) {
-        let mut clients: Vec<NodeId> = self.sessions.keys().copied().collect();
-        let served = self.served_last.map_or(0, |last| clients.partition_point(|client| *client <= last));
-        clients.rotate_left(served);
-        for client in clients {
-            if self.allowance < 0.0 {
-                self.poll_soon(now);
-                return;
-            }
-            self.served_last = Some(client);
-            while self.serve(now, client) {}
-        }
-    }
-
-    /// Sends a client one update, if one is due; true where more may follow at once.
-    fn serve(&mut self, now: f64, client: NodeId) -> bool {
-        let stalled_after = STALLED * self.params.resend_after;
-        let snapshots =
-            self.sessions.values().filter(|session| session.takes_snapshot(now, stalled_after)).count();
-        let Some(session) = self.sessions.get_mut(&client) else { return false };
-        let in_flight = session.in_flight;
-        session.resend_if_due(now, self.params.resend_after);
-        self.counts.resent += (in_flight - session.in_flight) as u64;
-        let begins = session.acknowledged.is_none() && session.told == 0;
-        if begins && (session.subscription_number == 0 || session.digest.is_none()) {
-            // A client that only asks whether anybody is there, or took this process for the one before: it says what
-            // it wants and holds when it knows.
-            if std::mem::take(&mut session.wants_answer) {
-                self.send_update(now, client, Continuity::Delta, 0, 0, Vec::new());
-            }
-            return false;
-        }
-        let digest = match &session.filter {
-            _ if !begins => None,
-            Filter::Servers(_) => Some(self.store.digest(&session.filter)),
-            Filter::Everything | Filter::Direct => Some(self.store.replica_digest()),
-        };
-        if begins && session.digest == digest {
-            self.counts.confirmed += 1;
-            let to = self.store.revision();
-            self.send_update(now, client, Continuity::Confirmed, 0, to, Vec::new());
-            return false;
-        }
-        if begins && snapshots >= self.params.most_snapshots {
-            let asks = std::mem::take(&mut session.wants_answer);
-            if asks {
-                self.turn_away(client);
-            }
-            return false;
-        }
-        let has_news = session.scanned < self.store.revision() && session.in_flight < MOST_IN_FLIGHT;
-        if !has_news {
-            if std::mem::take(&mut session.wants_answer) {
-                let (from, to) = (session.told, session.scanned);
-                self.send_update(now, client, Continuity::Delta, from, to, Vec::new());
-            }
-            return false;
-        }
-        let is_snapshot = begins || session.snapshot_until.is_some();
-        let (filter, bytes) = match &session.filter {
-            filter @ Filter::Servers(_) => (filter, self.params.update_bytes),
-            _ if is_snapshot => (&Filter::Everything, self.params.replica_update_bytes),
-            _ => (&Filter::Direct, self.params.replica_update_bytes),
-        };
-        let page = self.store.changes_after(session.scanned, filter, bytes);
-        session.scanned = page.to;
-        if page.statements.is_empty() && !session.wants_answer && !begins {
-            return true;
-        }
-        let from = session.told;
-        if begins {
-            session.snapshot_until = Some(self.store.revision());
-            self.counts.snapshots += 1;
-        }
-        let continuity = if begins { Continuity::SnapshotBegins } else { Continuity::Delta };
-        self.send_update(now, client, continuity, from, page.to, page.statements);
-        self.allowance >= 0.0
-    }
-
-    fn send_update(
-        &mut self,
-        now: f64,
-        client: NodeId,
-        continuity: Continuity,
-        from: u64,
-        to: u64,
-        statements: Vec<Statement>,
-    ) {
-        let Some(session) = self.sessions.get_mut(&client) else { return };
-        let bytes: usize = statements.iter().map(Statement::size).sum();
-        session.wants_answer = false;
-        // What carries no news is not waited for: what follows it begins where it began.
-        if !statements.is_empty() || continuity != Continuity::Delta {
-            (session.told, session.scanned) = (to, session.scanned.max(to));
-            (session.told_at, session.in_flight) = (now, session.in_flight + 1);
-        }
-        let is_replica = !matches!(session.filter, Filter::Servers(_));
-        let update = Update {
-            coordinator: self.incarnation,
-            from,
-            to,
-            revision: self.store.revision(),
-            continuity,
-            statements,
-            published: session.published,
-            subscription_number: session.subscription_number,
-            replica_digest: is_replica.then(|| self.store.replica_digest()),
-        };
-        self.counts.updates += 1;
-        self.counts.statement_bytes += bytes as u64;
-        self.allowance -= bytes as f64;
-        self.outgoing.push_back(Outgoing { to: client, message: Message::Update(update) });
-    }
-
     // ---- what the host takes ----
 
     /// The next message to send.
@@ -595,10 +475,7 @@
     if session.subscription_number == heartbeat.subscription_number || !subscription.is_sound() {
         return;
     }
-    session.filter = match subscription {
-        Subscription::Everything => Filter::Everything,
-        Subscription::Servers(servers) => Filter::Servers(servers.iter().copied().collect()),
-    };
+    session.filter = Filter::Servers(subscription.servers.iter().copied().collect());
     session.subscription_number = heartbeat.subscription_number;
     session.begin_anew();
 }
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -18,6 +18,7 @@
 mod coordinator;
 mod follower;
 mod message;
+mod serving;
 mod session;
 mod statement;
 mod status;
--- a/crates/coordinator/src/message.rs
+++ b/crates/coordinator/src/message.rs
@@ -9,21 +9,17 @@
 /// Statements that one heartbeat may publish.
 pub const MOST_PUBLISHED: usize = 16;
 
-/// What a client wants to be told.
+/// What a front wants to be told: versions of the configuration, pins of levels, and the newest word on each of these
+/// servers. Coordinators are told everything.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Subscription {
-    /// Versions of the configuration, pins of levels, and the newest word on each of these servers.
-    Servers(Vec<SocketAddr>),
-    /// All statements: for coordinators, which become replicas.
-    Everything,
+pub struct Subscription {
+    /// Addresses, [`MOST_SERVERS`] at most.
+    pub servers: Vec<SocketAddr>,
 }
 
 impl Subscription {
     pub(crate) fn is_sound(&self) -> bool {
-        match self {
-            Subscription::Servers(servers) => servers.len() <= MOST_SERVERS,
-            Subscription::Everything => true,
-        }
+        self.servers.len() <= MOST_SERVERS
     }
 }
 
--- a/crates/coordinator/src/statement.rs
+++ b/crates/coordinator/src/statement.rs
@@ -149,12 +149,13 @@
 impl Statement {
     /// Its value is of its key's kind.
     pub(crate) fn is_sound(&self) -> bool {
-        self.value.as_ref().is_none_or(|value| match value {
+        let Some(value) = &self.value else { return !self.key.is_operators() };
+        match value {
             Value::Acknowledgement(acknowledgement) => {
                 self.key == Key::Acknowledgement && acknowledgement.is_sound()
             }
             value => value.fits(self.key),
-        })
+        }
     }
 
     /// Bytes that it takes in a message, about and not less.
--- a/crates/coordinator/src/store.rs
+++ b/crates/coordinator/src/store.rs
@@ -121,7 +121,11 @@
         let (owner, key, version) = (statement.owner, statement.key, statement.version);
         let place = (owner, key);
         let held = self.entries.get(&place);
-        let is_known = held.is_some_and(|entry| entry.version >= version);
+        let is_known = match statement.value.as_ref().and_then(|value| value.word_rank(owner)) {
+            // What an operator said counts by its number, whichever process of its publisher said it.
+            Some(rank) => self.word_rank(owner, key) >= Some(rank),
+            None => held.is_some_and(|entry| entry.version >= version),
+        };
         if is_known || self.is_of_ended_process(owner, key, version) {
             return Applied::Known;
         }
--- a/crates/lab/src/coordinated/measure.rs
+++ b/crates/lab/src/coordinated/measure.rs
@@ -77,6 +77,7 @@
 struct Announced {
     at: f64,
     number: u64,
+    publisher: Place,
 }
 
 struct Run {
@@ -191,7 +192,7 @@
         };
         if announced {
             self.next_number += 1;
-            self.pending.push(Announced { at: now, number });
+            self.pending.push(Announced { at: now, number, publisher: place });
         }
     }
 
@@ -338,6 +339,7 @@
                 self.server_starts[server] += 1;
                 // Its front goes with it.
                 let place = self.shape.coordinators + server;
+                self.forget_unheard(place);
                 self.fleet.kill(place);
                 self.start_front(place);
                 self.tell_own_list(place);
@@ -346,6 +348,20 @@
         }
     }
 
+    /// What a front announced and no coordinator has heard goes with it.
+    fn forget_unheard(&mut self, place: Place) {
+        let name = self.fleet.names[place];
+        let mut heard = 0;
+        for coordinator in 0..self.shape.coordinators {
+            let store = self.fleet.coordinator(coordinator).map(|coordinator| coordinator.store());
+            if let Some(Value::Configuration(version)) = store.and_then(|s| s.value(name, Key::Configuration))
+            {
+                heard = heard.max(version.id.number);
+            }
+        }
+        self.pending.retain(|announced| announced.publisher != place || announced.number <= heard);
+    }
+
     /// A front that starts tells what its list names.
     fn tell_own_list(&mut self, place: Place) {
         let now = self.fleet.now;
