--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -281,6 +281,19 @@
         #[arg(long, default_value_t = 1)]
         seed: u64,
     },
+    /// A call along many fronts, under virtual time: tries at the last server, added time, and what runs for nobody, for
+    /// 0.1%, 1% and 10% of the tries failing at one hop and at all. One JSON line a case.
+    Chain {
+        #[arg(long, default_value_t = 18)]
+        hops: usize,
+        #[arg(long, default_value_t = 2000)]
+        calls: u32,
+        /// Seconds that callers wait.
+        #[arg(long, default_value_t = 9.0)]
+        patience: f64,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
     /// The embedded scripted bad day, on sockets.
     BadDay {
         #[command(flatten)]
@@ -293,6 +306,9 @@
         seconds: f64,
         #[arg(long, default_value_t = 3)]
         rounds: usize,
+        /// Set-ups a second instead of as many as go: relay and front in turn, what the front adds.
+        #[arg(long, conflicts_with = "fleet")]
+        rate: Option<f64>,
         /// What telling other fronts costs instead: a front alone against one of four that tell each other.
         #[arg(long)]
         fleet: bool,
--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -7,7 +7,7 @@
 use shalespindle_lab::play::{play, Fronts};
 use shalespindle_lab::scenario::{Scenario, BAD_DAY};
 use shalespindle_lab::summary::{Knowledge, LevelSteps, Report};
-use shalespindle_lab::{coordinated, fleet_cost, fleet_size, names, scale, sim, throughput, walk};
+use shalespindle_lab::{chain, coordinated, fleet_cost, fleet_size, names, scale, sim, throughput, walk};
 use shalespindle_rig::FleetShape;
 use std::io;
 use std::net::SocketAddr;
@@ -179,17 +179,34 @@
             }
             Ok(ExitCode::SUCCESS)
         }
-        Lab::Throughput { seconds, rounds, fleet: true } => {
+        Lab::Chain { hops, calls, patience, seed } => chains(hops, calls, patience, seed),
+        Lab::Throughput { seconds, rounds, rate: Some(rate), .. } => {
+            for added in throughput::measure_added(seconds, rounds, rate)? {
+                println!("{}", serde_json::to_string(&added)?);
+            }
+            Ok(ExitCode::SUCCESS)
+        }
+        Lab::Throughput { seconds, rounds, fleet: true, .. } => {
             print!("{}", fleet_cost::measure(seconds, rounds)?);
             Ok(ExitCode::SUCCESS)
         }
-        Lab::Throughput { seconds, rounds, fleet: false } => {
+        Lab::Throughput { seconds, rounds, fleet: false, .. } => {
             print!("{}", throughput::measure(seconds, rounds)?);
             Ok(ExitCode::SUCCESS)
         }
     }
 }
 
+fn chains(hops: usize, calls: u32, patience: f64, seed: u64) -> io::Result<ExitCode> {
+    for at in [chain::Failing::OneHop, chain::Failing::AllHops] {
+        for failing in [0.001, 0.01, 0.1] {
+            let shape = chain::ChainShape { hops: hops.max(1), calls, failing, at, patience, seed };
+            println!("{}", serde_json::to_string(&chain::measure(&shape))?);
+        }
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
 /// One JSON line a size; fails where a front was left behind, went back, or something deleted came back.
 fn coordinated_sizes(
     fronts: &[usize],
--- /dev/null
+++ b/crates/lab/src/chain.rs
@@ -0,0 +1,345 @@
+//! A call that passes many fronts one after the other: how tries multiply along the way, and what still runs when its
+//! caller has gone. Each hop is a real decision module under virtual time; links, servers and failures are simulated.
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde::Serialize;
+use shalespindle_control::control::Control;
+use shalespindle_control::interface::{
+    ColdStart, Decision, Deployment, Ended, NewAttach, PoolEntry, Procedure, Report,
+};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+
+/// Servers of one hop, as many as a service has on the average.
+const SERVERS: u64 = 6;
+/// A message's way from one hop to the next, seconds.
+const WAY: f64 = 0.001;
+/// What the last server takes to answer, seconds.
+const WORK: f64 = 0.02;
+/// Between two calls, seconds.
+const APART: f64 = 0.2;
+
+/// Which tries fail.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Failing {
+    /// Those of the middle hop.
+    OneHop,
+    /// Those of every hop.
+    AllHops,
+}
+
+/// What is simulated.
+#[derive(Clone, Debug)]
+pub struct ChainShape {
+    /// Fronts that a call passes.
+    pub hops: usize,
+    /// Calls.
+    pub calls: u32,
+    /// Part of the tries that fail where they fail.
+    pub failing: f64,
+    /// Where they fail.
+    pub at: Failing,
+    /// Seconds that callers wait.
+    pub patience: f64,
+    /// The seed.
+    pub seed: u64,
+}
+
+/// What came of it.
+#[derive(Clone, Debug, Serialize)]
+pub struct ChainCost {
+    /// Fronts that a call passes.
+    pub hops: usize,
+    /// Calls.
+    pub calls: u32,
+    /// Part of the tries that fail, and where.
+    pub failing: f64,
+    /// See `failing`.
+    pub at: Failing,
+    /// The seed.
+    pub seed: u64,
+    /// Part of the calls that stood.
+    pub stood: f64,
+    /// Tries that reached the last server, for each call.
+    pub tries_at_last: f64,
+    /// Tries of all hops, for each call.
+    pub tries: f64,
+    /// Seconds from a call's arrival until it stood: half of the calls, and 99 in 100.
+    pub p50_s: f64,
+    /// See `p50_s`.
+    pub p99_s: f64,
+    /// Tries that reached the last server after the caller had gone, for each call.
+    pub run_for_nobody: f64,
+}
+
+type Ue = u32;
+
+/// What happens at a hop. A try is named by its attach and its number there.
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    Arrives { hop: usize, call: u32, patience: f64, of: Option<(Ue, u32)> },
+    Answered { hop: usize, ue: Ue, number: u32, ended: Option<Ended> },
+    TimedOut { hop: usize, ue: Ue, number: u32 },
+    GivenUp { hop: usize, call: u32 },
+    Wake { hop: usize },
+}
+
+struct Attach {
+    call: u32,
+    /// The try of the hop before that it belongs to.
+    of: Option<(Ue, u32)>,
+    tries: u32,
+    out: Option<(u64, f64)>,
+}
+
+struct Hop {
+    control: Control,
+    attaches: BTreeMap<Ue, Attach>,
+    next: Ue,
+}
+
+struct Chain<'a> {
+    shape: &'a ChainShape,
+    hops: Vec<Hop>,
+    due: BinaryHeap<Reverse<(u64, u64)>>,
+    events: BTreeMap<u64, Event>,
+    last_event: u64,
+    rng: ChaCha8Rng,
+    arrived_at: Vec<f64>,
+    stood_after: Vec<f64>,
+    tries: u64,
+    tries_at_last: u64,
+    run_for_nobody: u64,
+}
+
+fn micros(seconds: f64) -> u64 {
+    (seconds * 1e6).round() as u64
+}
+
+fn deployment(patience: f64) -> Deployment {
+    let procedure = Procedure {
+        latency_target: patience / 2.0,
+        utility: 1.0,
+        late_share: 0.25,
+        t_timer: patience,
+        pools: (0..SERVERS as u16).collect(),
+    };
+    Deployment {
+        procedures: vec![procedure],
+        may_probe: true,
+        may_cancel: true,
+        max_tries: 4,
+        release_guard: 0.5,
+        longest_pause: 2.0,
+        cold: ColdStart { start_capacity: 0.3, warm_after: 15.0, tip_multiple: 2.0, fall_after: 1.0 },
+    }
+}
+
+/// Simulates one chain.
+pub fn measure(shape: &ChainShape) -> ChainCost {
+    let mut chain = Chain::new(shape);
+    while let Some(Reverse((at, number))) = chain.due.pop() {
+        let Some(event) = chain.events.remove(&number) else { continue };
+        chain.happen(at as f64 / 1e6, event);
+    }
+    let calls = f64::from(shape.calls.max(1));
+    chain.stood_after.sort_by(f64::total_cmp);
+    let stood = chain.stood_after.len();
+    let at = |part: f64| {
+        let place = (part * stood.saturating_sub(1) as f64).round() as usize;
+        chain.stood_after.get(place).copied().unwrap_or(0.0)
+    };
+    ChainCost {
+        hops: shape.hops,
+        calls: shape.calls,
+        failing: shape.failing,
+        at: shape.at,
+        seed: shape.seed,
+        stood: stood as f64 / calls,
+        tries_at_last: chain.tries_at_last as f64 / calls,
+        tries: chain.tries as f64 / calls,
+        p50_s: at(0.5),
+        p99_s: at(0.99),
+        run_for_nobody: chain.run_for_nobody as f64 / calls,
+    }
+}
+
+impl Chain<'_> {
+    fn new(shape: &ChainShape) -> Chain<'_> {
+        let entries: Vec<PoolEntry> = (0..SERVERS)
+            .map(|name| PoolEntry { name, number: name as u16, started: 0.0, ready: true })
+            .collect();
+        let hop = |place: usize| {
+            let mut control = Control::new(shape.seed + place as u64, deployment(shape.patience), 0.0);
+            control.pools_listed(0.0, &entries, true);
+            Hop { control, attaches: BTreeMap::new(), next: 0 }
+        };
+        let mut chain = Chain {
+            shape,
+            hops: (0..shape.hops).map(hop).collect(),
+            due: BinaryHeap::new(),
+            events: BTreeMap::new(),
+            last_event: 0,
+            rng: ChaCha8Rng::seed_from_u64(shape.seed),
+            arrived_at: (0..shape.calls).map(|call| f64::from(call) * APART).collect(),
+            stood_after: Vec::new(),
+            tries: 0,
+            tries_at_last: 0,
+            run_for_nobody: 0,
+        };
+        for call in 0..shape.calls {
+            let event = Event::Arrives { hop: 0, call, patience: shape.patience, of: None };
+            chain.at(f64::from(call) * APART, event);
+        }
+        chain
+    }
+
+    fn at(&mut self, time: f64, event: Event) {
+        self.last_event += 1;
+        self.events.insert(self.last_event, event);
+        self.due.push(Reverse((micros(time), self.last_event)));
+    }
+
+    fn happen(&mut self, now: f64, event: Event) {
+        let hop = match event {
+            Event::Arrives { hop, call, patience, of } => {
+                if hop == self.shape.hops {
+                    return self.at_last_server(now, call, of);
+                }
+                self.arrives(now, hop, call, patience, of);
+                hop
+            }
+            Event::Answered { hop, ue, number, ended } => {
+                self.answered(now, hop, ue, number, ended);
+                hop
+            }
+            Event::TimedOut { hop, ue, number } => {
+                self.ends(now, hop, ue, number, Ended::TimedOut);
+                hop
+            }
+            Event::GivenUp { hop, call } => {
+                self.given_up(now, hop, call);
+                hop
+            }
+            Event::Wake { hop } => {
+                self.hops[hop].control.wake(now);
+                hop
+            }
+        };
+        self.decide(now, hop);
+    }
+
+    /// The call has passed all hops: the server behind the last one answers.
+    fn at_last_server(&mut self, now: f64, call: u32, of: Option<(Ue, u32)>) {
+        self.tries_at_last += 1;
+        let gone_at = self.arrived_at[call as usize] + self.shape.patience;
+        self.run_for_nobody += u64::from(now > gone_at);
+        if let Some((ue, number)) = of {
+            let hop = self.shape.hops - 1;
+            self.at(now + WORK, Event::Answered { hop, ue, number, ended: None });
+        }
+    }
+
+    fn arrives(&mut self, now: f64, hop: usize, call: u32, patience: f64, of: Option<(Ue, u32)>) {
+        let place = &mut self.hops[hop];
+        place.next += 1;
+        let ue = place.next;
+        place.attaches.insert(ue, Attach { call, of, tries: 0, out: None });
+        let first_choice = (call as u64 % SERVERS) as u16;
+        let gives_up_at = now + patience;
+        let new = NewAttach { ue, procedure: 0, first_choice, number: u64::from(call), gives_up_at };
+        place.control.attach_arrived(now, new);
+    }
+
+    fn answered(&mut self, now: f64, hop: usize, ue: Ue, number: u32, ended: Option<Ended>) {
+        if let Some(ended) = ended {
+            return self.ends(now, hop, ue, number, ended);
+        }
+        let Some(attach) = self.hops[hop].attaches.get_mut(&ue) else { return };
+        let Some((pool, sent_at)) = attach.out.filter(|_| attach.tries == number) else { return };
+        self.hops[hop].control.attach_stands(now, ue, pool, now - sent_at);
+        // What stands is of no further interest here.
+        self.hops[hop].control.try_ended(now, ue, pool, Ended::Released, true, Report::default());
+        self.finish(now, hop, ue, None);
+    }
+
+    /// A try of that hop has ended without standing; the hop behind it is told.
+    fn ends(&mut self, now: f64, hop: usize, ue: Ue, number: u32, ended: Ended) {
+        let Some(attach) = self.hops[hop].attaches.get_mut(&ue) else { return };
+        let Some((pool, _)) = attach.out.filter(|_| attach.tries == number) else { return };
+        attach.out = None;
+        let call = attach.call;
+        if matches!(ended, Ended::TimedOut | Ended::Cancelled) && hop + 1 < self.shape.hops {
+            self.at(now + WAY, Event::GivenUp { hop: hop + 1, call });
+        }
+        self.hops[hop].control.try_ended(now, ue, pool, ended, false, Report::default());
+    }
+
+    /// The hop before has given the call up: whatever is in hand of it ends here and behind.
+    fn given_up(&mut self, now: f64, hop: usize, call: u32) {
+        let of_call = self.hops[hop].attaches.iter().filter(|(_, attach)| attach.call == call);
+        let ues: Vec<(Ue, u32)> = of_call.map(|(ue, attach)| (*ue, attach.tries)).collect();
+        for (ue, number) in ues {
+            self.ends(now, hop, ue, number, Ended::Cancelled);
+            self.hops[hop].control.client_left(now, ue);
+            self.hops[hop].attaches.remove(&ue);
+        }
+    }
+
+    /// The attach has its final answer: none where it stands.
+    fn finish(&mut self, now: f64, hop: usize, ue: Ue, ended: Option<Ended>) {
+        let Some(attach) = self.hops[hop].attaches.remove(&ue) else { return };
+        match attach.of {
+            Some((ue, number)) => {
+                self.at(now + WAY, Event::Answered { hop: hop - 1, ue, number, ended });
+            }
+            None if ended.is_none() => self.stood_after.push(now - self.arrived_at[attach.call as usize]),
+            None => {}
+        }
+    }
+
+    fn decide(&mut self, now: f64, hop: usize) {
+        while let Some(decision) = self.hops[hop].control.next_decision(now) {
+            match decision {
+                Decision::SetUp { ue, pool, time_out } => self.set_up(now, hop, ue, pool, time_out),
+                Decision::Cancel { ue, setup_try } => {
+                    self.ends(now, hop, ue, setup_try + 1, Ended::Cancelled)
+                }
+                // To the hop before, a refusal proves that nothing ran; a failure does not.
+                Decision::Refuse { ue, .. } => {
+                    self.finish(now, hop, ue, Some(Ended::Throttled { wait: None }));
+                }
+                Decision::Abort { ue } => self.finish(now, hop, ue, Some(Ended::Rejected)),
+                Decision::Probe { pool } => {
+                    self.hops[hop].control.pool_heard(now, pool, true, Report::default());
+                }
+                // A chain that is over needs no more turns.
+                Decision::Wake { after } if !self.is_over(now) => self.at(now + after, Event::Wake { hop }),
+                Decision::Wake { .. } => {}
+            }
+        }
+    }
+
+    fn is_over(&self, now: f64) -> bool {
+        now > f64::from(self.shape.calls) * APART + 2.0 * self.shape.patience
+    }
+
+    fn set_up(&mut self, now: f64, hop: usize, ue: Ue, pool: u64, time_out: f64) {
+        let Some(attach) = self.hops[hop].attaches.get_mut(&ue) else { return };
+        attach.tries += 1;
+        attach.out = Some((pool, now));
+        let (number, call) = (attach.tries, attach.call);
+        self.tries += 1;
+        self.at(now + time_out, Event::TimedOut { hop, ue, number });
+        let fails_here = self.shape.at == Failing::AllHops || hop == self.shape.hops / 2;
+        if fails_here && self.rng.random::<f64>() < self.shape.failing {
+            let ended = Some(Ended::Cut);
+            self.at(now + 2.0 * WAY, Event::Answered { hop, ue, number, ended });
+        } else {
+            let patience = (time_out - WAY).max(0.0);
+            self.at(now + WAY, Event::Arrives { hop: hop + 1, call, patience, of: Some((ue, number)) });
+        }
+    }
+}
--- a/crates/lab/src/throughput.rs
+++ b/crates/lab/src/throughput.rs
@@ -132,6 +132,59 @@
     Ok(out)
 }
 
+/// What a front adds to a set-up at a given rate, against the bare relay.
+#[derive(Clone, Debug, serde::Serialize)]
+pub struct Added {
+    /// Set-ups a second.
+    pub rate: f64,
+    /// Servers in scope.
+    pub servers: usize,
+    /// Microseconds: relay, front, and what the front adds, for half of the set-ups and for 99 in 100.
+    pub relay_p50_us: u64,
+    /// See `relay_p50_us`.
+    pub relay_p99_us: u64,
+    /// See `relay_p50_us`.
+    pub front_p50_us: u64,
+    /// See `relay_p50_us`.
+    pub front_p99_us: u64,
+    /// See `relay_p50_us`.
+    pub added_p50_us: i64,
+    /// See `relay_p50_us`.
+    pub added_p99_us: i64,
+    /// Set-ups that were lost or refused at the front.
+    pub failed: u64,
+}
+
+/// Measures relay and front in turn at that rate, `rounds` times.
+pub fn measure_added(seconds: f64, rounds: usize, rate: f64) -> io::Result<Vec<Added>> {
+    let scenario = scenario()?;
+    let ground = Ground::new();
+    let servers = servers(&scenario, &ground, false)?;
+    let relay = Relay::start(&servers.addresses)?;
+    let settings = scenario.settings(SocketAddr::from(([127, 0, 0, 1], 0)), servers.feed, &[], 0.05);
+    let service = Service::start(&settings, 1, ground.clone())?;
+    std::thread::sleep(Duration::from_millis(500));
+    let mut out = Vec::new();
+    for _ in 0..rounds {
+        let bare = drive(relay.address, Pace::Open(rate), seconds, AT_ONCE)?;
+        let ours = drive(service.address(), Pace::Open(rate), seconds, AT_ONCE)?;
+        out.push(Added {
+            rate,
+            servers: SERVERS,
+            relay_p50_us: bare.p50_us,
+            relay_p99_us: bare.p99_us,
+            front_p50_us: ours.p50_us,
+            front_p99_us: ours.p99_us,
+            added_p50_us: ours.p50_us as i64 - bare.p50_us as i64,
+            added_p99_us: ours.p99_us as i64 - bare.p99_us as i64,
+            failed: ours.lost + ours.refused,
+        });
+    }
+    drop(service);
+    servers.finish();
+    Ok(out)
+}
+
 /// Resident bytes that an attach in hand adds: thousands are asked of servers that never answer.
 fn memory() -> io::Result<f64> {
     let scenario = scenario()?;
