An order on a site at a front that has just started counts against words of before it

Cause: f0 had not heard that north was kept out (epoch 1), so its word had epoch 1 as well; of one epoch the more careful word counts, and the order was undone. Excluded: the fronts' cut-off (f0 heard all), loss of the order (all heard it and met it). Lines: Sites::order and heard in sites.rs. Change: a front remembers the last order given at it; a word of before that order which would undo it is met with the order again, an epoch on. Ages are compared, so a later order of another operator still counts. Test under virtual time, fails without the change.

--- a/crates/sites/src/sites.rs
+++ b/crates/sites/src/sites.rs
@@ -88,6 +88,8 @@
     pub(crate) own: FrontId,
     pub(crate) words: Vec<Word>,
     since: Vec<Since>,
+    /// The last order given at this front on each site, while it is what this front says.
+    own_orders: Vec<Option<Word>>,
     /// When a site last went a step back, as this front knows it.
     back_at: Vec<f64>,
     pub(crate) held: Vec<Held>,
@@ -117,6 +119,7 @@
         Sites {
             words: vec![Word::first(now); table.len()],
             since: vec![Since::default(); table.len()],
+            own_orders: vec![None; table.len()],
             back_at: vec![f64::NEG_INFINITY; table.len()],
             held,
             full_at: f64::NEG_INFINITY,
@@ -186,6 +189,7 @@
             let before = self.words[site];
             if self.words[site].meet(&word) {
                 self.changed(now, site, before, Votes::default());
+                self.say_order_again(now, site, &word);
             }
         }
         for rumour in message.sights {
@@ -225,11 +229,24 @@
         };
         let next = Word { held_until, ..word.next(now, stage) };
         self.write(now, site, next, Votes::default());
+        self.own_orders[site] = Some(next);
         Ok(())
     }
 
+    /// Guards an order given at a front that had not heard all words yet, as after its start: a word of before the order
+    /// with an epoch as high would undo what the operator was told is done.
+    fn say_order_again(&mut self, now: f64, site: usize, heard: &Word) {
+        let Some(order) = self.own_orders[site].take() else { return };
+        if heard.since < order.since {
+            let again = Word { held_until: order.held_until, ..heard.next(now, order.stage) };
+            self.write(now, site, again, Votes::default());
+            self.own_orders[site] = Some(again);
+        }
+    }
+
     fn write(&mut self, now: f64, site: usize, next: Word, votes: Votes) {
         debug_assert!(next.epoch > self.words[site].epoch);
+        self.own_orders[site] = None;
         let from = std::mem::replace(&mut self.words[site], next);
         self.changed(now, site, from, votes);
     }
--- a/crates/sites/tests/judging.rs
+++ b/crates/sites/tests/judging.rs
@@ -202,6 +202,29 @@
     world.until("its return", 60.0, |w| w.all_say(1, Stage::Up));
 }
 
+/// Random faults over processes, seed 21: a front had just started when it was told that a kept out site may return. It
+/// had not heard that the site was kept out, said so in the same epoch, and the more careful word undid the order.
+#[test]
+fn an_order_at_a_front_that_has_just_started_counts_against_words_of_before_it() {
+    let mut world = three(14);
+    world.order(2, "north", Order::KeepOut, 600.0);
+    world.until("the order everywhere", 5.0 * EVERY, |w| w.all_say(0, Stage::KeptOut));
+    world.kill(5);
+    world.pass(5.0);
+    world.start(5);
+    world.order(5, "north", Order::Return, 600.0);
+    world.until("its return", 60.0, |w| w.all_say(0, Stage::Up));
+    // An order that came after it counts as the later one.
+    world.kill(5);
+    world.pass(5.0);
+    world.start(5);
+    world.order(5, "north", Order::Lost, 600.0);
+    world.pass(5.0 * EVERY);
+    world.order(1, "north", Order::KeepOut, 600.0);
+    world.pass(20.0);
+    assert!(world.all_say(0, Stage::KeptOut), "{}", world.timeline);
+}
+
 #[test]
 fn words_come_to_the_same_under_loss_doubling_delay_and_with_fronts_that_do_not_know_sites() {
     for seed in 20..26 {
