--- a/crates/platform-service/src/owner.rs
+++ b/crates/platform-service/src/owner.rs
@@ -2,7 +2,7 @@
 
 use crate::places::Places;
 use crate::readers;
-use shalespindle_platform::{Edge, Loss, Output, StartFile, Wire, UNCOUNTED};
+use shalespindle_platform::{ConnectionId, Edge, Loss, Output, StartFile, UNCOUNTED};
 use shalespindle_sockets::{Ground, Mail, Mailbox, Writing};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -23,10 +23,10 @@
 
 /// What reaches the owner.
 pub(crate) enum Letter {
-    Accepted { wire: Wire, writing: Writing },
-    Connected { wire: Wire, writing: Writing },
-    Bytes { arrived: f64, wire: Wire, bytes: Vec<u8> },
-    Lost { wire: Wire, loss: Loss },
+    Accepted { connection: ConnectionId, writing: Writing },
+    Connected { connection: ConnectionId, writing: Writing },
+    Bytes { arrived: f64, connection: ConnectionId, bytes: Vec<u8> },
+    Lost { connection: ConnectionId, loss: Loss },
     Reload(Box<StartFile>),
     End,
 }
@@ -42,8 +42,8 @@
     ground: Ground,
     mailbox: Mailbox<Letter>,
     mail: Mail<Letter>,
-    peers: BTreeMap<Wire, Peer>,
-    dialled: BTreeSet<Wire>,
+    peers: BTreeMap<ConnectionId, Peer>,
+    dialled: BTreeSet<ConnectionId>,
     places: Places,
     counted_at: f64,
     /// The longest time that the owner was late since the last line of counters.
@@ -121,33 +121,33 @@
     }
 
     fn lies_unread(&self) -> bool {
-        let unread = |wire| self.peers.get(wire).is_some_and(|p| p.writing.has_unread());
+        let unread = |connection| self.peers.get(connection).is_some_and(|p| p.writing.has_unread());
         self.edge.read_first().iter().any(unread)
     }
 
     fn take(&mut self, letter: Letter) {
         let now = self.ground.now();
         match letter {
-            Letter::Accepted { wire, writing } => {
-                self.peers.insert(wire, Peer { writing, waiting: Vec::new() });
-                self.edge.accepted(now, wire);
+            Letter::Accepted { connection, writing } => {
+                self.peers.insert(connection, Peer { writing, waiting: Vec::new() });
+                self.edge.accepted(now, connection);
             }
-            Letter::Connected { wire, writing } => {
-                if self.dialled.remove(&wire) {
-                    self.peers.insert(wire, Peer { writing, waiting: Vec::new() });
-                    self.edge.connected(now, wire);
+            Letter::Connected { connection, writing } => {
+                if self.dialled.remove(&connection) {
+                    self.peers.insert(connection, Peer { writing, waiting: Vec::new() });
+                    self.edge.connected(now, connection);
                 }
             }
-            Letter::Bytes { arrived, wire, bytes } => {
-                if self.peers.contains_key(&wire) {
+            Letter::Bytes { arrived, connection, bytes } => {
+                if self.peers.contains_key(&connection) {
                     self.late = self.late.max(now - arrived);
-                    self.edge.bytes(now, arrived, wire, &bytes);
+                    self.edge.bytes(now, arrived, connection, &bytes);
                 }
             }
-            Letter::Lost { wire, loss } => {
-                let known = self.peers.remove(&wire).is_some() | self.dialled.remove(&wire);
+            Letter::Lost { connection, loss } => {
+                let known = self.peers.remove(&connection).is_some() | self.dialled.remove(&connection);
                 if known {
-                    self.edge.lost(now, wire, loss);
+                    self.edge.lost(now, connection, loss);
                 }
             }
             Letter::Reload(file) => self.edge.reconfigured(now, *file),
@@ -158,15 +158,15 @@
     fn carry(&mut self) {
         while let Some(output) = self.edge.next_output() {
             match output {
-                Output::Dial { wire, to, within } => {
-                    self.dialled.insert(wire);
+                Output::Dial { connection, to, within } => {
+                    self.dialled.insert(connection);
                     let within = Duration::from_secs_f64(within);
-                    readers::dial(wire, to, within, &self.mailbox, &self.ground);
+                    readers::dial(connection, to, within, &self.mailbox, &self.ground);
                 }
-                Output::Write { wire, bytes } => self.write(wire, &bytes),
-                Output::Close { wire, reset } => {
-                    self.dialled.remove(&wire);
-                    if let Some(peer) = self.peers.remove(&wire) {
+                Output::Write { connection, bytes } => self.write(connection, &bytes),
+                Output::Close { connection, reset } => {
+                    self.dialled.remove(&connection);
+                    if let Some(peer) = self.peers.remove(&connection) {
                         peer.writing.close(reset);
                     }
                 }
@@ -177,14 +177,14 @@
         }
     }
 
-    fn write(&mut self, wire: Wire, bytes: &[u8]) {
-        let Some(peer) = self.peers.get_mut(&wire) else { return };
+    fn write(&mut self, connection: ConnectionId, bytes: &[u8]) {
+        let Some(peer) = self.peers.get_mut(&connection) else { return };
         let written = if peer.waiting.is_empty() { peer.writing.write_some(bytes) } else { Ok(0) };
         match written {
             Ok(size) => {
                 if peer.waiting.is_empty() && size < bytes.len() {
-                    self.edge.blocked(wire, true);
-                    info!(target: "shalespindle::platform", wire, "writing waits for its reader");
+                    self.edge.blocked(connection, true);
+                    info!(target: "shalespindle::platform", connection, "writing waits for its reader");
                 }
                 peer.waiting.extend_from_slice(&bytes[size..]);
             }
@@ -193,31 +193,31 @@
         }
         if peer.waiting.len() > BACKLOG {
             // Guards memory against peers that ask and never read.
-            self.shut(wire);
+            self.shut(connection);
         }
     }
 
     /// Writes on what waited.
     fn write_on(&mut self) {
         let mut lost = Vec::new();
-        for (wire, peer) in self.peers.iter_mut().filter(|p| !p.1.waiting.is_empty()) {
+        for (connection, peer) in self.peers.iter_mut().filter(|p| !p.1.waiting.is_empty()) {
             match peer.writing.write_some(&peer.waiting) {
                 Ok(size) => {
                     peer.waiting.drain(..size);
                     if peer.waiting.is_empty() {
-                        self.edge.blocked(*wire, false);
+                        self.edge.blocked(*connection, false);
                     }
                 }
-                Err(_) => lost.push(*wire),
+                Err(_) => lost.push(*connection),
             }
         }
-        lost.into_iter().for_each(|wire| self.shut(wire));
+        lost.into_iter().for_each(|connection| self.shut(connection));
     }
 
-    fn shut(&mut self, wire: Wire) {
-        if let Some(peer) = self.peers.remove(&wire) {
+    fn shut(&mut self, connection: ConnectionId) {
+        if let Some(peer) = self.peers.remove(&connection) {
             peer.writing.close(true);
-            self.edge.lost(self.ground.now(), wire, Loss::Broken);
+            self.edge.lost(self.ground.now(), connection, Loss::Broken);
         }
     }
 
--- a/crates/platform-service/src/readers.rs
+++ b/crates/platform-service/src/readers.rs
@@ -3,7 +3,7 @@
 use crate::owner::Letter;
 use crate::places::Places;
 use may::net::{TcpListener, TcpStream};
-use shalespindle_platform::{Loss, Wire};
+use shalespindle_platform::{ConnectionId, Loss};
 use shalespindle_sockets::{read_all, share, start, Ground, Handle, Mailbox, SMALL_STACK};
 use std::io;
 use std::net::SocketAddr;
@@ -21,7 +21,7 @@
     places: Places,
 ) -> io::Result<Handle> {
     start(SMALL_STACK, move || {
-        let mut last: Wire = 0;
+        let mut last: ConnectionId = 0;
         loop {
             if places.are_full() {
                 may::coroutine::sleep(NO_PLACE);
@@ -35,51 +35,62 @@
             last += 2;
             // A socket that has ended already says so to its reader.
             let _ = stream.set_nodelay(true);
-            let wire = last;
+            let connection = last;
             let (mailbox_of, ground) = (mailbox.clone(), ground.clone());
             let (mut reading, writing) = share(stream);
-            if mailbox.send(Letter::Accepted { wire, writing }).is_err() {
+            if mailbox.send(Letter::Accepted { connection, writing }).is_err() {
                 return;
             }
             let started = start(SMALL_STACK, move || {
-                read(&mut reading, wire, &mailbox_of, &ground);
+                read(&mut reading, connection, &mailbox_of, &ground);
                 drop(reading);
                 drop(place);
-                let _ = mailbox_of.send(Letter::Lost { wire, loss: Loss::Broken });
+                let _ = mailbox_of.send(Letter::Lost { connection, loss: Loss::Broken });
             });
             if started.is_err() {
-                let _ = mailbox.send(Letter::Lost { wire, loss: Loss::Broken });
+                let _ = mailbox.send(Letter::Lost { connection, loss: Loss::Broken });
             }
         }
     })
 }
 
-fn read(reading: &mut shalespindle_sockets::Reading, wire: Wire, mailbox: &Mailbox<Letter>, ground: &Ground) {
+fn read(
+    reading: &mut shalespindle_sockets::Reading,
+    connection: ConnectionId,
+    mailbox: &Mailbox<Letter>,
+    ground: &Ground,
+) {
     read_all(reading, READ, |bytes| {
-        mailbox.send(Letter::Bytes { arrived: ground.arrival(), wire, bytes }).is_ok()
+        mailbox.send(Letter::Bytes { arrived: ground.arrival(), connection, bytes }).is_ok()
     });
 }
 
 /// Dials and then reads.
-pub(crate) fn dial(wire: Wire, to: SocketAddr, within: Duration, mailbox: &Mailbox<Letter>, ground: &Ground) {
+pub(crate) fn dial(
+    connection: ConnectionId,
+    to: SocketAddr,
+    within: Duration,
+    mailbox: &Mailbox<Letter>,
+    ground: &Ground,
+) {
     let (own, ground) = (mailbox.clone(), ground.clone());
     let started = start(SMALL_STACK, move || {
         let loss = match TcpStream::connect_timeout(&to, within) {
             Ok(stream) => {
                 let _ = stream.set_nodelay(true);
                 let (mut reading, writing) = share(stream);
-                if own.send(Letter::Connected { wire, writing }).is_err() {
+                if own.send(Letter::Connected { connection, writing }).is_err() {
                     return;
                 }
-                read(&mut reading, wire, &own, &ground);
+                read(&mut reading, connection, &own, &ground);
                 Loss::Broken
             }
             Err(why) if why.kind() == io::ErrorKind::ConnectionRefused => Loss::Refused,
             Err(_) => Loss::Broken,
         };
-        let _ = own.send(Letter::Lost { wire, loss });
+        let _ = own.send(Letter::Lost { connection, loss });
     });
     if started.is_err() {
-        let _ = mailbox.send_urgent(Letter::Lost { wire, loss: Loss::Broken });
+        let _ = mailbox.send_urgent(Letter::Lost { connection, loss: Loss::Broken });
     }
 }
--- a/crates/platform/src/byes.rs
+++ b/crates/platform/src/byes.rs
@@ -5,7 +5,7 @@
 //! heard there goes out again elsewhere, on the connections that callers have been seen on first.
 
 use crate::door::{Door, Doors, Use};
-use crate::edge::Wire;
+use crate::edge::ConnectionId;
 use std::collections::BTreeMap;
 
 /// The platform wants a release told within 1 s: four connections can be tried in that time.
@@ -21,9 +21,9 @@
 
 struct Owed {
     cause: u16,
-    own: Wire,
+    own: ConnectionId,
     /// The connections it went out on, the last one last.
-    tried: Vec<Wire>,
+    tried: Vec<ConnectionId>,
     since: f64,
     /// When it may go out again.
     again_at: f64,
@@ -32,7 +32,7 @@
 /// One release to write: where, of which call, why.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Bye {
-    pub wire: Wire,
+    pub connection: ConnectionId,
     pub id: u64,
     pub cause: u16,
     /// It went out before and was not heard.
@@ -46,7 +46,7 @@
 }
 
 impl Byes {
-    pub fn owe(&mut self, now: f64, id: u64, cause: u16, own: Wire) {
+    pub fn owe(&mut self, now: f64, id: u64, cause: u16, own: ConnectionId) {
         if self.owed.len() >= MOST {
             let oldest = self.owed.iter().min_by(|a, b| a.1.since.total_cmp(&b.1.since)).map(|o| *o.0);
             oldest.map(|id| self.owed.remove(&id));
@@ -61,8 +61,8 @@
     }
 
     /// What went out last on a connection that has ended need not be waited for.
-    pub fn door_lost(&mut self, now: f64, wire: Wire) {
-        for owed in self.owed.values_mut().filter(|o| o.tried.last() == Some(&wire)) {
+    pub fn door_lost(&mut self, now: f64, connection: ConnectionId) {
+        for owed in self.owed.values_mut().filter(|o| o.tried.last() == Some(&connection)) {
             owed.again_at = now;
         }
     }
@@ -74,7 +74,7 @@
             return Vec::new();
         }
         // Where a caller was seen before where something was asked for, the latest used first.
-        let mut others: Vec<(Wire, &Door)> = doors.all.iter().map(|d| (*d.0, d.1)).collect();
+        let mut others: Vec<(ConnectionId, &Door)> = doors.all.iter().map(|d| (*d.0, d.1)).collect();
         others.retain(|(_, door)| door.use_of >= Use::Asks);
         others.sort_by(|(_, a), (_, b)| b.use_of.cmp(&a.use_of).then(b.last_at.total_cmp(&a.last_at)));
         let mut out = Vec::new();
@@ -82,9 +82,9 @@
             // Its own connection first, whatever came on it since.
             let own = Some(owed.own).filter(|w| doors.all.contains_key(w));
             let mut towards = own.into_iter().chain(others.iter().map(|d| d.0));
-            let Some(wire) = towards.find(|w| !owed.tried.contains(w)) else { continue };
-            out.push(Bye { wire, id: *id, cause: owed.cause, again: !owed.tried.is_empty() });
-            owed.tried.push(wire);
+            let Some(connection) = towards.find(|w| !owed.tried.contains(w)) else { continue };
+            out.push(Bye { connection, id: *id, cause: owed.cause, again: !owed.tried.is_empty() });
+            owed.tried.push(connection);
             owed.again_at = now + HEARD_WITHIN;
         }
         out
--- a/crates/platform/src/callers.rs
+++ b/crates/platform/src/callers.rs
@@ -3,7 +3,7 @@
 use crate::byes::Bye;
 use crate::calls::{InHand, Is, Stands};
 use crate::door::{Use, MOST_BAD};
-use crate::edge::{Edge, Output, Wire};
+use crate::edge::{ConnectionId, Edge, Output};
 use crate::sip;
 use shalespindle_control::interface::{Ended, NewAttach, PoolName, Report, UeName};
 use shalespindle_signalling::write::{ResponseHead, Writer};
@@ -13,109 +13,113 @@
 pub(crate) const CUT: u16 = 41;
 
 impl Edge {
-    pub(crate) fn door_bytes(&mut self, now: f64, arrived: f64, wire: Wire, bytes: &[u8]) {
-        let Some(door) = self.doors.all.get_mut(&wire) else { return };
+    pub(crate) fn door_bytes(&mut self, now: f64, arrived: f64, connection: ConnectionId, bytes: &[u8]) {
+        let Some(door) = self.doors.all.get_mut(&connection) else { return };
         let empty = Framer::with_longest_body(0);
         let mut framer = std::mem::replace(&mut door.framer, empty);
         framer.push(bytes);
         loop {
             match framer.next_frame() {
                 Ok(Some(frame)) => match Message::parse(frame) {
-                    Ok(message) => self.message(now, arrived, wire, &message),
-                    Err(_) => return self.unreadable(now, wire, 400),
+                    Ok(message) => self.message(now, arrived, connection, &message),
+                    Err(_) => return self.unreadable(now, connection, 400),
                 },
                 Ok(None) => break,
-                Err(shalespindle_signalling::FrameError::Length) => return self.unreadable(now, wire, 413),
-                Err(shalespindle_signalling::FrameError::Head) => return self.unreadable(now, wire, 400),
+                Err(shalespindle_signalling::FrameError::Length) => {
+                    return self.unreadable(now, connection, 413)
+                }
+                Err(shalespindle_signalling::FrameError::Head) => {
+                    return self.unreadable(now, connection, 400)
+                }
             }
-            if !self.doors.all.contains_key(&wire) {
+            if !self.doors.all.contains_key(&connection) {
                 return;
             }
         }
-        if let Some(door) = self.doors.all.get_mut(&wire) {
+        if let Some(door) = self.doors.all.get_mut(&connection) {
             door.partial_since = (framer.held() > 0).then(|| door.partial_since.unwrap_or(now));
             door.framer = framer;
         }
     }
 
     /// What cannot be read ends its connection: nothing after it can be told apart.
-    fn unreadable(&mut self, now: f64, wire: Wire, status: u16) {
+    fn unreadable(&mut self, now: f64, connection: ConnectionId, status: u16) {
         self.counters.unreadable += 1;
-        self.out.push_back(Output::Write { wire, bytes: sip::unreadable(status) });
-        self.close_door(now, wire);
+        self.out.push_back(Output::Write { connection, bytes: sip::unreadable(status) });
+        self.close_door(now, connection);
     }
 
-    fn message(&mut self, now: f64, arrived: f64, wire: Wire, message: &Message) {
-        if let Some(door) = self.doors.all.get_mut(&wire) {
+    fn message(&mut self, now: f64, arrived: f64, connection: ConnectionId, message: &Message) {
+        if let Some(door) = self.doors.all.get_mut(&connection) {
             // What is whole was no part of what is not.
             door.partial_since = None;
         }
         match message.start {
-            Start::Request { method: Method::Invite, .. } => self.invite(now, arrived, wire, message),
-            Start::Request { method: Method::Ack, .. } => self.ack(now, wire, message),
-            Start::Request { method: Method::Cancel, .. } => self.cancel(now, wire, message),
-            Start::Request { method: Method::Bye, .. } => self.bye(now, wire, message),
+            Start::Request { method: Method::Invite, .. } => self.invite(now, arrived, connection, message),
+            Start::Request { method: Method::Ack, .. } => self.ack(now, connection, message),
+            Start::Request { method: Method::Cancel, .. } => self.cancel(now, connection, message),
+            Start::Request { method: Method::Bye, .. } => self.bye(now, connection, message),
             Start::Request { method: Method::Options, .. } => {
-                self.doors.used(now, wire, Use::Tests);
-                self.respond(wire, 200, message);
+                self.doors.used(now, connection, Use::Tests);
+                self.respond(connection, 200, message);
             }
-            Start::Request { .. } => self.bad(now, wire, message, 405),
+            Start::Request { .. } => self.bad(now, connection, message, 405),
             Start::Response { .. } => {
                 if let (Some(id), Ok((_, Method::Bye))) = (sip::id(message), message.cseq()) {
                     if self.byes.heard(id) {
                         self.counters.byes_heard += 1;
-                        self.doors.used(now, wire, Use::Caller);
+                        self.doors.used(now, connection, Use::Caller);
                     }
                 }
             }
         }
     }
 
-    fn respond(&mut self, wire: Wire, status: u16, message: &Message) {
+    fn respond(&mut self, connection: ConnectionId, status: u16, message: &Message) {
         let bytes = Writer::response(status, &ResponseHead::of(message, "")).finish();
-        self.out.push_back(Output::Write { wire, bytes });
+        self.out.push_back(Output::Write { connection, bytes });
     }
 
     /// Of bad form: answered, and the connection closed when that goes on.
-    fn bad(&mut self, now: f64, wire: Wire, message: &Message, status: u16) {
+    fn bad(&mut self, now: f64, connection: ConnectionId, message: &Message, status: u16) {
         self.counters.bad_form += 1;
-        self.respond(wire, status, message);
-        let Some(door) = self.doors.all.get_mut(&wire) else { return };
+        self.respond(connection, status, message);
+        let Some(door) = self.doors.all.get_mut(&connection) else { return };
         door.bad += 1;
         if door.bad >= MOST_BAD {
-            self.close_door(now, wire);
+            self.close_door(now, connection);
         }
     }
 
-    fn invite(&mut self, now: f64, arrived: f64, wire: Wire, message: &Message) {
-        let Some(id) = sip::id(message) else { return self.bad(now, wire, message, 400) };
-        let Ok(route) = sip::route(message) else { return self.bad(now, wire, message, 400) };
+    fn invite(&mut self, now: f64, arrived: f64, connection: ConnectionId, message: &Message) {
+        let Some(id) = sip::id(message) else { return self.bad(now, connection, message, 400) };
+        let Ok(route) = sip::route(message) else { return self.bad(now, connection, message, 400) };
         if let Some(server) = route.at {
-            return self.handed_over(now, wire, id, server);
+            return self.handed_over(now, connection, id, server);
         }
         if let Some(call) = self.calls.by_id(id) {
-            let (ue, same, in_hand) = (call.ue, call.door == wire, matches!(call.is, Is::InHand(_)));
+            let (ue, same, in_hand) = (call.ue, call.door == connection, matches!(call.is, Is::InHand(_)));
             if same && in_hand {
                 // Two set-ups that one answer would belong to: the one answer is that neither is served.
                 self.client_left(now, ue);
             }
-            return self.bad(now, wire, message, 482);
+            return self.bad(now, connection, message, 482);
         }
         if self.early_cancels.take(now, id) {
             self.counters.left += 1;
-            self.doors.used(now, wire, Use::Asks);
-            return self.respond(wire, 487, message);
+            self.doors.used(now, connection, Use::Asks);
+            return self.respond(connection, 487, message);
         }
         let asked = match sip::asked(message, &route, &self.procedures) {
             Ok(asked) => asked,
-            Err(_) => return self.bad(now, wire, message, 400),
+            Err(_) => return self.bad(now, connection, message, 400),
         };
         let full = self.calls.in_hand() >= self.most_held
             || self.calls.bytes() + asked.description.len() > self.most_bytes;
         if full || self.takes_no_more(now) {
             self.counters.no_place += 1;
-            self.doors.used(now, wire, Use::Asks);
-            return self.respond(wire, 503, message);
+            self.doors.used(now, connection, Use::Asks);
+            return self.respond(connection, 503, message);
         }
         let gives_up_at = arrived + asked.patience;
         let hand = InHand {
@@ -127,10 +131,10 @@
             tries: 0,
             out: None,
         };
-        let ue = self.calls.add(id, wire, Is::InHand(Box::new(hand)));
+        let ue = self.calls.add(id, connection, Is::InHand(Box::new(hand)));
         self.counters.attaches += 1;
-        self.doors.used(now, wire, Use::Asks);
-        if let Some(door) = self.doors.all.get_mut(&wire) {
+        self.doors.used(now, connection, Use::Asks);
+        if let Some(door) = self.doors.all.get_mut(&connection) {
             door.open.push(ue);
         }
         let new = NewAttach {
@@ -145,7 +149,7 @@
         self.send_byes(now);
     }
 
-    fn ack(&mut self, now: f64, wire: Wire, message: &Message) {
+    fn ack(&mut self, now: f64, connection: ConnectionId, message: &Message) {
         let Some(call) = sip::id(message).and_then(|id| self.calls.by_id(id)) else { return };
         let (ue, door) = (call.ue, call.door);
         if let Is::Stands(stands) = &mut call.is {
@@ -153,48 +157,48 @@
             if let Some(door) = self.doors.all.get_mut(&door) {
                 door.unconfirmed.retain(|u| *u != ue);
             }
-            self.doors.used(now, wire, Use::Caller);
+            self.doors.used(now, connection, Use::Caller);
             self.send_byes(now);
         }
     }
 
-    fn cancel(&mut self, now: f64, wire: Wire, message: &Message) {
-        let Some(id) = sip::id(message) else { return self.respond(wire, 481, message) };
+    fn cancel(&mut self, now: f64, connection: ConnectionId, message: &Message) {
+        let Some(id) = sip::id(message) else { return self.respond(connection, 481, message) };
         let Some(call) = self.calls.by_id(id) else {
             let longest = self.procedures.iter().fold(0.0, |l: f64, p| l.max(p.1));
             self.early_cancels.add(now, id, longest);
-            return self.respond(wire, 481, message);
+            return self.respond(connection, 481, message);
         };
         let ue = call.ue;
         match &call.is {
             Is::InHand(hand) => {
                 // No answer is owed, but RFC 3261 section 9.2 gives the set-up one.
                 let (door, bytes) = (call.door, sip::refusal(487, &hand.head, None));
-                self.doors.used(now, wire, Use::Asks);
-                self.respond(wire, 200, message);
-                self.out.push_back(Output::Write { wire: door, bytes });
+                self.doors.used(now, connection, Use::Asks);
+                self.respond(connection, 200, message);
+                self.out.push_back(Output::Write { connection: door, bytes });
                 self.client_left(now, ue);
             }
             // It crossed the answer: its caller no longer waits for a call.
             Is::Stands(Stands { confirmed: false, .. }) => {
                 let door = call.door;
-                self.respond(wire, 200, message);
+                self.respond(connection, 200, message);
                 self.released_by_caller(now, ue, 16);
                 self.send_bye(now, door, id, 16);
             }
-            Is::Stands(_) => self.respond(wire, 200, message),
+            Is::Stands(_) => self.respond(connection, 200, message),
         }
     }
 
-    fn bye(&mut self, now: f64, wire: Wire, message: &Message) {
+    fn bye(&mut self, now: f64, connection: ConnectionId, message: &Message) {
         let cause = message.q850_cause().unwrap_or(16);
         let Some(call) = sip::id(message).and_then(|id| self.calls.by_id(id)) else {
             let handed = sip::id(message).is_some_and(|id| self.handed_released(id, cause));
-            return self.respond(wire, if handed { 200 } else { 481 }, message);
+            return self.respond(connection, if handed { 200 } else { 481 }, message);
         };
         let (ue, stands) = (call.ue, matches!(call.is, Is::Stands(_)));
-        self.doors.used(now, wire, if stands { Use::Caller } else { Use::Asks });
-        self.respond(wire, 200, message);
+        self.doors.used(now, connection, if stands { Use::Caller } else { Use::Asks });
+        self.respond(connection, 200, message);
         if stands {
             self.released_by_caller(now, ue, cause);
         } else {
@@ -208,8 +212,8 @@
         self.control.client_left(now, ue);
         let Some((id, door, _)) = self.calls.hand(ue) else { return };
         if let Some(out) = self.take_try(now, ue) {
-            if let Some(wire) = out.link {
-                self.end_try_on(now, wire, id);
+            if let Some(connection) = out.link {
+                self.end_try_on(now, connection, id);
             }
             self.count(Ended::Cancelled);
             self.control.try_ended(now, ue, out.pool, Ended::Cancelled, true, Report::default());
@@ -235,43 +239,43 @@
         self.stands_no_more(pool);
     }
 
-    pub(crate) fn send_bye(&mut self, now: f64, own: Wire, id: u64, cause: u16) {
+    pub(crate) fn send_bye(&mut self, now: f64, own: ConnectionId, id: u64, cause: u16) {
         self.byes.owe(now, id, cause, own);
         self.send_byes(now);
     }
 
     /// Sends what is owed and not heard, as far as there are connections that can take it.
     pub(crate) fn send_byes(&mut self, now: f64) {
-        for Bye { wire, id, cause, again } in self.byes.due(now, &self.doors) {
+        for Bye { connection, id, cause, again } in self.byes.due(now, &self.doors) {
             self.counters.byes += 1;
             if again {
                 self.counters.byes_again += 1;
-                let use_of = self.doors.all.get(&wire).map_or(Use::None, |d| d.use_of);
+                let use_of = self.doors.all.get(&connection).map_or(Use::None, |d| d.use_of);
                 self.belief(
                     "release not heard",
                     format!("{id:016x}"),
-                    format!("again on {wire}, {use_of:?}"),
+                    format!("again on {connection}, {use_of:?}"),
                 );
             }
-            self.out.push_back(Output::Write { wire, bytes: sip::bye(id, cause) });
+            self.out.push_back(Output::Write { connection, bytes: sip::bye(id, cause) });
         }
     }
 
-    pub(crate) fn leave_door(&mut self, now: f64, wire: Wire, ue: UeName) {
-        if let Some(door) = self.doors.all.get_mut(&wire) {
+    pub(crate) fn leave_door(&mut self, now: f64, connection: ConnectionId, ue: UeName) {
+        if let Some(door) = self.doors.all.get_mut(&connection) {
             door.open.retain(|u| *u != ue);
             door.unconfirmed.retain(|u| *u != ue);
             door.last_at = now;
         }
     }
 
-    pub(crate) fn close_door(&mut self, now: f64, wire: Wire) {
-        self.out.push_back(Output::Close { wire, reset: false });
-        self.door_lost(now, wire);
+    pub(crate) fn close_door(&mut self, now: f64, connection: ConnectionId) {
+        self.out.push_back(Output::Close { connection, reset: false });
+        self.door_lost(now, connection);
     }
 
-    pub(crate) fn door_lost(&mut self, now: f64, wire: Wire) {
-        let Some(door) = self.doors.all.remove(&wire) else { return };
+    pub(crate) fn door_lost(&mut self, now: f64, connection: ConnectionId) {
+        let Some(door) = self.doors.all.remove(&connection) else { return };
         for ue in door.open {
             self.client_left(now, ue);
         }
@@ -279,21 +283,24 @@
         for ue in door.unconfirmed {
             let Some(id) = self.calls.by_ue(ue).map(|c| c.id) else { continue };
             self.released_by_caller(now, ue, CUT);
-            self.send_bye(now, wire, id, CUT);
+            self.send_bye(now, connection, id, CUT);
         }
-        self.byes.door_lost(now, wire);
+        self.byes.door_lost(now, connection);
         self.send_byes(now);
     }
 
     pub(crate) fn sweep(&mut self, now: f64) {
-        for wire in self.doors.overdue(now) {
+        for connection in self.doors.overdue(now) {
             self.counters.doors_overdue += 1;
-            let useless =
-                self.doors.all.get(&wire).is_some_and(|d| d.use_of == Use::None || d.partial_since.is_some());
+            let useless = self
+                .doors
+                .all
+                .get(&connection)
+                .is_some_and(|d| d.use_of == Use::None || d.partial_since.is_some());
             if useless {
-                self.out.push_back(Output::Write { wire, bytes: sip::unreadable(408) });
+                self.out.push_back(Output::Write { connection, bytes: sip::unreadable(408) });
             }
-            self.close_door(now, wire);
+            self.close_door(now, connection);
         }
         self.expire_handed(now);
         for id in self.byes.expire(now) {
--- a/crates/platform/src/calls.rs
+++ b/crates/platform/src/calls.rs
@@ -1,6 +1,6 @@
 //! The calls of a front: attaches in hand and calls that stand, in one slab, found by id and by ue.
 
-use crate::edge::Wire;
+use crate::edge::ConnectionId;
 use shalespindle_control::interface::{PoolName, UeName};
 use shalespindle_signalling::write::ResponseHead;
 use slab::Slab;
@@ -10,7 +10,7 @@
 pub struct Try {
     pub pool: PoolName,
     /// The link it went out on; none while it waits for one.
-    pub link: Option<Wire>,
+    pub link: Option<ConnectionId>,
     pub sent_at: f64,
 }
 
@@ -41,7 +41,7 @@
     pub id: u64,
     pub ue: UeName,
     /// The connection its set-up came on.
-    pub door: Wire,
+    pub door: ConnectionId,
     pub is: Is,
 }
 
@@ -58,7 +58,7 @@
 
 impl Calls {
     /// Takes a call in; its ue is new.
-    pub fn add(&mut self, id: u64, door: Wire, is: Is) -> UeName {
+    pub fn add(&mut self, id: u64, door: ConnectionId, is: Is) -> UeName {
         self.next_ue = self.next_ue.wrapping_add(1);
         let ue = self.next_ue;
         if let Is::InHand(hand) = &is {
@@ -101,7 +101,7 @@
     }
 
     /// The attach in hand of that name.
-    pub fn hand(&mut self, ue: UeName) -> Option<(u64, Wire, &mut InHand)> {
+    pub fn hand(&mut self, ue: UeName) -> Option<(u64, ConnectionId, &mut InHand)> {
         let call = self.by_ue(ue)?;
         match &mut call.is {
             Is::InHand(hand) => Some((call.id, call.door, hand)),
--- a/crates/platform/src/door.rs
+++ b/crates/platform/src/door.rs
@@ -1,6 +1,6 @@
 //! The connections that callers hold, and which of them is closed when there are too many.
 
-use crate::edge::Wire;
+use crate::edge::ConnectionId;
 use crate::lines::LONGEST;
 use shalespindle_control::interface::UeName;
 use shalespindle_signalling::Framer;
@@ -63,16 +63,16 @@
 
 #[derive(Default)]
 pub struct Doors {
-    pub all: BTreeMap<Wire, Door>,
+    pub all: BTreeMap<ConnectionId, Door>,
 }
 
 impl Doors {
-    pub fn open(&mut self, now: f64, wire: Wire) {
-        self.all.insert(wire, Door::new(now));
+    pub fn open(&mut self, now: f64, connection: ConnectionId) {
+        self.all.insert(connection, Door::new(now));
     }
 
-    pub fn used(&mut self, now: f64, wire: Wire, use_of: Use) {
-        if let Some(door) = self.all.get_mut(&wire) {
+    pub fn used(&mut self, now: f64, connection: ConnectionId, use_of: Use) {
+        if let Some(door) = self.all.get_mut(&connection) {
             door.use_of = door.use_of.max(use_of);
             door.last_at = now;
         }
@@ -81,10 +81,12 @@
     /// The one to close first where there are too many: of least use so far, then longest idle. After them the one that
     /// came last, whose request may still be on its way; then those that wait for their caller's word on an answer; one
     /// on which an answer is owed only where all owe one, and then the newest.
-    pub fn least_useful(&self, now: f64) -> Option<Wire> {
-        let rank = |wire, d: &Door| (!d.is_idle(), !d.unconfirmed.is_empty(), self.is_awaited(now, wire));
-        let least = self.all.iter().min_by(|(a_wire, a), (b_wire, b)| {
-            let order = rank(**a_wire, a).cmp(&rank(**b_wire, b)).then(a.use_of.cmp(&b.use_of));
+    pub fn least_useful(&self, now: f64) -> Option<ConnectionId> {
+        let rank = |connection, d: &Door| {
+            (!d.is_idle(), !d.unconfirmed.is_empty(), self.is_awaited(now, connection))
+        };
+        let least = self.all.iter().min_by(|(a_connection, a), (b_connection, b)| {
+            let order = rank(**a_connection, a).cmp(&rank(**b_connection, b)).then(a.use_of.cmp(&b.use_of));
             let newest_first = b.opened_at.total_cmp(&a.opened_at);
             order.then(if a.is_idle() { a.last_at.total_cmp(&b.last_at) } else { newest_first })
         });
@@ -92,13 +94,13 @@
     }
 
     /// The one that came last, only just now, and has said nothing yet.
-    pub fn is_awaited(&self, now: f64, wire: Wire) -> bool {
-        let last = self.all.last_key_value().filter(|d| *d.0 == wire);
+    pub fn is_awaited(&self, now: f64, connection: ConnectionId) -> bool {
+        let last = self.all.last_key_value().filter(|d| *d.0 == connection);
         last.is_some_and(|(_, d)| d.use_of == Use::None && now - d.opened_at < ON_ITS_WAY)
     }
 
     /// Those that have had their time.
-    pub fn overdue(&self, now: f64) -> Vec<Wire> {
+    pub fn overdue(&self, now: f64) -> Vec<ConnectionId> {
         let over = |d: &Door| {
             let useless = d.use_of == Use::None && d.is_idle() && now - d.opened_at > USELESS;
             let partial = d.partial_since.is_some_and(|since| now - since > USELESS);
--- a/crates/platform/src/edge.rs
+++ b/crates/platform/src/edge.rs
@@ -19,7 +19,7 @@
 use std::net::SocketAddr;
 
 /// Name of a connection. The host gives even ones to those it accepts; the front dials odd ones.
-pub type Wire = u64;
+pub type ConnectionId = u64;
 
 /// How a connection ended, or never came up.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -33,17 +33,17 @@
 #[derive(Debug, PartialEq)]
 pub enum Output {
     Dial {
-        wire: Wire,
+        connection: ConnectionId,
         to: SocketAddr,
         within: f64,
     },
     Write {
-        wire: Wire,
+        connection: ConnectionId,
         bytes: Vec<u8>,
     },
     /// With `reset` what was not sent must not arrive any more.
     Close {
-        wire: Wire,
+        connection: ConnectionId,
         reset: bool,
     },
     /// A belief changed: what, of whom, why.
@@ -99,9 +99,9 @@
     /// So long may a setup try wait for a link.
     Waited(UeName, u32),
     /// A link must be up by now.
-    Link(Wire),
+    Link(ConnectionId),
     /// A link that is made and still silent is asked for a word.
-    Silent(Wire),
+    Silent(ConnectionId),
     /// Another dial to that server.
     Dial(PoolName),
     /// What stands at a server that was removed is over.
@@ -143,7 +143,7 @@
     pub(crate) ending: Option<f64>,
     /// Servers that have a link again: what waits for one goes out in the front's next turn.
     pub(crate) linked: Vec<PoolName>,
-    last_wire: Wire,
+    last_connection_id: ConnectionId,
     last_test: u64,
 }
 
@@ -177,7 +177,7 @@
             handed: Vec::new(),
             ending: None,
             linked: Vec::new(),
-            last_wire: 1,
+            last_connection_id: 1,
             last_test: file.seed,
         };
         edge.know(now, file.known.n, file.known.events);
@@ -197,33 +197,34 @@
     // ---- what the host tells ----
 
     /// A caller's connection was accepted.
-    pub fn accepted(&mut self, now: f64, wire: Wire) {
-        self.doors.open(now, wire);
+    pub fn accepted(&mut self, now: f64, connection: ConnectionId) {
+        self.doors.open(now, connection);
     }
 
     /// A connection that the front dialled is made.
-    pub fn connected(&mut self, now: f64, wire: Wire) {
-        if self.feed.wire == Some(wire) {
+    pub fn connected(&mut self, now: f64, connection: ConnectionId) {
+        if self.feed.connection == Some(connection) {
             let bytes = self.feed.connected(now);
             self.belief("feed connected", self.feed.to, format!("after event {}", self.feed.taken));
-            self.out.push_back(Output::Write { wire, bytes });
+            self.out.push_back(Output::Write { connection, bytes });
         } else {
-            self.link_made(now, wire);
+            self.link_made(now, connection);
         }
     }
 
     /// A connection ended, or never came up.
-    pub fn lost(&mut self, now: f64, wire: Wire, loss: Loss) {
-        if self.feed.wire == Some(wire) {
+    pub fn lost(&mut self, now: f64, connection: ConnectionId, loss: Loss) {
+        if self.feed.connection == Some(connection) {
             if self.feed.is_up() {
                 self.belief("feed lost", self.feed.to, "connection ended".into());
             }
             self.feed.lost(now);
-        } else if self.doors.all.contains_key(&wire) {
-            self.door_lost(now, wire);
+        } else if self.doors.all.contains_key(&connection) {
+            self.door_lost(now, connection);
         } else {
-            let pool = self.servers.links.get(&wire).filter(|l| l.state == LinkState::Up).map(|l| l.pool);
-            self.link_lost(now, wire, loss);
+            let pool =
+                self.servers.links.get(&connection).filter(|l| l.state == LinkState::Up).map(|l| l.pool);
+            self.link_lost(now, connection, loss);
             if let Some(pool) = pool {
                 self.ask_other_links(now, pool);
             }
@@ -231,12 +232,12 @@
     }
 
     /// Bytes came; `arrived` is the earliest time at which they can have come.
-    pub fn bytes(&mut self, now: f64, arrived: f64, wire: Wire, bytes: &[u8]) {
-        if self.doors.all.contains_key(&wire) {
-            self.door_bytes(now, arrived, wire, bytes);
-        } else if self.servers.links.contains_key(&wire) {
-            self.link_bytes(now, wire, bytes);
-        } else if self.feed.wire == Some(wire) {
+    pub fn bytes(&mut self, now: f64, arrived: f64, connection: ConnectionId, bytes: &[u8]) {
+        if self.doors.all.contains_key(&connection) {
+            self.door_bytes(now, arrived, connection, bytes);
+        } else if self.servers.links.contains_key(&connection) {
+            self.link_bytes(now, connection, bytes);
+        } else if self.feed.connection == Some(connection) {
             let mut news = Vec::new();
             let good = self.feed.bytes(now, bytes, &mut news);
             for event in news {
@@ -244,7 +245,7 @@
             }
             if !good {
                 self.belief("feed left", self.feed.to, "a gap, or what cannot be read".into());
-                self.out.push_back(Output::Close { wire, reset: false });
+                self.out.push_back(Output::Close { connection, reset: false });
                 self.feed.lost(now);
             }
         }
@@ -283,13 +284,14 @@
 
     /// Connections on which something may have come that changes what is sent next: those of callers whose attaches
     /// may be sent on, and the feed. None where nothing may be sent.
-    pub fn read_first(&self) -> Vec<Wire> {
+    pub fn read_first(&self) -> Vec<ConnectionId> {
         let unsent = |d: &Door| d.open.iter().any(|ue| self.calls.is_unsent(*ue));
-        let mut wires: Vec<Wire> = self.doors.all.iter().filter(|d| unsent(d.1)).map(|d| *d.0).collect();
-        if !wires.is_empty() {
-            wires.extend(self.feed.wire);
+        let mut connections: Vec<ConnectionId> =
+            self.doors.all.iter().filter(|d| unsent(d.1)).map(|d| *d.0).collect();
+        if !connections.is_empty() {
+            connections.extend(self.feed.connection);
         }
-        wires
+        connections
     }
 
     /// Deals with what is due, then decides and carries out until there is nothing more.
@@ -299,13 +301,13 @@
             self.due(now, due);
         }
         if self.feed.asks(now) {
-            if let Some(wire) = self.feed.wire {
+            if let Some(connection) = self.feed.connection {
                 self.belief("feed left", self.feed.to, self.feed.why_left().into());
-                self.out.push_back(Output::Close { wire, reset: false });
+                self.out.push_back(Output::Close { connection, reset: false });
             }
-            let wire = self.new_wire();
-            self.feed.asked(now, wire);
-            self.out.push_back(Output::Dial { wire, to: self.feed.to, within: DIAL_WITHIN });
+            let connection = self.new_connection_id();
+            self.feed.asked(now, connection);
+            self.out.push_back(Output::Dial { connection, to: self.feed.to, within: DIAL_WITHIN });
         }
         while let Some(decision) = self.control.next_decision(now) {
             self.carry(now, decision);
@@ -324,8 +326,8 @@
                     self.try_over(now, ue, Ended::Unreached, Report::default());
                 }
             }
-            Due::Link(wire) => self.link_due(now, wire),
-            Due::Silent(wire) => self.link_silent(now, wire),
+            Due::Link(connection) => self.link_due(now, connection),
+            Due::Silent(connection) => self.link_silent(now, connection),
             Due::Dial(pool) => self.dial_due(now, pool),
             Due::Gone(pool) => self.server_gone(now, pool),
             Due::LastAnswers => self.last_answers(now),
@@ -368,12 +370,12 @@
             return self.try_over(now, ue, Ended::Unreached, Report::default());
         }
         match self.servers.best_link(now, pool, self.dial_within) {
-            Some(wire) => {
-                if !self.servers.links[&wire].open.is_empty() {
+            Some(connection) => {
+                if !self.servers.links[&connection].open.is_empty() {
                     // The next set-up finds a link of its own: one that is spoilt takes few with it.
                     self.dial(now, pool);
                 }
-                self.write_set_up(now, ue, wire);
+                self.write_set_up(now, ue, connection);
             }
             None => {
                 if let Some(server) = self.servers.all.get_mut(&pool) {
@@ -386,28 +388,28 @@
     }
 
     /// Puts a setup try on a link. Callers have checked that its server still takes what is new.
-    pub(crate) fn write_set_up(&mut self, now: f64, ue: UeName, wire: Wire) {
+    pub(crate) fn write_set_up(&mut self, now: f64, ue: UeName, connection: ConnectionId) {
         let Some((id, _, hand)) = self.calls.hand(ue) else { return };
         let Some(out) = hand.out.as_mut() else { return };
-        out.link = Some(wire);
+        out.link = Some(connection);
         let class = &self.procedures[hand.procedure].0;
         let bytes = lines::set_up(id, class, &hand.number, hand.gives_up_at - now, &hand.description);
-        if let Some(link) = self.servers.links.get_mut(&wire) {
+        if let Some(link) = self.servers.links.get_mut(&connection) {
             link.open.push(ue);
             link.asked(now);
         }
-        self.out.push_back(Output::Write { wire, bytes });
+        self.out.push_back(Output::Write { connection, bytes });
     }
 
     /// Takes the setup try that is out off the books of its link and of its server; returns it.
     pub(crate) fn take_try(&mut self, now: f64, ue: UeName) -> Option<Try> {
         let out = self.calls.hand(ue)?.2.out.take()?;
         match out.link {
-            Some(wire) => {
-                if let Some(link) = self.servers.links.get_mut(&wire) {
+            Some(connection) => {
+                if let Some(link) = self.servers.links.get_mut(&connection) {
                     link.open.retain(|u| *u != ue);
                     if link.retired && link.open.is_empty() {
-                        self.drop_link(now, wire, "silent, nothing out on it any more");
+                        self.drop_link(now, connection, "silent, nothing out on it any more");
                     }
                 }
             }
@@ -444,22 +446,22 @@
     /// The front itself ends a setup try: its server is told, so that nothing of it is left there.
     fn try_given_up(&mut self, now: f64, ue: UeName, ended: Ended) {
         let Some((id, _, hand)) = self.calls.hand(ue) else { return };
-        let wire = hand.out.as_ref().and_then(|t| t.link);
+        let connection = hand.out.as_ref().and_then(|t| t.link);
         self.try_over(now, ue, ended, Report::default());
-        if let Some(wire) = wire {
-            self.end_try_on(now, wire, id);
+        if let Some(connection) = connection {
+            self.end_try_on(now, connection, id);
         }
     }
 
     fn try_due(&mut self, now: f64, ue: UeName, number: u32) {
         let Some((_, _, hand)) = self.calls.hand(ue) else { return };
         let Some(out) = hand.out.as_ref().filter(|_| hand.tries == number) else { return };
-        let Some(wire) = out.link else {
+        let Some(connection) = out.link else {
             // Still waiting for a link: nothing of it has left.
             return self.try_over(now, ue, Ended::Unreached, Report::default());
         };
         let sent_at = out.sent_at;
-        if let Some(link) = self.servers.links.get_mut(&wire) {
+        if let Some(link) = self.servers.links.get_mut(&connection) {
             // Guards against open links to machines that are gone: nothing has come on it since.
             if link.heard_at < sent_at {
                 link.retired = true;
@@ -478,13 +480,13 @@
         if let Is::InHand(hand) = call.is {
             self.leave_door(now, call.door, ue);
             let bytes = sip::refusal(status, &hand.head, pause);
-            self.out.push_back(Output::Write { wire: call.door, bytes });
+            self.out.push_back(Output::Write { connection: call.door, bytes });
         }
     }
 
-    pub(crate) fn new_wire(&mut self) -> Wire {
-        self.last_wire += 2;
-        self.last_wire
+    pub(crate) fn new_connection_id(&mut self) -> ConnectionId {
+        self.last_connection_id += 2;
+        self.last_connection_id
     }
 
     pub(crate) fn new_test(&mut self) -> u64 {
--- a/crates/platform/src/feed.rs
+++ b/crates/platform/src/feed.rs
@@ -1,7 +1,7 @@
 //! Following the control feed: numbered events, each taken once and in order, over connections that break,
 //! fall silent and begin again.
 
-use crate::edge::Wire;
+use crate::edge::ConnectionId;
 use crate::sse::Events;
 use serde::Deserialize;
 use std::net::SocketAddr;
@@ -49,7 +49,7 @@
     pub to: SocketAddr,
     /// Number of the last event taken.
     pub taken: u64,
-    pub wire: Option<Wire>,
+    pub connection: Option<ConnectionId>,
     up: bool,
     events: Events,
     heard_at: f64,
@@ -62,7 +62,7 @@
         Feed {
             to,
             taken: 0,
-            wire: None,
+            connection: None,
             up: false,
             events: Events::default(),
             heard_at: now,
@@ -72,8 +72,8 @@
     }
 
     /// A new connection is being made.
-    pub fn asked(&mut self, now: f64, wire: Wire) {
-        self.wire = Some(wire);
+    pub fn asked(&mut self, now: f64, connection: ConnectionId) {
+        self.connection = Some(connection);
         self.up = false;
         self.events = Events::default();
         self.heard_at = now;
@@ -112,7 +112,7 @@
 
     /// The connection is gone, or is of no further use.
     pub fn lost(&mut self, now: f64) {
-        self.wire = None;
+        self.connection = None;
         self.ask_at = now + self.pause;
         self.pause = (2.0 * self.pause).min(LONGEST_PAUSE);
     }
@@ -126,7 +126,7 @@
 
     pub fn due(&self) -> f64 {
         let patience = if self.is_up() && self.events.is_partial() { STOPPED_SHORT } else { SILENT };
-        let silent = if self.wire.is_some() { self.heard_at + patience } else { f64::INFINITY };
+        let silent = if self.connection.is_some() { self.heard_at + patience } else { f64::INFINITY };
         self.ask_at.min(silent)
     }
 
@@ -145,6 +145,6 @@
     }
 
     pub fn is_up(&self) -> bool {
-        self.wire.is_some() && self.up
+        self.connection.is_some() && self.up
     }
 }
--- a/crates/platform/src/handover.rs
+++ b/crates/platform/src/handover.rs
@@ -6,7 +6,7 @@
 use crate::callers::CUT;
 use crate::calls::{Is, Stands};
 use crate::door::Use;
-use crate::edge::{Edge, Wire};
+use crate::edge::{ConnectionId, Edge};
 use shalespindle_control::interface::PoolName;
 
 /// What the list knows reaches a front that follows it within this.
@@ -17,7 +17,7 @@
 /// A call whose server is not known.
 pub struct Handed {
     id: u64,
-    door: Wire,
+    door: ConnectionId,
     server: String,
     until: f64,
     /// Its caller has released it meanwhile: its server is told once it is known.
@@ -26,7 +26,7 @@
 
 impl Edge {
     /// A call that stands already, set up by another front or by this one before it started.
-    pub(crate) fn handed_over(&mut self, now: f64, door: Wire, id: u64, server: &str) {
+    pub(crate) fn handed_over(&mut self, now: f64, door: ConnectionId, id: u64, server: &str) {
         if self.calls.by_id(id).is_some() || self.handed.iter().any(|h| h.id == id) {
             return;
         }
@@ -47,7 +47,7 @@
         self.send_byes(now);
     }
 
-    fn hold(&mut self, now: f64, door: Wire, id: u64, pool: PoolName) {
+    fn hold(&mut self, now: f64, door: ConnectionId, id: u64, pool: PoolName) {
         self.calls.add(id, door, Is::Stands(Stands { pool, confirmed: true }));
         if let Some(server) = self.servers.all.get_mut(&pool) {
             server.standing += 1;
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -19,6 +19,6 @@
 mod sip;
 mod sse;
 
-pub use edge::{Counters, Edge, Loss, Output, Wire};
+pub use edge::{ConnectionId, Counters, Edge, Loss, Output};
 pub use file::{read_file, StartFile};
 pub use room::UNCOUNTED;
--- a/crates/platform/src/link.rs
+++ b/crates/platform/src/link.rs
@@ -1,7 +1,7 @@
 //! The signalling servers a front knows and its links to them. Links belong to a server, not to an address:
 //! a new server may take the address of one that went.
 
-use crate::edge::Wire;
+use crate::edge::ConnectionId;
 use crate::lines::Lines;
 use shalespindle_control::interface::{PoolName, UeName};
 use std::collections::{BTreeMap, VecDeque};
@@ -102,7 +102,7 @@
     pub number: u16,
     pub started: f64,
     pub phase: Phase,
-    pub links: Vec<Wire>,
+    pub links: Vec<ConnectionId>,
     /// Setup tries that wait for a link.
     pub waiting: VecDeque<UeName>,
     /// It did not say its state first on a link that was made: the next ones are up when they are made.
@@ -120,12 +120,12 @@
     pub removed_at: f64,
 }
 
-/// Servers by the name the module knows them by, and links by wire.
+/// Servers by the name the module knows them by, and links by connection.
 #[derive(Default)]
 pub struct Servers {
     pub all: BTreeMap<PoolName, Server>,
     by_id: BTreeMap<String, PoolName>,
-    pub links: BTreeMap<Wire, Link>,
+    pub links: BTreeMap<ConnectionId, Link>,
     last: PoolName,
 }
 
@@ -166,15 +166,15 @@
     }
 
     /// The sound link with the fewest set-ups out: one that is spoilt takes few with it.
-    pub fn best_link(&self, now: f64, pool: PoolName, within: f64) -> Option<Wire> {
+    pub fn best_link(&self, now: f64, pool: PoolName, within: f64) -> Option<ConnectionId> {
         let links = self.all.get(&pool)?.links.iter();
         let sound = links.filter(|w| self.links.get(w).is_some_and(|l| l.is_sound(now, within)));
         sound.min_by_key(|w| self.links[w].open.len()).copied()
     }
 
     /// Any link that is up, for what need not be answered.
-    pub fn any_link(&self, now: f64, pool: PoolName, within: f64) -> Option<Wire> {
-        let up = |w: &&Wire| self.links.get(w).is_some_and(|l| l.state == LinkState::Up);
+    pub fn any_link(&self, now: f64, pool: PoolName, within: f64) -> Option<ConnectionId> {
+        let up = |w: &&ConnectionId| self.links.get(w).is_some_and(|l| l.state == LinkState::Up);
         self.best_link(now, pool, within)
             .or_else(|| self.all.get(&pool)?.links.iter().rev().find(up).copied())
     }
@@ -185,7 +185,7 @@
     }
 
     /// A link that may be closed to make room for another: doubtful, with nothing out on it.
-    pub fn spare(&self, now: f64, pool: PoolName, within: f64) -> Option<Wire> {
+    pub fn spare(&self, now: f64, pool: PoolName, within: f64) -> Option<ConnectionId> {
         let links = self.all.get(&pool)?.links.iter();
         let spare = |l: &Link| l.open.is_empty() && (l.retired || l.is_doubtful(now, within));
         links.filter(|w| self.links.get(w).is_some_and(spare)).copied().next()
--- a/crates/platform/src/servers.rs
+++ b/crates/platform/src/servers.rs
@@ -2,7 +2,7 @@
 
 use crate::callers::CUT;
 use crate::calls::Is;
-use crate::edge::{Due, Edge, Loss, Output, Wire};
+use crate::edge::{ConnectionId, Due, Edge, Loss, Output};
 use crate::feed::Event;
 use crate::lines::{self, Kind, Line};
 use crate::link::{Link, LinkState, Phase, MOST_LINKS};
@@ -97,8 +97,8 @@
     /// Another process under the same name: what was there is over.
     fn server_anew(&mut self, now: f64, pool: PoolName) {
         let Some(server) = self.servers.all.get(&pool) else { return };
-        for wire in server.links.clone() {
-            self.drop_link(now, wire, "its server started anew");
+        for connection in server.links.clone() {
+            self.drop_link(now, connection, "its server started anew");
         }
         self.ends_at(now, pool);
     }
@@ -110,8 +110,8 @@
         let due =
             |s: &&crate::link::Server| s.phase == Phase::Removed && now >= s.removed_at + LAST_WORDS - 1e-6;
         let Some(server) = self.servers.all.get(&pool).filter(due) else { return };
-        for wire in server.links.clone() {
-            self.drop_link(now, wire, "its server was removed");
+        for connection in server.links.clone() {
+            self.drop_link(now, connection, "its server was removed");
         }
         self.ends_at(now, pool);
         self.servers.forget(pool);
@@ -154,7 +154,7 @@
         let count = self.servers.all.get(&pool).map_or(MOST_LINKS, |s| s.links.len());
         if count >= MOST_LINKS {
             match self.servers.spare(now, pool, self.dial_within) {
-                Some(wire) => self.drop_link(now, wire, "silent, another takes its place"),
+                Some(connection) => self.drop_link(now, connection, "silent, another takes its place"),
                 None => return,
             }
         }
@@ -164,13 +164,13 @@
             self.counters.no_descriptor += 1;
             return;
         }
-        let wire = self.new_wire();
+        let connection = self.new_connection_id();
         if let Some(server) = self.servers.all.get_mut(&pool) {
-            server.links.push(wire);
+            server.links.push(connection);
         }
-        self.servers.links.insert(wire, Link::new(now, pool));
-        self.timers.set(now + self.dial_within, Due::Link(wire));
-        self.out.push_back(Output::Dial { wire, to, within: self.dial_within });
+        self.servers.links.insert(connection, Link::new(now, pool));
+        self.timers.set(now + self.dial_within, Due::Link(connection));
+        self.out.push_back(Output::Dial { connection, to, within: self.dial_within });
     }
 
     pub(crate) fn dial_due(&mut self, now: f64, pool: PoolName) {
@@ -182,62 +182,64 @@
         }
     }
 
-    pub(crate) fn link_made(&mut self, now: f64, wire: Wire) {
-        let Some(link) = self.servers.links.get_mut(&wire) else { return };
+    pub(crate) fn link_made(&mut self, now: f64, connection: ConnectionId) {
+        let Some(link) = self.servers.links.get_mut(&connection) else { return };
         link.state = LinkState::Made;
         if self.servers.all.get(&link.pool).is_some_and(|s| s.mute) {
-            self.link_up(now, wire);
+            self.link_up(now, connection);
         } else {
-            self.timers.set(now + self.dial_within * UNASKED, Due::Silent(wire));
+            self.timers.set(now + self.dial_within * UNASKED, Due::Silent(connection));
         }
     }
 
     /// Guards against servers that do not say their state first: whether a process is there is asked.
-    pub(crate) fn link_silent(&mut self, now: f64, wire: Wire) {
-        let Some(link) = self.servers.links.get(&wire).filter(|l| l.state == LinkState::Made) else { return };
+    pub(crate) fn link_silent(&mut self, now: f64, connection: ConnectionId) {
+        let Some(link) = self.servers.links.get(&connection).filter(|l| l.state == LinkState::Made) else {
+            return;
+        };
         if let Some(server) = self.servers.all.get_mut(&link.pool) {
             server.mute = true;
         }
-        self.test_on(now, wire);
+        self.test_on(now, connection);
     }
 
     /// A link that is not up by now will not come up.
-    pub(crate) fn link_due(&mut self, now: f64, wire: Wire) {
-        if self.servers.links.get(&wire).is_some_and(|l| l.state != LinkState::Up) {
-            self.out.push_back(Output::Close { wire, reset: true });
-            self.link_lost(now, wire, Loss::Broken);
+    pub(crate) fn link_due(&mut self, now: f64, connection: ConnectionId) {
+        if self.servers.links.get(&connection).is_some_and(|l| l.state != LinkState::Up) {
+            self.out.push_back(Output::Close { connection, reset: true });
+            self.link_lost(now, connection, Loss::Broken);
         }
     }
 
     /// The front gives a link up; what has not left it must not arrive.
-    pub(crate) fn drop_link(&mut self, now: f64, wire: Wire, why: &'static str) {
-        if let Some(link) = self.servers.links.get(&wire) {
+    pub(crate) fn drop_link(&mut self, now: f64, connection: ConnectionId, why: &'static str) {
+        if let Some(link) = self.servers.links.get(&connection) {
             let of = self.servers.all.get(&link.pool).map_or(String::new(), |s| s.id.clone());
             self.belief("link given up", of, why.into());
-            self.out.push_back(Output::Close { wire, reset: true });
-            self.link_lost(now, wire, Loss::Broken);
+            self.out.push_back(Output::Close { connection, reset: true });
+            self.link_lost(now, connection, Loss::Broken);
         }
     }
 
     /// The host can not write on for now, or can again.
-    pub fn blocked(&mut self, wire: Wire, blocked: bool) {
-        if let Some(link) = self.servers.links.get_mut(&wire) {
+    pub fn blocked(&mut self, connection: ConnectionId, blocked: bool) {
+        if let Some(link) = self.servers.links.get_mut(&connection) {
             link.blocked = blocked;
         }
     }
 
     /// Tells a server that a setup try is given up. Where its link is blocked the try itself may not have left yet: it
     /// must not arrive after its end, so the link goes with all that waits there.
-    pub(crate) fn end_try_on(&mut self, now: f64, wire: Wire, id: u64) {
-        if self.servers.links.get(&wire).is_some_and(|l| l.blocked) {
-            self.drop_link(now, wire, "blocked, with a set-up that was given up");
+    pub(crate) fn end_try_on(&mut self, now: f64, connection: ConnectionId, id: u64) {
+        if self.servers.links.get(&connection).is_some_and(|l| l.blocked) {
+            self.drop_link(now, connection, "blocked, with a set-up that was given up");
         } else {
-            self.out.push_back(Output::Write { wire, bytes: lines::release(id, 16) });
+            self.out.push_back(Output::Write { connection, bytes: lines::release(id, 16) });
         }
     }
 
-    pub(crate) fn link_lost(&mut self, now: f64, wire: Wire, loss: Loss) {
-        let Some(link) = self.servers.links.remove(&wire) else { return };
+    pub(crate) fn link_lost(&mut self, now: f64, connection: ConnectionId, loss: Loss) {
+        let Some(link) = self.servers.links.remove(&connection) else { return };
         let pool = link.pool;
         let was_up = link.state == LinkState::Up;
         self.counters.links_lost += u64::from(was_up);
@@ -245,7 +247,7 @@
             self.try_over(now, ue, Ended::Cut, Report::default());
         }
         let Some(server) = self.servers.all.get_mut(&pool) else { return };
-        server.links.retain(|w| *w != wire);
+        server.links.retain(|w| *w != connection);
         let id = server.id.clone();
         let refused = !was_up && loss == Loss::Refused;
         let dead = refused && now - *server.refused_since.get_or_insert(now) >= DEAD_AFTER;
@@ -275,16 +277,16 @@
     pub(crate) fn ask_other_links(&mut self, now: f64, pool: PoolName) {
         let draining = |s: &&crate::link::Server| s.phase == Phase::Draining && s.standing > 0;
         let Some(server) = self.servers.all.get(&pool).filter(draining) else { return };
-        for wire in server.links.clone() {
-            if self.servers.links.get(&wire).is_some_and(|l| l.state == LinkState::Up) {
-                self.test_on(now, wire);
+        for connection in server.links.clone() {
+            if self.servers.links.get(&connection).is_some_and(|l| l.state == LinkState::Up) {
+                self.test_on(now, connection);
             }
         }
     }
 
     /// Its first line came: the process behind it is there.
-    fn link_up(&mut self, now: f64, wire: Wire) {
-        let Some(link) = self.servers.links.get_mut(&wire) else { return };
+    fn link_up(&mut self, now: f64, connection: ConnectionId) {
+        let Some(link) = self.servers.links.get_mut(&connection) else { return };
         link.state = LinkState::Up;
         let pool = link.pool;
         let Some(server) = self.servers.all.get_mut(&pool) else { return };
@@ -293,11 +295,11 @@
         let test_waits = std::mem::take(&mut server.test_waits);
         let id = server.id.clone();
         for (id, cause) in owed {
-            self.out.push_back(Output::Write { wire, bytes: lines::release(id, cause) });
+            self.out.push_back(Output::Write { connection, bytes: lines::release(id, cause) });
         }
         self.linked.push(pool);
         if test_waits {
-            self.test_on(now, wire);
+            self.test_on(now, connection);
         }
         self.belief("link up", id, String::new());
     }
@@ -306,16 +308,16 @@
     /// the server's first word has been taken in.
     pub(crate) fn send_waiting(&mut self, now: f64) {
         for pool in std::mem::take(&mut self.linked) {
-            let Some(wire) = self.servers.best_link(now, pool, self.dial_within) else { continue };
+            let Some(connection) = self.servers.best_link(now, pool, self.dial_within) else { continue };
             let Some(server) = self.servers.all.get_mut(&pool) else { continue };
             for ue in std::mem::take(&mut server.waiting) {
-                self.write_set_up(now, ue, wire);
+                self.write_set_up(now, ue, connection);
             }
         }
     }
 
-    pub(crate) fn link_bytes(&mut self, now: f64, wire: Wire, bytes: &[u8]) {
-        let Some(link) = self.servers.links.get_mut(&wire) else { return };
+    pub(crate) fn link_bytes(&mut self, now: f64, connection: ConnectionId, bytes: &[u8]) {
+        let Some(link) = self.servers.links.get_mut(&connection) else { return };
         let mut framer = std::mem::take(&mut link.lines);
         framer.push(bytes);
         loop {
@@ -326,49 +328,50 @@
             };
             let Some(line) = line else {
                 self.counters.links_spoilt += 1;
-                return self.drop_link(now, wire, "a line that cannot be read");
+                return self.drop_link(now, connection, "a line that cannot be read");
             };
-            self.line(now, wire, &line);
-            match self.servers.links.get_mut(&wire) {
+            self.line(now, connection, &line);
+            match self.servers.links.get_mut(&connection) {
                 Some(link) => link.heard(now),
                 None => return,
             }
         }
-        if let Some(link) = self.servers.links.get_mut(&wire) {
+        if let Some(link) = self.servers.links.get_mut(&connection) {
             link.lines = framer;
         }
     }
 
-    fn line(&mut self, now: f64, wire: Wire, line: &Line) {
-        let Some(link) = self.servers.links.get(&wire) else { return };
+    fn line(&mut self, now: f64, connection: ConnectionId, line: &Line) {
+        let Some(link) = self.servers.links.get(&connection) else { return };
         let pool = link.pool;
         if link.state != LinkState::Up {
-            self.link_up(now, wire);
+            self.link_up(now, connection);
         }
         let report = line.report(&self.reading);
         match (line.kind, line.id) {
-            (Kind::Answer, Some(id)) => self.answered(now, wire, pool, id, line),
-            (Kind::Release, Some(id)) => self.released(now, wire, pool, id, line, report),
+            (Kind::Answer, Some(id)) => self.answered(now, connection, pool, id, line),
+            (Kind::Release, Some(id)) => self.released(now, connection, pool, id, line, report),
             (Kind::Pong, Some(id)) => {
-                let known = self.servers.links.get_mut(&wire).is_some_and(|l| l.test_back(id));
+                let known = self.servers.links.get_mut(&connection).is_some_and(|l| l.test_back(id));
                 if known {
                     self.control.pool_heard(now, pool, line.cause == 1, report);
                 }
             }
             (Kind::Ping, Some(id)) => {
-                self.out.push_back(Output::Write { wire, bytes: lines::pong(id) });
+                self.out.push_back(Output::Write { connection, bytes: lines::pong(id) });
             }
             (Kind::State, _) => self.control.pool_heard(now, pool, false, report),
             _ => {}
         }
     }
 
-    fn answered(&mut self, now: f64, wire: Wire, pool: PoolName, id: u64, line: &Line) {
+    fn answered(&mut self, now: f64, connection: ConnectionId, pool: PoolName, id: u64, line: &Line) {
         let call = self.calls.by_id(id);
         let ue = call.map(|call| (call.ue, call.door, &call.is));
         let (ue, door) = match ue {
             Some((ue, door, Is::InHand(hand)))
-                if hand.out.as_ref().is_some_and(|t| t.link == Some(wire)) && now <= hand.gives_up_at =>
+                if hand.out.as_ref().is_some_and(|t| t.link == Some(connection))
+                    && now <= hand.gives_up_at =>
             {
                 (ue, door)
             }
@@ -377,7 +380,7 @@
             // Late, or for a try that is over: nothing may be left standing of it.
             _ => {
                 self.counters.late_answers += 1;
-                self.out.push_back(Output::Write { wire, bytes: lines::release(id, 16) });
+                self.out.push_back(Output::Write { connection, bytes: lines::release(id, 16) });
                 return;
             }
         };
@@ -394,13 +397,21 @@
         if let Some(door) = self.doors.all.get_mut(&door) {
             door.unconfirmed.push(ue);
         }
-        self.out.push_back(Output::Write { wire: door, bytes });
+        self.out.push_back(Output::Write { connection: door, bytes });
     }
 
-    fn released(&mut self, now: f64, wire: Wire, pool: PoolName, id: u64, line: &Line, report: Report) {
+    fn released(
+        &mut self,
+        now: f64,
+        connection: ConnectionId,
+        pool: PoolName,
+        id: u64,
+        line: &Line,
+        report: Report,
+    ) {
         let call = self.calls.by_id(id).map(|call| (call.ue, &call.is));
         match call {
-            Some((ue, Is::InHand(hand))) if hand.out.as_ref().is_some_and(|t| t.link == Some(wire)) => {
+            Some((ue, Is::InHand(hand))) if hand.out.as_ref().is_some_and(|t| t.link == Some(connection)) => {
                 if line.cause == CLEARED {
                     self.ended_before_answer(now, ue, report);
                 } else {
@@ -410,7 +421,7 @@
             Some((ue, Is::Stands(stands))) if stands.pool == pool => {
                 let ended = if line.cause == CLEARED { Ended::Released } else { Ended::Cut };
                 self.control.try_ended(now, ue, pool, ended, true, report);
-                self.out.push_back(Output::Write { wire, bytes: lines::released(id) });
+                self.out.push_back(Output::Write { connection, bytes: lines::released(id) });
                 self.over(now, ue, pool, line.cause);
             }
             _ => self.control.pool_heard(now, pool, false, report),
@@ -428,8 +439,8 @@
 
     /// Releases a call at its server, now or as soon as there is a link.
     pub(crate) fn release_to(&mut self, now: f64, pool: PoolName, id: u64, cause: u16) {
-        if let Some(wire) = self.servers.any_link(now, pool, self.dial_within) {
-            self.out.push_back(Output::Write { wire, bytes: lines::release(id, cause) });
+        if let Some(connection) = self.servers.any_link(now, pool, self.dial_within) {
+            self.out.push_back(Output::Write { connection, bytes: lines::release(id, cause) });
         } else if let Some(server) = self.servers.all.get_mut(&pool) {
             if server.owed.len() < MOST_OWED {
                 server.owed.push_back((id, cause));
@@ -441,7 +452,7 @@
     /// The module's probe.
     pub(crate) fn test(&mut self, now: f64, pool: PoolName) {
         match self.servers.best_link(now, pool, self.dial_within) {
-            Some(wire) => self.test_on(now, wire),
+            Some(connection) => self.test_on(now, connection),
             None => {
                 if let Some(server) = self.servers.all.get_mut(&pool) {
                     server.test_waits = true;
@@ -451,12 +462,12 @@
         }
     }
 
-    fn test_on(&mut self, now: f64, wire: Wire) {
+    fn test_on(&mut self, now: f64, connection: ConnectionId) {
         let id = self.new_test();
-        if let Some(link) = self.servers.links.get_mut(&wire) {
+        if let Some(link) = self.servers.links.get_mut(&connection) {
             link.test_sent(now, id);
             self.counters.tests += 1;
-            self.out.push_back(Output::Write { wire, bytes: lines::ping(id) });
+            self.out.push_back(Output::Write { connection, bytes: lines::ping(id) });
         }
     }
 }
--- a/crates/platform/tests/callers.rs
+++ b/crates/platform/tests/callers.rs
@@ -102,7 +102,7 @@
     w.lose(caller, Loss::Broken);
     w.written.clear();
     w.say(links[0], &release(1, 16, ""));
-    assert!(w.written.keys().all(|wire| *wire == links[0]));
+    assert!(w.written.keys().all(|connection| *connection == links[0]));
     let other = w.door();
     w.bytes(other, invite(2, 0).as_bytes());
     assert_eq!(w.answers(other), [("BYE".into(), id(1))]);
--- a/crates/platform/tests/cases.rs
+++ b/crates/platform/tests/cases.rs
@@ -189,8 +189,8 @@
     let drain = event(2, false, &[member("s0", 0, "draining", 0)]);
     w.bytes(feed, format!("id: 2\ndata: {drain}\n\n").as_bytes());
     assert_eq!(w.first(door), "503");
-    let wire = w.link(0);
-    assert!(!w.took(wire).contains("setup"));
+    let connection = w.link(0);
+    assert!(!w.took(connection).contains("setup"));
 }
 
 #[test]
--- a/crates/platform/tests/common/mod.rs
+++ b/crates/platform/tests/common/mod.rs
@@ -3,7 +3,7 @@
 // Each test program uses a part of it.
 #![allow(dead_code)]
 
-use shalespindle_platform::{read_file, Edge, Loss, Output, Wire};
+use shalespindle_platform::{read_file, ConnectionId, Edge, Loss, Output};
 use shalespindle_signalling::{Message, Start};
 use std::collections::BTreeMap;
 
@@ -50,12 +50,12 @@
     pub edge: Edge,
     pub now: f64,
     /// What was written to each connection and not yet looked at.
-    pub written: BTreeMap<Wire, Vec<u8>>,
+    pub written: BTreeMap<ConnectionId, Vec<u8>>,
     /// The same in order, with the time, and each close as no bytes.
-    pub log: Vec<(f64, Wire, Option<Vec<u8>>)>,
-    pub dials: Vec<(Wire, u16)>,
-    pub closed: Vec<(Wire, bool)>,
-    next: Wire,
+    pub log: Vec<(f64, ConnectionId, Option<Vec<u8>>)>,
+    pub dials: Vec<(ConnectionId, u16)>,
+    pub closed: Vec<(ConnectionId, bool)>,
+    next: ConnectionId,
 }
 
 impl World {
@@ -74,7 +74,7 @@
     }
 
     /// With every server linked.
-    pub fn linked(servers: u16) -> (World, Vec<Wire>) {
+    pub fn linked(servers: u16) -> (World, Vec<ConnectionId>) {
         let mut world = World::new(servers);
         let links = (0..servers).map(|cell| world.link(cell)).collect();
         (world, links)
@@ -84,14 +84,14 @@
         self.edge.poll(self.now);
         while let Some(output) = self.edge.next_output() {
             match output {
-                Output::Dial { wire, to, .. } => self.dials.push((wire, to.port())),
-                Output::Write { wire, bytes } => {
-                    self.log.push((self.now, wire, Some(bytes.clone())));
-                    self.written.entry(wire).or_default().extend(bytes);
+                Output::Dial { connection, to, .. } => self.dials.push((connection, to.port())),
+                Output::Write { connection, bytes } => {
+                    self.log.push((self.now, connection, Some(bytes.clone())));
+                    self.written.entry(connection).or_default().extend(bytes);
                 }
-                Output::Close { wire, reset } => {
-                    self.log.push((self.now, wire, None));
-                    self.closed.push((wire, reset));
+                Output::Close { connection, reset } => {
+                    self.log.push((self.now, connection, None));
+                    self.closed.push((connection, reset));
                 }
                 Output::Belief { .. } => {}
             }
@@ -110,41 +110,41 @@
     }
 
     /// The dial to a server's address that is under way.
-    pub fn dialled(&mut self, cell: u16) -> Wire {
+    pub fn dialled(&mut self, cell: u16) -> ConnectionId {
         let place = self.dials.iter().position(|d| d.1 == 6000 + cell);
         self.dials.remove(place.unwrap_or_else(|| panic!("pool {cell} is not dialled"))).0
     }
 
-    pub fn dialled_feed(&mut self, port: u16) -> Wire {
+    pub fn dialled_feed(&mut self, port: u16) -> ConnectionId {
         let place = self.dials.iter().rposition(|d| d.1 == port).expect("the feed is not dialled");
         self.dials.remove(place).0
     }
 
     /// Makes the link that is being dialled and has the server say its state.
-    pub fn link(&mut self, cell: u16) -> Wire {
-        let wire = self.dialled(cell);
-        self.edge.connected(self.now, wire);
-        self.say(wire, r#"{"type":"state","id":"","fields":{"load":"x0:40;x1:40"}}"#);
-        wire
+    pub fn link(&mut self, cell: u16) -> ConnectionId {
+        let connection = self.dialled(cell);
+        self.edge.connected(self.now, connection);
+        self.say(connection, r#"{"type":"state","id":"","fields":{"load":"x0:40;x1:40"}}"#);
+        connection
     }
 
     /// A server's line.
-    pub fn say(&mut self, wire: Wire, line: &str) {
-        self.bytes(wire, format!("{line}\n").as_bytes());
+    pub fn say(&mut self, connection: ConnectionId, line: &str) {
+        self.bytes(connection, format!("{line}\n").as_bytes());
     }
 
-    pub fn bytes(&mut self, wire: Wire, bytes: &[u8]) {
-        self.edge.bytes(self.now, self.now, wire, bytes);
+    pub fn bytes(&mut self, connection: ConnectionId, bytes: &[u8]) {
+        self.edge.bytes(self.now, self.now, connection, bytes);
         self.poll();
     }
 
-    pub fn lose(&mut self, wire: Wire, loss: Loss) {
-        self.edge.lost(self.now, wire, loss);
+    pub fn lose(&mut self, connection: ConnectionId, loss: Loss) {
+        self.edge.lost(self.now, connection, loss);
         self.poll();
     }
 
     /// A caller's connection.
-    pub fn door(&mut self) -> Wire {
+    pub fn door(&mut self) -> ConnectionId {
         self.next += 2;
         self.edge.accepted(self.now, self.next);
         self.poll();
@@ -152,7 +152,7 @@
     }
 
     /// A caller's connection on which a call stands, confirmed.
-    pub fn caller(&mut self, link: Wire, call: u64) -> Wire {
+    pub fn caller(&mut self, link: ConnectionId, call: u64) -> ConnectionId {
         let door = self.door();
         self.bytes(door, invite(call, 0).as_bytes());
         self.say(link, &answer(call));
@@ -162,13 +162,13 @@
     }
 
     /// All that was written to a connection since it was last asked.
-    pub fn took(&mut self, wire: Wire) -> String {
-        String::from_utf8(self.written.remove(&wire).unwrap_or_default()).unwrap()
+    pub fn took(&mut self, connection: ConnectionId) -> String {
+        String::from_utf8(self.written.remove(&connection).unwrap_or_default()).unwrap()
     }
 
     /// The statuses (or methods) of the SIP messages written to a caller, with their Call-IDs.
-    pub fn answers(&mut self, wire: Wire) -> Vec<(String, String)> {
-        let text = self.took(wire);
+    pub fn answers(&mut self, connection: ConnectionId) -> Vec<(String, String)> {
+        let text = self.took(connection);
         let mut framer = shalespindle_signalling::Framer::default();
         framer.push(text.as_bytes());
         let mut out = Vec::new();
@@ -184,8 +184,8 @@
         out
     }
 
-    pub fn first(&mut self, wire: Wire) -> String {
-        self.answers(wire).first().map_or(String::new(), |a| a.0.clone())
+    pub fn first(&mut self, connection: ConnectionId) -> String {
+        self.answers(connection).first().map_or(String::new(), |a| a.0.clone())
     }
 }
 
--- a/crates/platform/tests/releases.rs
+++ b/crates/platform/tests/releases.rs
@@ -3,10 +3,10 @@
 mod common;
 
 use common::*;
-use shalespindle_platform::{Loss, Wire};
+use shalespindle_platform::{ConnectionId, Loss};
 
 /// A connection whose set-up came to a server and was an error there: all that a bad client needs to do.
-fn bad_client(w: &mut World, link: Wire, call: u64) -> Wire {
+fn bad_client(w: &mut World, link: ConnectionId, call: u64) -> ConnectionId {
     let door = w.door();
     w.bytes(door, invite(call, 0).as_bytes());
     w.say(link, &release(call, 47, ""));
@@ -15,12 +15,12 @@
     door
 }
 
-fn heard(w: &mut World, door: Wire, call: u64) {
+fn heard(w: &mut World, door: ConnectionId, call: u64) {
     let ok = format!("SIP/2.0 200 OK\r\nCall-ID: {}\r\nCSeq: 2 BYE\r\nContent-Length: 0\r\n\r\n", id(call));
     w.bytes(door, ok.as_bytes());
 }
 
-fn byes(w: &mut World, door: Wire) -> usize {
+fn byes(w: &mut World, door: ConnectionId) -> usize {
     w.answers(door).iter().filter(|a| a.0 == "BYE").count()
 }
 
@@ -63,7 +63,7 @@
 fn a_connection_that_is_open_and_silent_holds_no_release_up() {
     let (mut w, links) = World::linked(1);
     let own = w.caller(links[0], 1);
-    let doors: Vec<Wire> = (2..5).map(|call| w.caller(links[0], call)).collect();
+    let doors: Vec<ConnectionId> = (2..5).map(|call| w.caller(links[0], call)).collect();
     // Its own connection stands open, but nobody reads there any more.
     w.say(links[0], &release(1, 16, ""));
     assert_eq!(byes(&mut w, own), 1);
--- a/crates/platform/tests/rules.rs
+++ b/crates/platform/tests/rules.rs
@@ -10,14 +10,14 @@
 use rand_chacha::ChaCha8Rng;
 use rules::{broken, Seen, GRACE, GUARD};
 use serde_json::Value;
-use shalespindle_platform::{Loss, Wire};
+use shalespindle_platform::{ConnectionId, Loss};
 use shalespindle_signalling::{Framer, Message, Method, Start};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// A server's word that is under way.
 struct Word {
     at: f64,
-    wire: Wire,
+    connection: ConnectionId,
     line: String,
     over: Option<(u64, bool)>,
 }
@@ -28,17 +28,17 @@
     /// When what is looked at just now passed.
     at: f64,
     seen: Vec<(f64, Seen)>,
-    doors: BTreeMap<Wire, Framer>,
+    doors: BTreeMap<ConnectionId, Framer>,
     /// Links and the port they were dialled to.
-    links: BTreeMap<Wire, u16>,
+    links: BTreeMap<ConnectionId, u16>,
     /// Which server has a port, and whether the feed calls it up.
     servers: BTreeMap<u16, (u64, bool)>,
     words: Vec<Word>,
     /// Tries out: their link.
-    out: BTreeMap<u64, Wire>,
+    out: BTreeMap<u64, ConnectionId>,
     open: BTreeSet<u64>,
-    homes: BTreeMap<u64, Wire>,
-    feed: Option<Wire>,
+    homes: BTreeMap<u64, ConnectionId>,
+    feed: Option<ConnectionId>,
     events: u64,
     next_call: u64,
     next_server: u64,
@@ -89,71 +89,71 @@
             if dials.is_empty() && log.is_empty() {
                 return;
             }
-            for (at, wire, bytes) in log {
+            for (at, connection, bytes) in log {
                 self.at = at;
                 match bytes {
-                    None => self.wire_gone(wire),
-                    Some(bytes) if self.links.contains_key(&wire) => {
+                    None => self.wire_gone(connection),
+                    Some(bytes) if self.links.contains_key(&connection) => {
                         let text = String::from_utf8(bytes).unwrap();
-                        text.lines().for_each(|line| self.line(wire, line));
+                        text.lines().for_each(|line| self.line(connection, line));
                     }
-                    Some(bytes) if self.doors.contains_key(&wire) => self.answers(wire, &bytes),
+                    Some(bytes) if self.doors.contains_key(&connection) => self.answers(connection, &bytes),
                     Some(_) => {}
                 }
             }
             self.at = self.w.now;
-            for (wire, port) in dials {
-                self.dial(wire, port);
+            for (connection, port) in dials {
+                self.dial(connection, port);
             }
         }
     }
 
-    fn wire_gone(&mut self, wire: Wire) {
-        self.doors.remove(&wire);
-        if self.links.remove(&wire).is_some() {
-            let cut: Vec<u64> = self.out.iter().filter(|o| *o.1 == wire).map(|o| *o.0).collect();
+    fn wire_gone(&mut self, connection: ConnectionId) {
+        self.doors.remove(&connection);
+        if self.links.remove(&connection).is_some() {
+            let cut: Vec<u64> = self.out.iter().filter(|o| *o.1 == connection).map(|o| *o.0).collect();
             cut.into_iter().for_each(|id| self.over(id, true));
-            self.words.retain(|w| w.wire != wire);
+            self.words.retain(|w| w.connection != connection);
         }
-        if self.feed == Some(wire) {
+        if self.feed == Some(connection) {
             self.feed = None;
         }
         let left: Vec<u64> =
-            self.open.iter().filter(|id| self.homes.get(id) == Some(&wire)).copied().collect();
+            self.open.iter().filter(|id| self.homes.get(id) == Some(&connection)).copied().collect();
         for id in left {
             self.open.remove(&id);
             self.note(Seen::Left { id });
         }
     }
 
-    fn dial(&mut self, wire: Wire, port: u16) {
+    fn dial(&mut self, connection: ConnectionId, port: u16) {
         if port == 4222 {
-            self.feed = Some(wire);
-            self.w.edge.connected(self.w.now, wire);
-            self.w.bytes(wire, b"HTTP/1.1 200 OK\r\n\r\n");
+            self.feed = Some(connection);
+            self.w.edge.connected(self.w.now, connection);
+            self.w.bytes(connection, b"HTTP/1.1 200 OK\r\n\r\n");
             return;
         }
         match self.rng.random_range(0..20) {
-            0 => self.w.lose(wire, Loss::Refused),
+            0 => self.w.lose(connection, Loss::Refused),
             1 => {}
             _ => {
-                self.links.insert(wire, port);
-                self.w.edge.connected(self.w.now, wire);
+                self.links.insert(connection, port);
+                self.w.edge.connected(self.w.now, connection);
                 let state = r#"{"type":"state","id":"","fields":{"load":"x0:40;x1:40"}}"#;
-                self.w.say(wire, state);
+                self.w.say(connection, state);
             }
         }
     }
 
-    fn line(&mut self, wire: Wire, line: &str) {
+    fn line(&mut self, connection: ConnectionId, line: &str) {
         let value: Value = serde_json::from_str(line).unwrap();
         let id = u64::from_str_radix(value["id"].as_str().unwrap(), 16).unwrap();
         let mut later = self.w.now + self.rng.random_range(0.005..0.06);
         match value["type"].as_str().unwrap() {
             "setup" => {
-                let server = self.servers[&self.links[&wire]].0;
+                let server = self.servers[&self.links[&connection]].0;
                 self.note(Seen::Tried { id, server });
-                self.out.insert(id, wire);
+                self.out.insert(id, connection);
                 let (line, over) = match self.rng.random_range(0..150) {
                     0..=119 => (answer(id), Some((id, false))),
                     120 => (release(id, 34, r#""note":"throttled""#), Some((id, false))),
@@ -167,23 +167,23 @@
                     138..=142 => (format!("{}\n{}", answer(id ^ 1 << 60), answer(id)), Some((id, false))),
                     _ => return,
                 };
-                self.words.push(Word { at: later, wire, line, over });
+                self.words.push(Word { at: later, connection, line, over });
             }
             "release" => {
                 self.over(id, true);
-                self.words.retain(|w| w.over.is_none_or(|o| o.0 != id) || w.wire != wire);
+                self.words.retain(|w| w.over.is_none_or(|o| o.0 != id) || w.connection != connection);
             }
             "ping" => {
                 let line =
                     line.replace("ping", "pong").replace("{}", r#"{"load":"x0:40;x1:40;latency_ms:2"}"#);
-                self.words.push(Word { at: later, wire, line, over: None });
+                self.words.push(Word { at: later, connection, line, over: None });
             }
             _ => {}
         }
     }
 
-    fn answers(&mut self, wire: Wire, bytes: &[u8]) {
-        let Some(mut framer) = self.doors.remove(&wire) else { return };
+    fn answers(&mut self, connection: ConnectionId, bytes: &[u8]) {
+        let Some(mut framer) = self.doors.remove(&connection) else { return };
         framer.push(bytes);
         let mut finals = Vec::new();
         while let Some(frame) = framer.next_frame().unwrap() {
@@ -193,11 +193,11 @@
                 finals.push(u64::from_str_radix(message.call_id().unwrap(), 16).unwrap());
             }
         }
-        self.doors.insert(wire, framer);
+        self.doors.insert(connection, framer);
         for id in finals {
             if self.open.remove(&id) || !self.homes.contains_key(&id) {
                 self.note(Seen::Final { id });
-                self.w.edge.bytes(self.w.now, self.w.now, wire, request("ACK", id).as_bytes());
+                self.w.edge.bytes(self.w.now, self.w.now, connection, request("ACK", id).as_bytes());
             } else if self.seen.iter().any(|s| s.1 == Seen::Final { id }) {
                 self.note(Seen::Final { id });
             }
@@ -227,14 +227,14 @@
         let (due, later) = std::mem::take(&mut self.words).into_iter().partition(|w| w.at <= now);
         self.words = later;
         for word in due {
-            let Word { wire, line, over, .. }: Word = word;
-            if !self.links.contains_key(&wire) {
+            let Word { connection, line, over, .. }: Word = word;
+            if !self.links.contains_key(&connection) {
                 continue;
             }
             if let Some((id, unsure)) = over {
                 self.over(id, unsure);
             }
-            self.w.say(wire, &line);
+            self.w.say(connection, &line);
             self.look();
         }
         if self.chance(0.5) {
@@ -243,23 +243,23 @@
         }
         match self.rng.random_range(0..400) {
             0..=2 => {
-                if let Some(wire) = self.links.keys().next().copied() {
-                    self.wire_gone(wire);
-                    self.w.lose(wire, Loss::Broken);
+                if let Some(connection) = self.links.keys().next().copied() {
+                    self.wire_gone(connection);
+                    self.w.lose(connection, Loss::Broken);
                 }
             }
             3 => {
-                if let Some(wire) = self.doors.keys().next().copied() {
-                    self.wire_gone(wire);
-                    self.w.lose(wire, Loss::Broken);
+                if let Some(connection) = self.doors.keys().next().copied() {
+                    self.wire_gone(connection);
+                    self.w.lose(connection, Loss::Broken);
                 }
             }
             4..=8 => {
                 let id = self.open.iter().next().copied();
-                if let Some((id, wire)) = id.and_then(|id| Some((id, *self.homes.get(&id)?))) {
+                if let Some((id, connection)) = id.and_then(|id| Some((id, *self.homes.get(&id)?))) {
                     self.open.remove(&id);
                     self.note(Seen::Left { id });
-                    self.w.bytes(wire, request("CANCEL", id).as_bytes());
+                    self.w.bytes(connection, request("CANCEL", id).as_bytes());
                 }
             }
             9 if self.chance(0.3) => {
@@ -287,16 +287,16 @@
             self.doors.insert(door, Framer::default());
         }
         let place = self.rng.random_range(0..self.doors.len());
-        let wire = *self.doors.keys().nth(place).unwrap();
+        let connection = *self.doors.keys().nth(place).unwrap();
         self.next_call += 1;
         let id = self.next_call;
         let patience: u32 = self.rng.random_range(300..3000);
         self.note(Seen::Asked { id, until: self.w.now + f64::from(patience) / 1000.0 });
         self.open.insert(id);
-        self.homes.insert(id, wire);
+        self.homes.insert(id, connection);
         let dest = self.rng.random_range(0..3);
         let lines = format!("X-Setup-Ms: {patience}\r\nX-Route: dest:{dest};width:1;via:-1\r\n");
-        self.w.bytes(wire, invite_with(id, &lines, "9d41\r\n").as_bytes());
+        self.w.bytes(connection, invite_with(id, &lines, "9d41\r\n").as_bytes());
     }
 
     /// One server drains, or is replaced by a new and cold one at its address.
@@ -312,10 +312,10 @@
             return;
         }
         self.tell(member(&Run::name(old), cell, "removed", 0), Some(old));
-        let gone: Vec<Wire> = self.links.iter().filter(|l| *l.1 == port).map(|l| *l.0).collect();
-        for wire in gone {
-            self.wire_gone(wire);
-            self.w.lose(wire, Loss::Broken);
+        let gone: Vec<ConnectionId> = self.links.iter().filter(|l| *l.1 == port).map(|l| *l.0).collect();
+        for connection in gone {
+            self.wire_gone(connection);
+            self.w.lose(connection, Loss::Broken);
         }
         let new = self.next_server;
         self.next_server += 1;
--- a/crates/platform/tests/settings.rs
+++ b/crates/platform/tests/settings.rs
@@ -175,7 +175,7 @@
         }
         text
     };
-    log.into_iter().map(|(at, wire, bytes)| (at, wire, plain(bytes))).collect()
+    log.into_iter().map(|(at, connection, bytes)| (at, connection, plain(bytes))).collect()
 }
 
 proptest! {
