--- a/crates/platform-service/src/owner.rs
+++ b/crates/platform-service/src/owner.rs
@@ -80,7 +80,7 @@
             self.take_in(next);
             let now = self.ground.now();
             self.edge.poll(now);
-            self.places.set_most(self.edge.most_doors() + UNCOUNTED);
+            self.places.set_most(self.edge.most_clients() + UNCOUNTED);
             if blocked {
                 self.write_on();
             }
@@ -226,9 +226,9 @@
             return;
         }
         self.counted_at = now;
-        let [in_hand, standing, doors, links] = self.edge.held();
+        let [in_hand, standing, clients, links] = self.edge.held();
         let late_ms = (std::mem::take(&mut self.late) * 1000.0).round();
         let counters = self.edge.counters();
-        info!(target: "shalespindle::platform", in_hand, standing, doors, links, late_ms, ?counters, "counters");
+        info!(target: "shalespindle::platform", in_hand, standing, clients, links, late_ms, ?counters, "counters");
     }
 }
--- a/crates/platform-service/src/service.rs
+++ b/crates/platform-service/src/service.rs
@@ -41,7 +41,7 @@
         let listener = bind(listen)?;
         let address = listener.local_addr()?;
         let (mailbox, mail) = mailbox(ROOM);
-        let places = Places::new(edge.most_doors() + UNCOUNTED);
+        let places = Places::new(edge.most_clients() + UNCOUNTED);
         let accepting = readers::accept(listener, mailbox.clone(), ground.clone(), places.clone())?;
         let owner = Owner::new(edge, ground, mailbox.clone(), mail, places);
         let owner = start(LARGE_STACK, move || owner.run())?;
--- a/crates/platform/src/byes.rs
+++ b/crates/platform/src/byes.rs
@@ -4,7 +4,7 @@
 //! everybody who connects is a caller, and not everybody who asks for something either: a release that is not
 //! heard there goes out again elsewhere, on the connections that callers have been seen on first.
 
-use crate::door::{Door, Doors, Use};
+use crate::client_connection::{ClientConnection, ClientConnections, Use};
 use crate::edge::ConnectionId;
 use std::collections::BTreeMap;
 
@@ -61,26 +61,27 @@
     }
 
     /// What went out last on a connection that has ended need not be waited for.
-    pub fn door_lost(&mut self, now: f64, connection: ConnectionId) {
+    pub fn client_lost(&mut self, now: f64, connection: ConnectionId) {
         for owed in self.owed.values_mut().filter(|o| o.tried.last() == Some(&connection)) {
             owed.again_at = now;
         }
     }
 
     /// The releases to write now.
-    pub fn due(&mut self, now: f64, doors: &Doors) -> Vec<Bye> {
+    pub fn due(&mut self, now: f64, clients: &ClientConnections) -> Vec<Bye> {
         let due = |o: &Owed| o.again_at <= now && o.tried.len() < MOST_TRIED;
         if !self.owed.values().any(due) {
             return Vec::new();
         }
         // Where a caller was seen before where something was asked for, the latest used first.
-        let mut others: Vec<(ConnectionId, &Door)> = doors.all.iter().map(|d| (*d.0, d.1)).collect();
-        others.retain(|(_, door)| door.use_of >= Use::Asks);
+        let mut others: Vec<(ConnectionId, &ClientConnection)> =
+            clients.all.iter().map(|d| (*d.0, d.1)).collect();
+        others.retain(|(_, client)| client.use_of >= Use::Asks);
         others.sort_by(|(_, a), (_, b)| b.use_of.cmp(&a.use_of).then(b.last_at.total_cmp(&a.last_at)));
         let mut out = Vec::new();
         for (id, owed) in self.owed.iter_mut().filter(|(_, o)| due(o)) {
             // Its own connection first, whatever came on it since.
-            let own = Some(owed.own).filter(|w| doors.all.contains_key(w));
+            let own = Some(owed.own).filter(|w| clients.all.contains_key(w));
             let mut towards = own.into_iter().chain(others.iter().map(|d| d.0));
             let Some(connection) = towards.find(|w| !owed.tried.contains(w)) else { continue };
             out.push(Bye { connection, id: *id, cause: owed.cause, again: !owed.tried.is_empty() });
--- a/crates/platform/src/callers.rs
+++ b/crates/platform/src/callers.rs
@@ -2,7 +2,7 @@
 
 use crate::byes::Bye;
 use crate::calls::{InHand, Is, Stands};
-use crate::door::{Use, MOST_BAD};
+use crate::client_connection::{Use, MOST_BAD};
 use crate::edge::{ConnectionId, Edge, Output};
 use crate::sip;
 use shalespindle_control::interface::{Ended, NewAttach, PoolName, Report, UeName};
@@ -13,10 +13,10 @@
 pub(crate) const CUT: u16 = 41;
 
 impl Edge {
-    pub(crate) fn door_bytes(&mut self, now: f64, arrived: f64, connection: ConnectionId, bytes: &[u8]) {
-        let Some(door) = self.doors.all.get_mut(&connection) else { return };
+    pub(crate) fn client_bytes(&mut self, now: f64, arrived: f64, connection: ConnectionId, bytes: &[u8]) {
+        let Some(client) = self.clients.all.get_mut(&connection) else { return };
         let empty = Framer::with_longest_body(0);
-        let mut framer = std::mem::replace(&mut door.framer, empty);
+        let mut framer = std::mem::replace(&mut client.framer, empty);
         framer.push(bytes);
         loop {
             match framer.next_frame() {
@@ -32,13 +32,13 @@
                     return self.unreadable(now, connection, 400)
                 }
             }
-            if !self.doors.all.contains_key(&connection) {
+            if !self.clients.all.contains_key(&connection) {
                 return;
             }
         }
-        if let Some(door) = self.doors.all.get_mut(&connection) {
-            door.partial_since = (framer.held() > 0).then(|| door.partial_since.unwrap_or(now));
-            door.framer = framer;
+        if let Some(client) = self.clients.all.get_mut(&connection) {
+            client.partial_since = (framer.held() > 0).then(|| client.partial_since.unwrap_or(now));
+            client.framer = framer;
         }
     }
 
@@ -46,13 +46,13 @@
     fn unreadable(&mut self, now: f64, connection: ConnectionId, status: u16) {
         self.counters.unreadable += 1;
         self.out.push_back(Output::Write { connection, bytes: sip::unreadable(status) });
-        self.close_door(now, connection);
+        self.close_client(now, connection);
     }
 
     fn message(&mut self, now: f64, arrived: f64, connection: ConnectionId, message: &Message) {
-        if let Some(door) = self.doors.all.get_mut(&connection) {
+        if let Some(client) = self.clients.all.get_mut(&connection) {
             // What is whole was no part of what is not.
-            door.partial_since = None;
+            client.partial_since = None;
         }
         match message.start {
             Start::Request { method: Method::Invite, .. } => self.invite(now, arrived, connection, message),
@@ -60,7 +60,7 @@
             Start::Request { method: Method::Cancel, .. } => self.cancel(now, connection, message),
             Start::Request { method: Method::Bye, .. } => self.bye(now, connection, message),
             Start::Request { method: Method::Options, .. } => {
-                self.doors.used(now, connection, Use::Tests);
+                self.clients.used(now, connection, Use::Tests);
                 self.respond(connection, 200, message);
             }
             Start::Request { .. } => self.bad(now, connection, message, 405),
@@ -68,7 +68,7 @@
                 if let (Some(id), Ok((_, Method::Bye))) = (sip::id(message), message.cseq()) {
                     if self.byes.heard(id) {
                         self.counters.byes_heard += 1;
-                        self.doors.used(now, connection, Use::Caller);
+                        self.clients.used(now, connection, Use::Caller);
                     }
                 }
             }
@@ -84,10 +84,10 @@
     fn bad(&mut self, now: f64, connection: ConnectionId, message: &Message, status: u16) {
         self.counters.bad_form += 1;
         self.respond(connection, status, message);
-        let Some(door) = self.doors.all.get_mut(&connection) else { return };
-        door.bad += 1;
-        if door.bad >= MOST_BAD {
-            self.close_door(now, connection);
+        let Some(client) = self.clients.all.get_mut(&connection) else { return };
+        client.bad += 1;
+        if client.bad >= MOST_BAD {
+            self.close_client(now, connection);
         }
     }
 
@@ -98,7 +98,7 @@
             return self.handed_over(now, connection, id, server);
         }
         if let Some(call) = self.calls.by_id(id) {
-            let (ue, same, in_hand) = (call.ue, call.door == connection, matches!(call.is, Is::InHand(_)));
+            let (ue, same, in_hand) = (call.ue, call.client == connection, matches!(call.is, Is::InHand(_)));
             if same && in_hand {
                 // Two set-ups that one answer would belong to: the one answer is that neither is served.
                 self.client_left(now, ue);
@@ -107,7 +107,7 @@
         }
         if self.early_cancels.take(now, id) {
             self.counters.left += 1;
-            self.doors.used(now, connection, Use::Asks);
+            self.clients.used(now, connection, Use::Asks);
             return self.respond(connection, 487, message);
         }
         let asked = match sip::asked(message, &route, &self.procedures) {
@@ -118,7 +118,7 @@
             || self.calls.bytes() + asked.description.len() > self.most_bytes;
         if full || self.takes_no_more(now) {
             self.counters.no_place += 1;
-            self.doors.used(now, connection, Use::Asks);
+            self.clients.used(now, connection, Use::Asks);
             return self.respond(connection, 503, message);
         }
         let gives_up_at = arrived + asked.patience;
@@ -133,9 +133,9 @@
         };
         let ue = self.calls.add(id, connection, Is::InHand(Box::new(hand)));
         self.counters.attaches += 1;
-        self.doors.used(now, connection, Use::Asks);
-        if let Some(door) = self.doors.all.get_mut(&connection) {
-            door.open.push(ue);
+        self.clients.used(now, connection, Use::Asks);
+        if let Some(client) = self.clients.all.get_mut(&connection) {
+            client.open.push(ue);
         }
         let new = NewAttach {
             ue,
@@ -151,13 +151,13 @@
 
     fn ack(&mut self, now: f64, connection: ConnectionId, message: &Message) {
         let Some(call) = sip::id(message).and_then(|id| self.calls.by_id(id)) else { return };
-        let (ue, door) = (call.ue, call.door);
+        let (ue, client) = (call.ue, call.client);
         if let Is::Stands(stands) = &mut call.is {
             stands.confirmed = true;
-            if let Some(door) = self.doors.all.get_mut(&door) {
-                door.unconfirmed.retain(|u| *u != ue);
+            if let Some(client) = self.clients.all.get_mut(&client) {
+                client.unconfirmed.retain(|u| *u != ue);
             }
-            self.doors.used(now, connection, Use::Caller);
+            self.clients.used(now, connection, Use::Caller);
             self.send_byes(now);
         }
     }
@@ -173,18 +173,18 @@
         match &call.is {
             Is::InHand(hand) => {
                 // No answer is owed, but RFC 3261 section 9.2 gives the set-up one.
-                let (door, bytes) = (call.door, sip::refusal(487, &hand.head, None));
-                self.doors.used(now, connection, Use::Asks);
+                let (client, bytes) = (call.client, sip::refusal(487, &hand.head, None));
+                self.clients.used(now, connection, Use::Asks);
                 self.respond(connection, 200, message);
-                self.out.push_back(Output::Write { connection: door, bytes });
+                self.out.push_back(Output::Write { connection: client, bytes });
                 self.client_left(now, ue);
             }
             // It crossed the answer: its caller no longer waits for a call.
             Is::Stands(Stands { confirmed: false, .. }) => {
-                let door = call.door;
+                let client = call.client;
                 self.respond(connection, 200, message);
                 self.released_by_caller(now, ue, 16);
-                self.send_bye(now, door, id, 16);
+                self.send_bye(now, client, id, 16);
             }
             Is::Stands(_) => self.respond(connection, 200, message),
         }
@@ -197,7 +197,7 @@
             return self.respond(connection, if handed { 200 } else { 481 }, message);
         };
         let (ue, stands) = (call.ue, matches!(call.is, Is::Stands(_)));
-        self.doors.used(now, connection, if stands { Use::Caller } else { Use::Asks });
+        self.clients.used(now, connection, if stands { Use::Caller } else { Use::Asks });
         self.respond(connection, 200, message);
         if stands {
             self.released_by_caller(now, ue, cause);
@@ -210,7 +210,7 @@
     pub(crate) fn client_left(&mut self, now: f64, ue: UeName) {
         self.counters.left += 1;
         self.control.client_left(now, ue);
-        let Some((id, door, _)) = self.calls.hand(ue) else { return };
+        let Some((id, client, _)) = self.calls.hand(ue) else { return };
         if let Some(out) = self.take_try(now, ue) {
             if let Some(connection) = out.link {
                 self.end_try_on(now, connection, id);
@@ -218,14 +218,14 @@
             self.count(Ended::Cancelled);
             self.control.try_ended(now, ue, out.pool, Ended::Cancelled, true, Report::default());
         }
-        self.leave_door(now, door, ue);
+        self.leave_client(now, client, ue);
         self.calls.remove(ue);
     }
 
     fn released_by_caller(&mut self, now: f64, ue: UeName, cause: u16) {
         let Some(call) = self.calls.remove(ue) else { return };
         let Is::Stands(stands) = call.is else { return };
-        self.leave_door(now, call.door, ue);
+        self.leave_client(now, call.client, ue);
         self.control.try_ended(now, ue, stands.pool, Ended::Cancelled, true, Report::default());
         self.release_to(now, stands.pool, call.id, cause);
         self.stands_no_more(stands.pool);
@@ -234,8 +234,8 @@
     /// A call that stood is over by its server's word or end: its caller is told.
     pub(crate) fn over(&mut self, now: f64, ue: UeName, pool: PoolName, cause: u16) {
         let Some(call) = self.calls.remove(ue) else { return };
-        self.leave_door(now, call.door, ue);
-        self.send_bye(now, call.door, call.id, cause);
+        self.leave_client(now, call.client, ue);
+        self.send_bye(now, call.client, call.id, cause);
         self.stands_no_more(pool);
     }
 
@@ -246,11 +246,11 @@
 
     /// Sends what is owed and not heard, as far as there are connections that can take it.
     pub(crate) fn send_byes(&mut self, now: f64) {
-        for Bye { connection, id, cause, again } in self.byes.due(now, &self.doors) {
+        for Bye { connection, id, cause, again } in self.byes.due(now, &self.clients) {
             self.counters.byes += 1;
             if again {
                 self.counters.byes_again += 1;
-                let use_of = self.doors.all.get(&connection).map_or(Use::None, |d| d.use_of);
+                let use_of = self.clients.all.get(&connection).map_or(Use::None, |d| d.use_of);
                 self.belief(
                     "release not heard",
                     format!("{id:016x}"),
@@ -261,46 +261,46 @@
         }
     }
 
-    pub(crate) fn leave_door(&mut self, now: f64, connection: ConnectionId, ue: UeName) {
-        if let Some(door) = self.doors.all.get_mut(&connection) {
-            door.open.retain(|u| *u != ue);
-            door.unconfirmed.retain(|u| *u != ue);
-            door.last_at = now;
+    pub(crate) fn leave_client(&mut self, now: f64, connection: ConnectionId, ue: UeName) {
+        if let Some(client) = self.clients.all.get_mut(&connection) {
+            client.open.retain(|u| *u != ue);
+            client.unconfirmed.retain(|u| *u != ue);
+            client.last_at = now;
         }
     }
 
-    pub(crate) fn close_door(&mut self, now: f64, connection: ConnectionId) {
+    pub(crate) fn close_client(&mut self, now: f64, connection: ConnectionId) {
         self.out.push_back(Output::Close { connection, reset: false });
-        self.door_lost(now, connection);
+        self.client_lost(now, connection);
     }
 
-    pub(crate) fn door_lost(&mut self, now: f64, connection: ConnectionId) {
-        let Some(door) = self.doors.all.remove(&connection) else { return };
-        for ue in door.open {
+    pub(crate) fn client_lost(&mut self, now: f64, connection: ConnectionId) {
+        let Some(client) = self.clients.all.remove(&connection) else { return };
+        for ue in client.open {
             self.client_left(now, ue);
         }
         // Whether the answer was read is not known: neither side is left with half a call.
-        for ue in door.unconfirmed {
+        for ue in client.unconfirmed {
             let Some(id) = self.calls.by_ue(ue).map(|c| c.id) else { continue };
             self.released_by_caller(now, ue, CUT);
             self.send_bye(now, connection, id, CUT);
         }
-        self.byes.door_lost(now, connection);
+        self.byes.client_lost(now, connection);
         self.send_byes(now);
     }
 
     pub(crate) fn sweep(&mut self, now: f64) {
-        for connection in self.doors.overdue(now) {
-            self.counters.doors_overdue += 1;
+        for connection in self.clients.overdue(now) {
+            self.counters.clients_overdue += 1;
             let useless = self
-                .doors
+                .clients
                 .all
                 .get(&connection)
                 .is_some_and(|d| d.use_of == Use::None || d.partial_since.is_some());
             if useless {
                 self.out.push_back(Output::Write { connection, bytes: sip::unreadable(408) });
             }
-            self.close_door(now, connection);
+            self.close_client(now, connection);
         }
         self.expire_handed(now);
         for id in self.byes.expire(now) {
--- a/crates/platform/src/calls.rs
+++ b/crates/platform/src/calls.rs
@@ -41,7 +41,7 @@
     pub id: u64,
     pub ue: UeName,
     /// The connection its set-up came on.
-    pub door: ConnectionId,
+    pub client: ConnectionId,
     pub is: Is,
 }
 
@@ -58,14 +58,14 @@
 
 impl Calls {
     /// Takes a call in; its ue is new.
-    pub fn add(&mut self, id: u64, door: ConnectionId, is: Is) -> UeName {
+    pub fn add(&mut self, id: u64, client: ConnectionId, is: Is) -> UeName {
         self.next_ue = self.next_ue.wrapping_add(1);
         let ue = self.next_ue;
         if let Is::InHand(hand) = &is {
             self.in_hand += 1;
             self.bytes += hand.description.len();
         }
-        let key = self.slab.insert(Call { id, ue, door, is });
+        let key = self.slab.insert(Call { id, ue, client, is });
         self.by_id.insert(id, key);
         self.by_ue.insert(ue, key);
         ue
@@ -104,7 +104,7 @@
     pub fn hand(&mut self, ue: UeName) -> Option<(u64, ConnectionId, &mut InHand)> {
         let call = self.by_ue(ue)?;
         match &mut call.is {
-            Is::InHand(hand) => Some((call.id, call.door, hand)),
+            Is::InHand(hand) => Some((call.id, call.client, hand)),
             Is::Stands(_) => None,
         }
     }
--- a/crates/platform/src/door.rs
+++ b/crates/platform/src/client_connection.rs
@@ -28,7 +28,7 @@
     Caller,
 }
 
-pub struct Door {
+pub struct ClientConnection {
     pub framer: Framer,
     pub opened_at: f64,
     pub use_of: Use,
@@ -42,9 +42,9 @@
     pub bad: u32,
 }
 
-impl Door {
-    fn new(now: f64) -> Door {
-        Door {
+impl ClientConnection {
+    fn new(now: f64) -> ClientConnection {
+        ClientConnection {
             framer: Framer::with_longest_body(LONGEST),
             opened_at: now,
             use_of: Use::None,
@@ -62,19 +62,19 @@
 }
 
 #[derive(Default)]
-pub struct Doors {
-    pub all: BTreeMap<ConnectionId, Door>,
+pub struct ClientConnections {
+    pub all: BTreeMap<ConnectionId, ClientConnection>,
 }
 
-impl Doors {
+impl ClientConnections {
     pub fn open(&mut self, now: f64, connection: ConnectionId) {
-        self.all.insert(connection, Door::new(now));
+        self.all.insert(connection, ClientConnection::new(now));
     }
 
     pub fn used(&mut self, now: f64, connection: ConnectionId, use_of: Use) {
-        if let Some(door) = self.all.get_mut(&connection) {
-            door.use_of = door.use_of.max(use_of);
-            door.last_at = now;
+        if let Some(client) = self.all.get_mut(&connection) {
+            client.use_of = client.use_of.max(use_of);
+            client.last_at = now;
         }
     }
 
@@ -82,7 +82,7 @@
     /// came last, whose request may still be on its way; then those that wait for their caller's word on an answer; one
     /// on which an answer is owed only where all owe one, and then the newest.
     pub fn least_useful(&self, now: f64) -> Option<ConnectionId> {
-        let rank = |connection, d: &Door| {
+        let rank = |connection, d: &ClientConnection| {
             (!d.is_idle(), !d.unconfirmed.is_empty(), self.is_awaited(now, connection))
         };
         let least = self.all.iter().min_by(|(a_connection, a), (b_connection, b)| {
@@ -101,7 +101,7 @@
 
     /// Those that have had their time.
     pub fn overdue(&self, now: f64) -> Vec<ConnectionId> {
-        let over = |d: &Door| {
+        let over = |d: &ClientConnection| {
             let useless = d.use_of == Use::None && d.is_idle() && now - d.opened_at > USELESS;
             let partial = d.partial_since.is_some_and(|since| now - since > USELESS);
             useless || partial || d.is_idle() && now - d.last_at > IDLE
--- a/crates/platform/src/edge.rs
+++ b/crates/platform/src/edge.rs
@@ -3,7 +3,7 @@
 
 use crate::byes::Byes;
 use crate::calls::{Calls, Is, Try};
-use crate::door::{Door, Doors};
+use crate::client_connection::{ClientConnection, ClientConnections};
 use crate::early::EarlyCancels;
 use crate::feed::{Event, Feed, DIAL_WITHIN};
 use crate::file::StartFile;
@@ -79,8 +79,8 @@
     pub late_answers: u64,
     /// Calls that came to their end at their server before their answer was heard.
     pub ended_before_answer: u64,
-    pub doors_evicted: u64,
-    pub doors_overdue: u64,
+    pub clients_evicted: u64,
+    pub clients_overdue: u64,
     /// Links that were not made for want of a descriptor.
     pub no_descriptor: u64,
     pub tests: u64,
@@ -130,7 +130,7 @@
     /// Unix time of the clock's zero, seconds.
     pub(crate) zero: f64,
     pub(crate) calls: Calls,
-    pub(crate) doors: Doors,
+    pub(crate) clients: ClientConnections,
     pub(crate) byes: Byes,
     pub(crate) early_cancels: EarlyCancels,
     pub(crate) servers: Servers,
@@ -166,7 +166,7 @@
             dial_within: startup.place.dial_within,
             zero: unix - now,
             calls: Calls::default(),
-            doors: Doors::default(),
+            clients: ClientConnections::default(),
             byes: Byes::default(),
             early_cancels: EarlyCancels::default(),
             servers: Servers::default(),
@@ -198,7 +198,7 @@
 
     /// A caller's connection was accepted.
     pub fn accepted(&mut self, now: f64, connection: ConnectionId) {
-        self.doors.open(now, connection);
+        self.clients.open(now, connection);
     }
 
     /// A connection that the front dialled is made.
@@ -219,8 +219,8 @@
                 self.belief("feed lost", self.feed.to, "connection ended".into());
             }
             self.feed.lost(now);
-        } else if self.doors.all.contains_key(&connection) {
-            self.door_lost(now, connection);
+        } else if self.clients.all.contains_key(&connection) {
+            self.client_lost(now, connection);
         } else {
             let pool =
                 self.servers.links.get(&connection).filter(|l| l.state == LinkState::Up).map(|l| l.pool);
@@ -233,8 +233,8 @@
 
     /// Bytes came; `arrived` is the earliest time at which they can have come.
     pub fn bytes(&mut self, now: f64, arrived: f64, connection: ConnectionId, bytes: &[u8]) {
-        if self.doors.all.contains_key(&connection) {
-            self.door_bytes(now, arrived, connection, bytes);
+        if self.clients.all.contains_key(&connection) {
+            self.client_bytes(now, arrived, connection, bytes);
         } else if self.servers.links.contains_key(&connection) {
             self.link_bytes(now, connection, bytes);
         } else if self.feed.connection == Some(connection) {
@@ -279,15 +279,15 @@
 
     /// Attaches in hand, calls standing, callers' connections, links.
     pub fn held(&self) -> [usize; 4] {
-        [self.calls.in_hand(), self.calls.standing(), self.doors.all.len(), self.servers.links.len()]
+        [self.calls.in_hand(), self.calls.standing(), self.clients.all.len(), self.servers.links.len()]
     }
 
     /// Connections on which something may have come that changes what is sent next: those of callers whose attaches
     /// may be sent on, and the feed. None where nothing may be sent.
     pub fn read_first(&self) -> Vec<ConnectionId> {
-        let unsent = |d: &Door| d.open.iter().any(|ue| self.calls.is_unsent(*ue));
+        let unsent = |d: &ClientConnection| d.open.iter().any(|ue| self.calls.is_unsent(*ue));
         let mut connections: Vec<ConnectionId> =
-            self.doors.all.iter().filter(|d| unsent(d.1)).map(|d| *d.0).collect();
+            self.clients.all.iter().filter(|d| unsent(d.1)).map(|d| *d.0).collect();
         if !connections.is_empty() {
             connections.extend(self.feed.connection);
         }
@@ -478,9 +478,9 @@
         }
         let Some(call) = self.calls.remove(ue) else { return };
         if let Is::InHand(hand) = call.is {
-            self.leave_door(now, call.door, ue);
+            self.leave_client(now, call.client, ue);
             let bytes = sip::refusal(status, &hand.head, pause);
-            self.out.push_back(Output::Write { connection: call.door, bytes });
+            self.out.push_back(Output::Write { connection: call.client, bytes });
         }
     }
 
--- a/crates/platform/src/handover.rs
+++ b/crates/platform/src/handover.rs
@@ -5,7 +5,7 @@
 
 use crate::callers::CUT;
 use crate::calls::{Is, Stands};
-use crate::door::Use;
+use crate::client_connection::Use;
 use crate::edge::{ConnectionId, Edge};
 use shalespindle_control::interface::PoolName;
 
@@ -17,7 +17,7 @@
 /// A call whose server is not known.
 pub struct Handed {
     id: u64,
-    door: ConnectionId,
+    client: ConnectionId,
     server: String,
     until: f64,
     /// Its caller has released it meanwhile: its server is told once it is known.
@@ -26,7 +26,7 @@
 
 impl Edge {
     /// A call that stands already, set up by another front or by this one before it started.
-    pub(crate) fn handed_over(&mut self, now: f64, door: ConnectionId, id: u64, server: &str) {
+    pub(crate) fn handed_over(&mut self, now: f64, client: ConnectionId, id: u64, server: &str) {
         if self.calls.by_id(id).is_some() || self.handed.iter().any(|h| h.id == id) {
             return;
         }
@@ -35,20 +35,20 @@
             self.counters.no_place += 1;
             return;
         }
-        self.doors.used(now, door, Use::Asks);
+        self.clients.used(now, client, Use::Asks);
         match self.servers.named(server) {
-            Some(pool) => self.hold(now, door, id, pool),
+            Some(pool) => self.hold(now, client, id, pool),
             None => {
                 let within = if self.feed.is_up() { LISTED_WITHIN } else { FOUND_WITHIN };
                 let (server, until) = (server.to_string(), now + within);
-                self.handed.push(Handed { id, door, server, until, released: None });
+                self.handed.push(Handed { id, client, server, until, released: None });
             }
         }
         self.send_byes(now);
     }
 
-    fn hold(&mut self, now: f64, door: ConnectionId, id: u64, pool: PoolName) {
-        self.calls.add(id, door, Is::Stands(Stands { pool, confirmed: true }));
+    fn hold(&mut self, now: f64, client: ConnectionId, id: u64, pool: PoolName) {
+        self.calls.add(id, client, Is::Stands(Stands { pool, confirmed: true }));
         if let Some(server) = self.servers.all.get_mut(&pool) {
             server.standing += 1;
         }
@@ -60,7 +60,7 @@
         for handed in std::mem::take(&mut self.handed) {
             match (self.servers.named(&handed.server), handed.released) {
                 (Some(pool), Some(cause)) => self.release_to(now, pool, handed.id, cause),
-                (Some(pool), None) => self.hold(now, handed.door, handed.id, pool),
+                (Some(pool), None) => self.hold(now, handed.client, handed.id, pool),
                 (None, _) => self.handed.push(handed),
             }
         }
@@ -78,7 +78,7 @@
             std::mem::take(&mut self.handed).into_iter().partition(|h| h.until <= now);
         self.handed = left;
         for handed in over.into_iter().filter(|h| h.released.is_none()) {
-            self.send_bye(now, handed.door, handed.id, CUT);
+            self.send_bye(now, handed.client, handed.id, CUT);
         }
     }
 }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -5,7 +5,7 @@
 mod byes;
 mod callers;
 mod calls;
-mod door;
+mod client_connection;
 mod early;
 mod edge;
 mod ending;
--- a/crates/platform/src/room.rs
+++ b/crates/platform/src/room.rs
@@ -15,14 +15,14 @@
 
 impl Edge {
     /// Connections that callers may hold now.
-    pub fn most_doors(&self) -> usize {
+    pub fn most_clients(&self) -> usize {
         let kept = KEPT.max(OWN + UNCOUNTED + MOST_LINKS * self.servers.all.len());
         self.most_sockets.saturating_sub(kept).max(self.most_sockets / CALLERS_PART)
     }
 
     /// Whether one more link to a server may be made. The first to each server goes before others.
     pub(crate) fn has_room_for_link(&self, is_first: bool) -> bool {
-        let most = self.most_sockets.saturating_sub(OWN + UNCOUNTED + self.most_doors());
+        let most = self.most_sockets.saturating_sub(OWN + UNCOUNTED + self.most_clients());
         let unlinked = self.servers.all.values().filter(|s| s.links.is_empty()).count();
         let kept_for_first = if is_first { 0 } else { unlinked };
         self.servers.links.len() + kept_for_first < most
@@ -31,18 +31,20 @@
     /// Closes callers' connections where there are too many. After all that came has been taken in: a set-up that has
     /// come whole is no longer on a connection of no use.
     pub(crate) fn make_room(&mut self, now: f64) {
-        while self.doors.all.len() > self.most_doors() {
-            let Some(least) = self.doors.least_useful(now) else { return };
+        while self.clients.all.len() > self.most_clients() {
+            let Some(least) = self.clients.least_useful(now) else { return };
             // Where all others owe an answer a newcomer is told that it is refused, rather than closed on.
-            if self.doors.is_awaited(now, least) && self.doors.all.len() <= self.most_doors() + UNCOUNTED {
+            if self.clients.is_awaited(now, least)
+                && self.clients.all.len() <= self.most_clients() + UNCOUNTED
+            {
                 return;
             }
-            self.counters.doors_evicted += 1;
+            self.counters.clients_evicted += 1;
             // Guards what is open there against being lost with its connection.
-            for ue in self.doors.all.get(&least).map(|d| d.open.clone()).unwrap_or_default() {
+            for ue in self.clients.all.get(&least).map(|d| d.open.clone()).unwrap_or_default() {
                 self.give_up(now, ue);
             }
-            self.close_door(now, least);
+            self.close_client(now, least);
         }
     }
 }
--- a/crates/platform/src/servers.rs
+++ b/crates/platform/src/servers.rs
@@ -367,13 +367,13 @@
 
     fn answered(&mut self, now: f64, connection: ConnectionId, pool: PoolName, id: u64, line: &Line) {
         let call = self.calls.by_id(id);
-        let ue = call.map(|call| (call.ue, call.door, &call.is));
-        let (ue, door) = match ue {
-            Some((ue, door, Is::InHand(hand)))
+        let ue = call.map(|call| (call.ue, call.client, &call.is));
+        let (ue, client) = match ue {
+            Some((ue, client, Is::InHand(hand)))
                 if hand.out.as_ref().is_some_and(|t| t.link == Some(connection))
                     && now <= hand.gives_up_at =>
             {
-                (ue, door)
+                (ue, client)
             }
             // A second copy.
             Some((_, _, Is::Stands(stands))) if stands.pool == pool => return,
@@ -393,11 +393,11 @@
         if let Some(server) = self.servers.all.get_mut(&pool) {
             server.standing += 1;
         }
-        self.leave_door(now, door, ue);
-        if let Some(door) = self.doors.all.get_mut(&door) {
-            door.unconfirmed.push(ue);
+        self.leave_client(now, client, ue);
+        if let Some(client) = self.clients.all.get_mut(&client) {
+            client.unconfirmed.push(ue);
         }
-        self.out.push_back(Output::Write { connection: door, bytes });
+        self.out.push_back(Output::Write { connection: client, bytes });
     }
 
     fn released(
--- a/crates/platform/tests/callers.rs
+++ b/crates/platform/tests/callers.rs
@@ -30,11 +30,11 @@
     ];
     for (text, closes) in cases {
         let (mut w, links) = World::linked(1);
-        let door = w.door();
-        w.bytes(door, text.as_bytes());
-        let got = w.first(door);
+        let client = w.client();
+        w.bytes(client, text.as_bytes());
+        let got = w.first(client);
         assert!(got.starts_with('4'), "{got}: {:.60}", text);
-        assert_eq!(w.closed.contains(&(door, false)), closes, "{:.60}", text);
+        assert_eq!(w.closed.contains(&(client, false)), closes, "{:.60}", text);
         assert!(!w.took(links[0]).contains("setup"));
     }
 }
@@ -42,7 +42,7 @@
 #[test]
 fn an_open_id_is_never_served_twice() {
     let (mut w, links) = World::linked(1);
-    let (own, other) = (w.door(), w.door());
+    let (own, other) = (w.client(), w.client());
     w.bytes(own, invite(1, 0).as_bytes());
     let changed = invite(1, 0).replace("9d41", "ffff");
     w.bytes(other, changed.as_bytes());
@@ -59,7 +59,7 @@
 #[test]
 fn silent_and_half_said_connections_are_closed_in_time() {
     let mut w = World::new(1);
-    let (silent, half) = (w.door(), w.door());
+    let (silent, half) = (w.client(), w.client());
     w.bytes(half, &invite(1, 0).as_bytes()[..50]);
     w.pass(2.3);
     assert!(!w.closed.contains(&(silent, false)) && !w.closed.contains(&(half, false)));
@@ -71,16 +71,16 @@
 #[test]
 fn a_crowd_of_silent_connections_does_not_keep_a_caller_out() {
     let (mut w, links) = World::linked(1);
-    let first = w.door();
+    let first = w.client();
     w.bytes(first, invite(1, 0).as_bytes());
     w.say(links[0], &answer(1));
     w.bytes(first, request("ACK", 1).as_bytes());
     for _ in 0..2000 {
-        w.door();
+        w.client();
         assert!(w.edge.held()[2] <= 256 - 64);
     }
     assert!(!w.closed.contains(&(first, false)));
-    let late = w.door();
+    let late = w.client();
     w.bytes(late, invite(2, 0).as_bytes());
     w.say(links[0], &answer(2));
     assert_eq!(w.first(late), "200");
@@ -93,7 +93,7 @@
     let caller = w.caller(links[0], 1);
     for _ in 0..1000 {
         w.pass(0.001);
-        let tester = w.door();
+        let tester = w.client();
         w.bytes(tester, request("OPTIONS", 9).as_bytes());
         assert_eq!(w.first(tester), "200");
     }
@@ -103,7 +103,7 @@
     w.written.clear();
     w.say(links[0], &release(1, 16, ""));
     assert!(w.written.keys().all(|connection| *connection == links[0]));
-    let other = w.door();
+    let other = w.client();
     w.bytes(other, invite(2, 0).as_bytes());
     assert_eq!(w.answers(other), [("BYE".into(), id(1))]);
 }
@@ -111,26 +111,26 @@
 #[test]
 fn more_than_may_be_held_is_refused_at_the_door() {
     let (mut w, _) = World::linked(1);
-    let door = w.door();
+    let client = w.client();
     let all: String = (0..60).map(|n| invite(n + 1, 0)).collect();
-    w.bytes(door, all.as_bytes());
+    w.bytes(client, all.as_bytes());
     assert!(w.edge.held()[0] <= 50);
     assert!(w.edge.counters().no_place > 0);
-    assert!(w.answers(door).iter().all(|a| a.0 == "503"));
+    assert!(w.answers(client).iter().all(|a| a.0 == "503"));
 }
 
 #[test]
 fn set_ups_arrive_whole_however_they_are_split() {
     for step in [1, 2, 7, 64, 301] {
         let (mut w, links) = World::linked(1);
-        let door = w.door();
+        let client = w.client();
         let both = [invite(1, 0), invite(2, 0)].concat();
-        both.as_bytes().chunks(step).for_each(|part| w.bytes(door, part));
+        both.as_bytes().chunks(step).for_each(|part| w.bytes(client, part));
         let link = w.took(links[0]);
         assert!(link.contains(&id(1)), "{step}");
         let said = format!("{}\n{}\n", answer(1), release(2, 17, ""));
         said.as_bytes().chunks(step).for_each(|part| w.bytes(links[0], part));
-        assert_eq!(w.first(door), "200", "{step}");
+        assert_eq!(w.first(client), "200", "{step}");
     }
 }
 
@@ -179,7 +179,7 @@
 fn an_event_that_stops_short_is_asked_for_again_without_waiting_for_silence() {
     for chunked in [false, true] {
         let (mut w, links) = World::linked(1);
-        let door = w.caller(links[0], 1);
+        let client = w.caller(links[0], 1);
         let feed = w.dialled_feed(4222);
         w.edge.connected(w.now, feed);
         let gone = event(2, false, &[member("s0", 0, "removed", 0)]);
@@ -201,7 +201,7 @@
         assert!(w.took(again).contains("Last-Event-ID: 1\r\n"));
         w.bytes(again, format!("HTTP/1.1 200 OK\r\n\r\n{said}").as_bytes());
         w.pass(0.55);
-        assert_eq!(w.answers(door), [("BYE".into(), id(1))], "within 1 s of the event");
+        assert_eq!(w.answers(client), [("BYE".into(), id(1))], "within 1 s of the event");
         // Whole again: only the silence of a second and more counts.
         w.pass(0.5);
         assert!(!w.closed.contains(&(again, false)));
@@ -229,35 +229,38 @@
 #[test]
 fn an_orderly_end_serves_on_then_refuses_then_ends() {
     let (mut w, links) = World::linked(1);
-    let door = w.door();
+    let client = w.client();
     w.edge.end(w.now);
     w.pass(0.6);
-    w.bytes(door, invite(1, 0).as_bytes());
+    w.bytes(client, invite(1, 0).as_bytes());
     assert!(w.took(links[0]).contains("setup"));
     w.pass(0.2);
-    let late = w.door();
+    let late = w.client();
     w.bytes(late, invite(2, 0).as_bytes());
     assert_eq!(w.first(late), "503");
     w.pass(0.2);
     assert!(!w.edge.is_done(w.now), "one is in hand");
     w.say(links[0], &answer(1));
-    assert_eq!(w.first(door), "200");
-    w.bytes(door, request("ACK", 1).as_bytes());
+    assert_eq!(w.first(client), "200");
+    w.bytes(client, request("ACK", 1).as_bytes());
     // Recorded day rae1b8b: it stays to bring the release of what stands, as long as it is left.
     assert!(!w.edge.is_done(w.now), "one stands");
     w.say(links[0], &release(1, 16, ""));
-    assert_eq!(w.answers(door), [("BYE".into(), id(1))]);
-    w.bytes(door, b"SIP/2.0 200 OK\r\nCall-ID: 0000000000000001\r\nCSeq: 2 BYE\r\nContent-Length: 0\r\n\r\n");
+    assert_eq!(w.answers(client), [("BYE".into(), id(1))]);
+    w.bytes(
+        client,
+        b"SIP/2.0 200 OK\r\nCall-ID: 0000000000000001\r\nCSeq: 2 BYE\r\nContent-Length: 0\r\n\r\n",
+    );
     assert!(w.edge.is_done(w.now));
 }
 
 #[test]
 fn an_ending_front_leaves_what_still_stands_before_it_is_killed() {
     let (mut w, links) = World::linked(1);
-    let door = w.door();
-    w.bytes(door, invite(1, 0).as_bytes());
+    let client = w.client();
+    w.bytes(client, invite(1, 0).as_bytes());
     w.say(links[0], &answer(1));
-    w.bytes(door, request("ACK", 1).as_bytes());
+    w.bytes(client, request("ACK", 1).as_bytes());
     w.took(links[0]);
     w.edge.end(w.now);
     w.pass(3.5);
@@ -272,7 +275,7 @@
 #[test]
 fn an_ending_front_answers_what_is_in_hand_before_it_is_gone() {
     let (mut w, links) = World::linked(3);
-    let (out, waits) = (w.door(), w.door());
+    let (out, waits) = (w.client(), w.client());
     w.edge.end(w.now);
     w.pass(0.69);
     let patient = |call: u64| {
@@ -291,7 +294,7 @@
     let mut last = Vec::new();
     while !w.edge.is_done(w.now) {
         w.pass(0.01);
-        last.extend([out, waits].into_iter().flat_map(|door| w.answers(door)));
+        last.extend([out, waits].into_iter().flat_map(|client| w.answers(client)));
     }
     // Where a try is out trying again might not be harmless.
     assert_eq!(last, [("504".into(), id(1)), ("503".into(), id(2))]);
--- a/crates/platform/tests/common/mod.rs
+++ b/crates/platform/tests/common/mod.rs
@@ -144,7 +144,7 @@
     }
 
     /// A caller's connection.
-    pub fn door(&mut self) -> ConnectionId {
+    pub fn client(&mut self) -> ConnectionId {
         self.next += 2;
         self.edge.accepted(self.now, self.next);
         self.poll();
@@ -153,12 +153,12 @@
 
     /// A caller's connection on which a call stands, confirmed.
     pub fn caller(&mut self, link: ConnectionId, call: u64) -> ConnectionId {
-        let door = self.door();
-        self.bytes(door, invite(call, 0).as_bytes());
+        let client = self.client();
+        self.bytes(client, invite(call, 0).as_bytes());
         self.say(link, &answer(call));
-        self.bytes(door, request("ACK", call).as_bytes());
-        self.took(door);
-        door
+        self.bytes(client, request("ACK", call).as_bytes());
+        self.took(client);
+        client
     }
 
     /// All that was written to a connection since it was last asked.
--- a/crates/platform/tests/releases.rs
+++ b/crates/platform/tests/releases.rs
@@ -7,21 +7,21 @@
 
 /// A connection whose set-up came to a server and was an error there: all that a bad client needs to do.
 fn bad_client(w: &mut World, link: ConnectionId, call: u64) -> ConnectionId {
-    let door = w.door();
-    w.bytes(door, invite(call, 0).as_bytes());
+    let client = w.client();
+    w.bytes(client, invite(call, 0).as_bytes());
     w.say(link, &release(call, 47, ""));
-    w.bytes(door, request("CANCEL", call).as_bytes());
-    w.took(door);
-    door
+    w.bytes(client, request("CANCEL", call).as_bytes());
+    w.took(client);
+    client
 }
 
-fn heard(w: &mut World, door: ConnectionId, call: u64) {
+fn heard(w: &mut World, client: ConnectionId, call: u64) {
     let ok = format!("SIP/2.0 200 OK\r\nCall-ID: {}\r\nCSeq: 2 BYE\r\nContent-Length: 0\r\n\r\n", id(call));
-    w.bytes(door, ok.as_bytes());
+    w.bytes(client, ok.as_bytes());
 }
 
-fn byes(w: &mut World, door: ConnectionId) -> usize {
-    w.answers(door).iter().filter(|a| a.0 == "BYE").count()
+fn byes(w: &mut World, client: ConnectionId) -> usize {
+    w.answers(client).iter().filter(|a| a.0 == "BYE").count()
 }
 
 /// Found while join+mass was looked into, and not its cause: whoever had asked last got such a release, and if that
@@ -51,7 +51,7 @@
     assert_eq!(byes(&mut w, bad), 1, "there is no other connection");
     w.pass(0.4);
     // A caller comes; nobody has answered on the bad client's connection.
-    let next = w.door();
+    let next = w.client();
     w.bytes(next, invite(3, 0).as_bytes());
     w.pass(0.0);
     assert_eq!(byes(&mut w, next), 1);
@@ -63,12 +63,12 @@
 fn a_connection_that_is_open_and_silent_holds_no_release_up() {
     let (mut w, links) = World::linked(1);
     let own = w.caller(links[0], 1);
-    let doors: Vec<ConnectionId> = (2..5).map(|call| w.caller(links[0], call)).collect();
+    let clients: Vec<ConnectionId> = (2..5).map(|call| w.caller(links[0], call)).collect();
     // Its own connection stands open, but nobody reads there any more.
     w.say(links[0], &release(1, 16, ""));
     assert_eq!(byes(&mut w, own), 1);
     w.pass(0.95);
-    let sent: Vec<usize> = doors.iter().map(|door| byes(&mut w, *door)).collect();
+    let sent: Vec<usize> = clients.iter().map(|client| byes(&mut w, *client)).collect();
     assert_eq!(sent, [1, 1, 1], "each once, all within the second");
 }
 
@@ -80,10 +80,10 @@
     let mut sent = byes(&mut w, own);
     for call in 0..60 {
         w.pass(0.2);
-        let door = w.door();
-        w.bytes(door, invite(100 + call, 0).as_bytes());
-        sent += byes(&mut w, door);
-        w.lose(door, Loss::Broken);
+        let client = w.client();
+        w.bytes(client, invite(100 + call, 0).as_bytes());
+        sent += byes(&mut w, client);
+        w.lose(client, Loss::Broken);
     }
     assert!((2..=8).contains(&sent), "{sent}");
     assert_eq!((w.edge.counters().byes_unheard, w.edge.counters().byes_heard), (1, 0));
@@ -105,13 +105,13 @@
 #[test]
 fn a_draining_server_that_ends_one_link_is_asked_on_the_others() {
     let (mut w, links) = World::linked(1);
-    let door = w.door();
+    let client = w.client();
     // Two set-ups at once make a second link.
-    w.bytes(door, [invite(1, 0), invite(2, 0)].concat().as_bytes());
+    w.bytes(client, [invite(1, 0), invite(2, 0)].concat().as_bytes());
     let second = w.link(0);
     for call in [1, 2] {
         w.say(links[0], &answer(call));
-        w.bytes(door, request("ACK", call).as_bytes());
+        w.bytes(client, request("ACK", call).as_bytes());
     }
     let feed = w.dialled_feed(4222);
     w.edge.connected(w.now, feed);
@@ -121,7 +121,7 @@
     w.lose(links[0], Loss::Broken);
     assert!(w.took(second).contains(r#""type":"ping""#));
     // Refused there too: the calls are over well before the list says so.
-    w.took(door);
+    w.took(client);
     w.lose(second, Loss::Broken);
     for _ in 0..10 {
         if let Some(place) = w.dials.iter().position(|d| d.1 == 6000) {
@@ -130,5 +130,5 @@
         }
         w.pass(0.5);
     }
-    assert_eq!(byes(&mut w, door), 2);
+    assert_eq!(byes(&mut w, client), 2);
 }
--- a/crates/platform/tests/room.rs
+++ b/crates/platform/tests/room.rs
@@ -15,13 +15,13 @@
 fn a_request_that_came_before_an_eviction_is_not_lost_with_its_connection() {
     let mut w = limited(64, 1);
     let link = w.link(0);
-    let most = w.edge.most_doors();
-    let doors: Vec<_> = (0..most).map(|_| w.door()).collect();
+    let most = w.edge.most_clients();
+    let clients: Vec<_> = (0..most).map(|_| w.client()).collect();
     // In one turn: a connection more than there may be, and a set-up on the one that would have gone first.
     w.edge.accepted(w.now, 10_000);
-    w.edge.bytes(w.now, w.now, doors[0], invite(1, 0).as_bytes());
+    w.edge.bytes(w.now, w.now, clients[0], invite(1, 0).as_bytes());
     w.poll();
-    assert!(!w.closed.contains(&(doors[0], false)) && w.closed.contains(&(doors[1], false)));
+    assert!(!w.closed.contains(&(clients[0], false)) && w.closed.contains(&(clients[1], false)));
     assert!(w.took(link).contains(&id(1)));
 }
 
@@ -29,20 +29,20 @@
 fn where_every_connection_has_a_request_the_newest_is_refused_and_none_is_dropped_without_a_word() {
     let mut w = limited(64, 1);
     let link = w.link(0);
-    let most = w.edge.most_doors();
-    let doors: Vec<_> = (0..most as u64 + 5)
+    let most = w.edge.most_clients();
+    let clients: Vec<_> = (0..most as u64 + 5)
         .map(|call| {
-            let door = w.door();
-            w.bytes(door, invite(call, 0).as_bytes());
-            door
+            let client = w.client();
+            w.bytes(client, invite(call, 0).as_bytes());
+            client
         })
         .collect();
     w.pass(0.3);
     assert_eq!(w.edge.held()[2], most);
     let set_ups = w.took(link);
-    for (call, door) in doors.iter().enumerate() {
-        let answered = w.first(*door);
-        let open = !w.closed.contains(&(*door, false));
+    for (call, client) in clients.iter().enumerate() {
+        let answered = w.first(*client);
+        let open = !w.closed.contains(&(*client, false));
         // Still owed its answer, or told that it gets none; before the fix closed with neither.
         assert!(open != matches!(answered.as_str(), "503" | "504"), "call {call}: open {open}, {answered:?}");
         assert!(open || call >= most || set_ups.contains(&id(call as u64)), "call {call}");
@@ -53,8 +53,8 @@
 fn a_connection_that_waits_for_its_callers_word_goes_after_those_that_wait_for_nothing() {
     let mut w = limited(64, 1);
     let link = w.link(0);
-    let most = w.edge.most_doors();
-    let answered = w.door();
+    let most = w.edge.most_clients();
+    let answered = w.client();
     w.bytes(answered, invite(1, 0).as_bytes());
     w.say(link, &answer(1));
     // Not confirmed yet; all others have been of use since.
@@ -71,10 +71,10 @@
     for sockets in [64, 65, 100, 128, 256, 576, 1024, 4096] {
         for servers in [0, 1, 3, 24, 100] {
             let mut w = limited(sockets, servers);
-            let most = w.edge.most_doors();
+            let most = w.edge.most_clients();
             assert!(most >= sockets / 3, "{sockets} {servers}: callers may hold a third");
             for _ in 0..sockets {
-                w.door();
+                w.client();
             }
             // Every server that can have a link of its own has one; each set-up wants another.
             let links = w.dials.iter().filter(|d| d.1 != 4222).count();
@@ -82,16 +82,16 @@
                 w.link(cell);
             }
             for call in 0..200u64 {
-                let door = w.door();
-                w.bytes(door, invite(call, (call % 3) as u16).as_bytes());
+                let client = w.client();
+                w.bytes(client, invite(call, (call % 3) as u16).as_bytes());
             }
             w.pass(0.3);
-            let [_, _, doors, links] = w.edge.held();
-            assert!(doors <= most);
+            let [_, _, clients, links] = w.edge.held();
+            assert!(clients <= most);
             // 12 of the front's own, 4 accepted and not yet counted.
-            assert!(doors + links + 16 <= sockets, "{sockets} {servers}: {doors} callers, {links} links");
+            assert!(clients + links + 16 <= sockets, "{sockets} {servers}: {clients} callers, {links} links");
             assert!(
-                links >= usize::from(servers).min(sockets - 16 - doors),
+                links >= usize::from(servers).min(sockets - 16 - clients),
                 "{sockets} {servers}: {links} links"
             );
         }
--- a/crates/platform/tests/rules.rs
+++ b/crates/platform/tests/rules.rs
@@ -28,7 +28,7 @@
     /// When what is looked at just now passed.
     at: f64,
     seen: Vec<(f64, Seen)>,
-    doors: BTreeMap<ConnectionId, Framer>,
+    clients: BTreeMap<ConnectionId, Framer>,
     /// Links and the port they were dialled to.
     links: BTreeMap<ConnectionId, u16>,
     /// Which server has a port, and whether the feed calls it up.
@@ -51,7 +51,7 @@
             rng: ChaCha8Rng::seed_from_u64(seed),
             at: BEGIN,
             seen: Vec::new(),
-            doors: BTreeMap::new(),
+            clients: BTreeMap::new(),
             links: BTreeMap::new(),
             servers: (0..3).map(|n| (6000 + n, (u64::from(n), true))).collect(),
             words: Vec::new(),
@@ -97,7 +97,7 @@
                         let text = String::from_utf8(bytes).unwrap();
                         text.lines().for_each(|line| self.line(connection, line));
                     }
-                    Some(bytes) if self.doors.contains_key(&connection) => self.answers(connection, &bytes),
+                    Some(bytes) if self.clients.contains_key(&connection) => self.answers(connection, &bytes),
                     Some(_) => {}
                 }
             }
@@ -109,7 +109,7 @@
     }
 
     fn wire_gone(&mut self, connection: ConnectionId) {
-        self.doors.remove(&connection);
+        self.clients.remove(&connection);
         if self.links.remove(&connection).is_some() {
             let cut: Vec<u64> = self.out.iter().filter(|o| *o.1 == connection).map(|o| *o.0).collect();
             cut.into_iter().for_each(|id| self.over(id, true));
@@ -183,7 +183,7 @@
     }
 
     fn answers(&mut self, connection: ConnectionId, bytes: &[u8]) {
-        let Some(mut framer) = self.doors.remove(&connection) else { return };
+        let Some(mut framer) = self.clients.remove(&connection) else { return };
         framer.push(bytes);
         let mut finals = Vec::new();
         while let Some(frame) = framer.next_frame().unwrap() {
@@ -193,7 +193,7 @@
                 finals.push(u64::from_str_radix(message.call_id().unwrap(), 16).unwrap());
             }
         }
-        self.doors.insert(connection, framer);
+        self.clients.insert(connection, framer);
         for id in finals {
             if self.open.remove(&id) || !self.homes.contains_key(&id) {
                 self.note(Seen::Final { id });
@@ -249,7 +249,7 @@
                 }
             }
             3 => {
-                if let Some(connection) = self.doors.keys().next().copied() {
+                if let Some(connection) = self.clients.keys().next().copied() {
                     self.wire_gone(connection);
                     self.w.lose(connection, Loss::Broken);
                 }
@@ -282,12 +282,12 @@
     }
 
     fn ask(&mut self) {
-        if self.doors.len() < 4 {
-            let door = self.w.door();
-            self.doors.insert(door, Framer::default());
+        if self.clients.len() < 4 {
+            let client = self.w.client();
+            self.clients.insert(client, Framer::default());
         }
-        let place = self.rng.random_range(0..self.doors.len());
-        let connection = *self.doors.keys().nth(place).unwrap();
+        let place = self.rng.random_range(0..self.clients.len());
+        let connection = *self.clients.keys().nth(place).unwrap();
         self.next_call += 1;
         let id = self.next_call;
         let patience: u32 = self.rng.random_range(300..3000);
--- a/crates/platform/tests/settings.rs
+++ b/crates/platform/tests/settings.rs
@@ -142,10 +142,10 @@
             (1000.0 * site.classes[n].deadline).floor(),
             call % u64::from(site.servers)
         );
-        let door = w.door();
+        let client = w.client();
         let invite = invite_with(call, &lines, "9d41\r\n");
         w.bytes(
-            door,
+            client,
             invite.replace("X-Service: voice", &format!("X-Service: {}", names.class(n))).as_bytes(),
         );
         for link in &links {
@@ -160,7 +160,7 @@
             }
         }
         if call % 7 == 6 {
-            w.lose(door, Loss::Broken);
+            w.lose(client, Loss::Broken);
         }
         w.pass(0.3);
     }
@@ -195,10 +195,10 @@
         let links: Vec<u64> = (0..site.servers).map(|cell| w.link(cell)).collect();
         let class = &site.classes[0];
         let ms = (1000.0 * class.deadline).floor();
-        let door = w.door();
+        let client = w.client();
         let begin = w.now;
         let lines = format!("X-Setup-Ms: {ms:.0}\r\nX-Route: dest:0;width:1;via:-1\r\n");
-        w.bytes(door, invite_with(1, &lines, "9d41\r\n").replace("X-Service: voice", "X-Service: a").as_bytes());
+        w.bytes(client, invite_with(1, &lines, "9d41\r\n").replace("X-Service: voice", "X-Service: a").as_bytes());
         w.pass(class.deadline + 1.0);
         let of = |part: &str| -> Vec<f64> {
             let there = |e: &&(f64, u64, Option<Vec<u8>>)| links.contains(&e.1)
@@ -214,9 +214,9 @@
         for (next, end) in sent.iter().skip(1).zip(&over) {
             prop_assert!(next - end >= site.guard + 0.05, "{next} after {end}, guard {}", site.guard);
         }
-        let answers = w.answers(door);
+        let answers = w.answers(client);
         prop_assert_eq!(answers.len(), 1);
-        let text = String::from_utf8_lossy(w.log.iter().find(|e| e.1 == door).and_then(|e| e.2.as_ref()).unwrap()).to_string();
+        let text = String::from_utf8_lossy(w.log.iter().find(|e| e.1 == client).and_then(|e| e.2.as_ref()).unwrap()).to_string();
         let pause = text.split("Retry-After-Ms: ").nth(1).and_then(|t| t.split("\r\n").next()?.parse::<f64>().ok());
         let longest = if site.flags[3] { 1000.0 * site.longest_pause } else { 0.0 };
         prop_assert!(pause.unwrap_or(0.0) <= longest.ceil(), "pause {pause:?}, longest {longest}");
@@ -232,8 +232,8 @@
         match read_file(text.as_bytes()) {
             Ok(_) => {
                 let mut w = World::from(&text);
-                let door = w.door();
-                w.bytes(door, invite(1, 0).replace("X-Service: voice", "X-Service: a").as_bytes());
+                let client = w.client();
+                w.bytes(client, invite(1, 0).replace("X-Service: voice", "X-Service: a").as_bytes());
                 w.pass(2.0);
             }
             Err(why) => {
