--- a/crates/platform-service/src/owner.rs
+++ b/crates/platform-service/src/owner.rs
@@ -1,4 +1,4 @@
-//! The coroutine that owns the core: letters in, turns, outputs out.
+//! The coroutine that owns the core: events in, polls, outputs out.
 
 use crate::places::Places;
 use crate::readers;
@@ -22,7 +22,7 @@
 const COUNTERS: f64 = 5.0;
 
 /// What reaches the owner.
-pub(crate) enum Letter {
+pub(crate) enum OwnerEvent {
     Accepted { connection: ConnectionId, writing: Writing },
     Connected { connection: ConnectionId, writing: Writing },
     Bytes { arrived: f64, connection: ConnectionId, bytes: Vec<u8> },
@@ -40,8 +40,8 @@
 pub(crate) struct Owner {
     edge: Edge,
     ground: Ground,
-    mailbox: Mailbox<Letter>,
-    mail: Mail<Letter>,
+    mailbox: Mailbox<OwnerEvent>,
+    mail: Mail<OwnerEvent>,
     peers: BTreeMap<ConnectionId, Peer>,
     dialled: BTreeSet<ConnectionId>,
     places: Places,
@@ -54,8 +54,8 @@
     pub fn new(
         edge: Edge,
         ground: Ground,
-        mailbox: Mailbox<Letter>,
-        mail: Mail<Letter>,
+        mailbox: Mailbox<OwnerEvent>,
+        mail: Mail<OwnerEvent>,
         places: Places,
     ) -> Owner {
         let (peers, dialled) = Default::default();
@@ -97,12 +97,12 @@
     /// Takes in all that has come. Guards attaches whose callers have closed or cancelled, and servers that the list
     /// has taken out: what was said before the core's turn must not lie behind it, neither in the mailbox, nor with a
     /// reader that waits for room in it, nor unread in a socket.
-    fn take_in(&mut self, first: Option<Letter>) {
+    fn take_in(&mut self, first: Option<OwnerEvent>) {
         let until = self.ground.now() + INTAKE;
         let mut next = first;
         loop {
-            while let Some(letter) = next {
-                self.take(letter);
+            while let Some(event) = next {
+                self.take(event);
                 next = if self.ground.now() < until { self.mail.try_next() } else { None };
             }
             // Readers that were woken or wait for room run now; the owner goes on behind them, on their worker.
@@ -125,33 +125,33 @@
         self.edge.read_first().iter().any(unread)
     }
 
-    fn take(&mut self, letter: Letter) {
+    fn take(&mut self, event: OwnerEvent) {
         let now = self.ground.now();
-        match letter {
-            Letter::Accepted { connection, writing } => {
+        match event {
+            OwnerEvent::Accepted { connection, writing } => {
                 self.peers.insert(connection, Peer { writing, waiting: Vec::new() });
                 self.edge.accepted(now, connection);
             }
-            Letter::Connected { connection, writing } => {
+            OwnerEvent::Connected { connection, writing } => {
                 if self.dialled.remove(&connection) {
                     self.peers.insert(connection, Peer { writing, waiting: Vec::new() });
                     self.edge.connected(now, connection);
                 }
             }
-            Letter::Bytes { arrived, connection, bytes } => {
+            OwnerEvent::Bytes { arrived, connection, bytes } => {
                 if self.peers.contains_key(&connection) {
                     self.late = self.late.max(now - arrived);
                     self.edge.bytes(now, arrived, connection, &bytes);
                 }
             }
-            Letter::Lost { connection, loss } => {
+            OwnerEvent::Lost { connection, loss } => {
                 let known = self.peers.remove(&connection).is_some() | self.dialled.remove(&connection);
                 if known {
                     self.edge.lost(now, connection, loss);
                 }
             }
-            Letter::Reload(file) => self.edge.reconfigured(now, *file),
-            Letter::End => self.edge.end(now),
+            OwnerEvent::Reload(file) => self.edge.reconfigured(now, *file),
+            OwnerEvent::End => self.edge.end(now),
         }
     }
 
--- a/crates/platform-service/src/readers.rs
+++ b/crates/platform-service/src/readers.rs
@@ -1,6 +1,6 @@
 //! Coroutines that accept, dial and read.
 
-use crate::owner::Letter;
+use crate::owner::OwnerEvent;
 use crate::places::Places;
 use may::net::{TcpListener, TcpStream};
 use shalespindle_platform::{ConnectionId, Loss};
@@ -16,7 +16,7 @@
 
 pub(crate) fn accept(
     listener: TcpListener,
-    mailbox: Mailbox<Letter>,
+    mailbox: Mailbox<OwnerEvent>,
     ground: Ground,
     places: Places,
 ) -> io::Result<Handle> {
@@ -38,17 +38,17 @@
             let connection = last;
             let (mailbox_of, ground) = (mailbox.clone(), ground.clone());
             let (mut reading, writing) = share(stream);
-            if mailbox.send(Letter::Accepted { connection, writing }).is_err() {
+            if mailbox.send(OwnerEvent::Accepted { connection, writing }).is_err() {
                 return;
             }
             let started = start(SMALL_STACK, move || {
                 read(&mut reading, connection, &mailbox_of, &ground);
                 drop(reading);
                 drop(place);
-                let _ = mailbox_of.send(Letter::Lost { connection, loss: Loss::Broken });
+                let _ = mailbox_of.send(OwnerEvent::Lost { connection, loss: Loss::Broken });
             });
             if started.is_err() {
-                let _ = mailbox.send(Letter::Lost { connection, loss: Loss::Broken });
+                let _ = mailbox.send(OwnerEvent::Lost { connection, loss: Loss::Broken });
             }
         }
     })
@@ -57,11 +57,11 @@
 fn read(
     reading: &mut shalespindle_sockets::Reading,
     connection: ConnectionId,
-    mailbox: &Mailbox<Letter>,
+    mailbox: &Mailbox<OwnerEvent>,
     ground: &Ground,
 ) {
     read_all(reading, READ, |bytes| {
-        mailbox.send(Letter::Bytes { arrived: ground.arrival(), connection, bytes }).is_ok()
+        mailbox.send(OwnerEvent::Bytes { arrived: ground.arrival(), connection, bytes }).is_ok()
     });
 }
 
@@ -70,7 +70,7 @@
     connection: ConnectionId,
     to: SocketAddr,
     within: Duration,
-    mailbox: &Mailbox<Letter>,
+    mailbox: &Mailbox<OwnerEvent>,
     ground: &Ground,
 ) {
     let (own, ground) = (mailbox.clone(), ground.clone());
@@ -79,7 +79,7 @@
             Ok(stream) => {
                 let _ = stream.set_nodelay(true);
                 let (mut reading, writing) = share(stream);
-                if own.send(Letter::Connected { connection, writing }).is_err() {
+                if own.send(OwnerEvent::Connected { connection, writing }).is_err() {
                     return;
                 }
                 read(&mut reading, connection, &own, &ground);
@@ -88,9 +88,9 @@
             Err(why) if why.kind() == io::ErrorKind::ConnectionRefused => Loss::Refused,
             Err(_) => Loss::Broken,
         };
-        let _ = own.send(Letter::Lost { connection, loss });
+        let _ = own.send(OwnerEvent::Lost { connection, loss });
     });
     if started.is_err() {
-        let _ = mailbox.send_urgent(Letter::Lost { connection, loss: Loss::Broken });
+        let _ = mailbox.send_urgent(OwnerEvent::Lost { connection, loss: Loss::Broken });
     }
 }
--- a/crates/platform-service/src/service.rs
+++ b/crates/platform-service/src/service.rs
@@ -1,6 +1,6 @@
 //! A live front: its sockets, its coroutines, and the handle that asks it for things.
 
-use crate::owner::{Letter, Owner};
+use crate::owner::{Owner, OwnerEvent};
 use crate::places::Places;
 use crate::readers;
 use may::net::TcpListener;
@@ -26,7 +26,7 @@
 /// A live front in service.
 pub struct Service {
     address: SocketAddr,
-    mailbox: Mailbox<Letter>,
+    mailbox: Mailbox<OwnerEvent>,
     accepting: Option<Handle>,
     owner: Option<Handle>,
 }
@@ -54,12 +54,12 @@
 
     /// The file was replaced. An owner that has ended takes nothing more.
     pub fn reload(&self, file: StartFile) {
-        let _ = self.mailbox.send_urgent(Letter::Reload(Box::new(file)));
+        let _ = self.mailbox.send_urgent(OwnerEvent::Reload(Box::new(file)));
     }
 
     /// Asks for an orderly end.
     pub fn end(&self) {
-        let _ = self.mailbox.send_urgent(Letter::End);
+        let _ = self.mailbox.send_urgent(OwnerEvent::End);
     }
 
     pub fn is_over(&self) -> bool {
--- a/crates/platform/src/callers.rs
+++ b/crates/platform/src/callers.rs
@@ -1,9 +1,9 @@
 //! The callers' side of a front: what comes on their connections, and what goes out to them.
 
-use crate::byes::Bye;
 use crate::calls::{InHand, Is, Stands};
 use crate::client_connection::{Use, MOST_BAD};
 use crate::edge::{ConnectionId, Edge, Output};
+use crate::releases::Release;
 use crate::sip;
 use shalespindle_control::interface::{Ended, NewAttach, PoolName, Report, UeName};
 use shalespindle_signalling::write::{ResponseHead, Writer};
@@ -66,7 +66,7 @@
             Start::Request { .. } => self.bad(now, connection, message, 405),
             Start::Response { .. } => {
                 if let (Some(id), Ok((_, Method::Bye))) = (sip::id(message), message.cseq()) {
-                    if self.byes.heard(id) {
+                    if self.releases.heard(id) {
                         self.counters.byes_heard += 1;
                         self.clients.used(now, connection, Use::Caller);
                     }
@@ -146,7 +146,7 @@
             gives_up_at,
         };
         self.control.attach_arrived(now, new);
-        self.send_byes(now);
+        self.send_releases(now);
     }
 
     fn ack(&mut self, now: f64, connection: ConnectionId, message: &Message) {
@@ -158,7 +158,7 @@
                 client.unconfirmed.retain(|u| *u != ue);
             }
             self.clients.used(now, connection, Use::Caller);
-            self.send_byes(now);
+            self.send_releases(now);
         }
     }
 
@@ -184,7 +184,7 @@
                 let client = call.client;
                 self.respond(connection, 200, message);
                 self.released_by_caller(now, ue, 16);
-                self.send_bye(now, client, id, 16);
+                self.send_release(now, client, id, 16);
             }
             Is::Stands(_) => self.respond(connection, 200, message),
         }
@@ -235,18 +235,18 @@
     pub(crate) fn over(&mut self, now: f64, ue: UeName, pool: PoolName, cause: u16) {
         let Some(call) = self.calls.remove(ue) else { return };
         self.leave_client(now, call.client, ue);
-        self.send_bye(now, call.client, call.id, cause);
+        self.send_release(now, call.client, call.id, cause);
         self.stands_no_more(pool);
     }
 
-    pub(crate) fn send_bye(&mut self, now: f64, own: ConnectionId, id: u64, cause: u16) {
-        self.byes.owe(now, id, cause, own);
-        self.send_byes(now);
+    pub(crate) fn send_release(&mut self, now: f64, own: ConnectionId, id: u64, cause: u16) {
+        self.releases.owe(now, id, cause, own);
+        self.send_releases(now);
     }
 
     /// Sends what is owed and not heard, as far as there are connections that can take it.
-    pub(crate) fn send_byes(&mut self, now: f64) {
-        for Bye { connection, id, cause, again } in self.byes.due(now, &self.clients) {
+    pub(crate) fn send_releases(&mut self, now: f64) {
+        for Release { connection, id, cause, again } in self.releases.due(now, &self.clients) {
             self.counters.byes += 1;
             if again {
                 self.counters.byes_again += 1;
@@ -283,10 +283,10 @@
         for ue in client.unconfirmed {
             let Some(id) = self.calls.by_ue(ue).map(|c| c.id) else { continue };
             self.released_by_caller(now, ue, CUT);
-            self.send_bye(now, connection, id, CUT);
+            self.send_release(now, connection, id, CUT);
         }
-        self.byes.client_lost(now, connection);
-        self.send_byes(now);
+        self.releases.client_lost(now, connection);
+        self.send_releases(now);
     }
 
     pub(crate) fn sweep(&mut self, now: f64) {
@@ -303,10 +303,10 @@
             self.close_client(now, connection);
         }
         self.expire_handed(now);
-        for id in self.byes.expire(now) {
+        for id in self.releases.expire(now) {
             self.counters.byes_unheard += 1;
             self.belief("release never heard", format!("{id:016x}"), "given up".into());
         }
-        self.send_byes(now);
+        self.send_releases(now);
     }
 }
--- a/crates/platform/src/edge.rs
+++ b/crates/platform/src/edge.rs
@@ -1,7 +1,6 @@
 //! One front: what it is told, what it does about it. Inputs update what is known; [`Edge::poll`] then pulls
 //! the module's decisions and carries them out; [`Edge::next_output`] hands out what the host is to do.
 
-use crate::byes::Byes;
 use crate::calls::{Calls, Is, Try};
 use crate::client_connection::{ClientConnection, ClientConnections};
 use crate::early::EarlyCancels;
@@ -10,6 +9,7 @@
 use crate::handover::Handed;
 use crate::lines;
 use crate::link::{LinkState, Phase, Servers};
+use crate::releases::Releases;
 use crate::sip;
 use shalespindle_control::control::Control;
 use shalespindle_control::interface::{Decision, Ended, PoolName, Report, UeName};
@@ -131,7 +131,7 @@
     pub(crate) zero: f64,
     pub(crate) calls: Calls,
     pub(crate) clients: ClientConnections,
-    pub(crate) byes: Byes,
+    pub(crate) releases: Releases,
     pub(crate) early_cancels: EarlyCancels,
     pub(crate) servers: Servers,
     pub(crate) feed: Feed,
@@ -167,7 +167,7 @@
             zero: unix - now,
             calls: Calls::default(),
             clients: ClientConnections::default(),
-            byes: Byes::default(),
+            releases: Releases::default(),
             early_cancels: EarlyCancels::default(),
             servers: Servers::default(),
             feed: Feed::new(file.feed, now),
--- a/crates/platform/src/ending.rs
+++ b/crates/platform/src/ending.rs
@@ -34,7 +34,7 @@
     pub fn is_done(&self, now: f64) -> bool {
         let Some(since) = self.ending else { return false };
         // Calls that stand are released through this front for as long as it is there.
-        let quiet = self.calls.in_hand() == 0 && self.calls.standing() == 0 && self.byes.is_quiet(now);
+        let quiet = self.calls.in_hand() == 0 && self.calls.standing() == 0 && self.releases.is_quiet(now);
         quiet && now - since > STILL_LISTENS || self.is_overdue(now)
     }
 
--- a/crates/platform/src/handover.rs
+++ b/crates/platform/src/handover.rs
@@ -44,7 +44,7 @@
                 self.handed.push(Handed { id, client, server, until, released: None });
             }
         }
-        self.send_byes(now);
+        self.send_releases(now);
     }
 
     fn hold(&mut self, now: f64, client: ConnectionId, id: u64, pool: PoolName) {
@@ -78,7 +78,7 @@
             std::mem::take(&mut self.handed).into_iter().partition(|h| h.until <= now);
         self.handed = left;
         for handed in over.into_iter().filter(|h| h.released.is_none()) {
-            self.send_bye(now, handed.client, handed.id, CUT);
+            self.send_release(now, handed.client, handed.id, CUT);
         }
     }
 }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -2,7 +2,6 @@
 //! servers, server-sent events for the list of them. [`Edge`] is told of bytes and of time and says what to
 //! dial, write and close; every choice about traffic is the decision module's.
 
-mod byes;
 mod callers;
 mod calls;
 mod client_connection;
@@ -14,6 +13,7 @@
 mod handover;
 mod lines;
 mod link;
+mod releases;
 mod room;
 mod servers;
 mod sip;
--- a/crates/platform/src/byes.rs
+++ b/crates/platform/src/releases.rs
@@ -31,7 +31,7 @@
 
 /// One release to write: where, of which call, why.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Bye {
+pub struct Release {
     pub connection: ConnectionId,
     pub id: u64,
     pub cause: u16,
@@ -41,11 +41,11 @@
 
 /// Releases by their calls.
 #[derive(Default)]
-pub struct Byes {
+pub struct Releases {
     owed: BTreeMap<u64, Owed>,
 }
 
-impl Byes {
+impl Releases {
     pub fn owe(&mut self, now: f64, id: u64, cause: u16, own: ConnectionId) {
         if self.owed.len() >= MOST {
             let oldest = self.owed.iter().min_by(|a, b| a.1.since.total_cmp(&b.1.since)).map(|o| *o.0);
@@ -68,7 +68,7 @@
     }
 
     /// The releases to write now.
-    pub fn due(&mut self, now: f64, clients: &ClientConnections) -> Vec<Bye> {
+    pub fn due(&mut self, now: f64, clients: &ClientConnections) -> Vec<Release> {
         let due = |o: &Owed| o.again_at <= now && o.tried.len() < MOST_TRIED;
         if !self.owed.values().any(due) {
             return Vec::new();
@@ -84,7 +84,7 @@
             let own = Some(owed.own).filter(|w| clients.all.contains_key(w));
             let mut towards = own.into_iter().chain(others.iter().map(|d| d.0));
             let Some(connection) = towards.find(|w| !owed.tried.contains(w)) else { continue };
-            out.push(Bye { connection, id: *id, cause: owed.cause, again: !owed.tried.is_empty() });
+            out.push(Release { connection, id: *id, cause: owed.cause, again: !owed.tried.is_empty() });
             owed.tried.push(connection);
             owed.again_at = now + HEARD_WITHIN;
         }
