--- a/crates/platform/src/callers.rs
+++ b/crates/platform/src/callers.rs
@@ -1,6 +1,6 @@
 //! The callers' side of a front: what comes on their connections, and what goes out to them.
 
-use crate::calls::{InHand, Is, Stands};
+use crate::calls::{CallState, PendingCall, Stands};
 use crate::client_connection::{Use, MOST_BAD};
 use crate::edge::{ConnectionId, Edge, Output};
 use crate::releases::Release;
@@ -98,7 +98,8 @@
             return self.handed_over(now, connection, id, server);
         }
         if let Some(call) = self.calls.by_id(id) {
-            let (ue, same, in_hand) = (call.ue, call.client == connection, matches!(call.is, Is::InHand(_)));
+            let (ue, same, in_hand) =
+                (call.ue, call.client == connection, matches!(call.state, CallState::Pending(_)));
             if same && in_hand {
                 // Two set-ups that one answer would belong to: the one answer is that neither is served.
                 self.client_left(now, ue);
@@ -122,7 +123,7 @@
             return self.respond(connection, 503, message);
         }
         let gives_up_at = arrived + asked.patience;
-        let hand = InHand {
+        let pending = PendingCall {
             procedure: asked.procedure,
             number: asked.number.into(),
             description: asked.description.into(),
@@ -131,7 +132,7 @@
             tries: 0,
             out: None,
         };
-        let ue = self.calls.add(id, connection, Is::InHand(Box::new(hand)));
+        let ue = self.calls.add(id, connection, CallState::Pending(Box::new(pending)));
         self.counters.attaches += 1;
         self.clients.used(now, connection, Use::Asks);
         if let Some(client) = self.clients.all.get_mut(&connection) {
@@ -152,7 +153,7 @@
     fn ack(&mut self, now: f64, connection: ConnectionId, message: &Message) {
         let Some(call) = sip::id(message).and_then(|id| self.calls.by_id(id)) else { return };
         let (ue, client) = (call.ue, call.client);
-        if let Is::Stands(stands) = &mut call.is {
+        if let CallState::Stands(stands) = &mut call.state {
             stands.confirmed = true;
             if let Some(client) = self.clients.all.get_mut(&client) {
                 client.unconfirmed.retain(|u| *u != ue);
@@ -170,23 +171,23 @@
             return self.respond(connection, 481, message);
         };
         let ue = call.ue;
-        match &call.is {
-            Is::InHand(hand) => {
+        match &call.state {
+            CallState::Pending(pending) => {
                 // No answer is owed, but RFC 3261 section 9.2 gives the set-up one.
-                let (client, bytes) = (call.client, sip::refusal(487, &hand.head, None));
+                let (client, bytes) = (call.client, sip::refusal(487, &pending.head, None));
                 self.clients.used(now, connection, Use::Asks);
                 self.respond(connection, 200, message);
                 self.out.push_back(Output::Write { connection: client, bytes });
                 self.client_left(now, ue);
             }
             // It crossed the answer: its caller no longer waits for a call.
-            Is::Stands(Stands { confirmed: false, .. }) => {
+            CallState::Stands(Stands { confirmed: false, .. }) => {
                 let client = call.client;
                 self.respond(connection, 200, message);
                 self.released_by_caller(now, ue, 16);
                 self.send_release(now, client, id, 16);
             }
-            Is::Stands(_) => self.respond(connection, 200, message),
+            CallState::Stands(_) => self.respond(connection, 200, message),
         }
     }
 
@@ -196,7 +197,7 @@
             let handed = sip::id(message).is_some_and(|id| self.handed_released(id, cause));
             return self.respond(connection, if handed { 200 } else { 481 }, message);
         };
-        let (ue, stands) = (call.ue, matches!(call.is, Is::Stands(_)));
+        let (ue, stands) = (call.ue, matches!(call.state, CallState::Stands(_)));
         self.clients.used(now, connection, if stands { Use::Caller } else { Use::Asks });
         self.respond(connection, 200, message);
         if stands {
@@ -210,7 +211,7 @@
     pub(crate) fn client_left(&mut self, now: f64, ue: UeName) {
         self.counters.left += 1;
         self.control.client_left(now, ue);
-        let Some((id, client, _)) = self.calls.hand(ue) else { return };
+        let Some((id, client, _)) = self.calls.pending(ue) else { return };
         if let Some(out) = self.take_try(now, ue) {
             if let Some(connection) = out.link {
                 self.end_try_on(now, connection, id);
@@ -224,7 +225,7 @@
 
     fn released_by_caller(&mut self, now: f64, ue: UeName, cause: u16) {
         let Some(call) = self.calls.remove(ue) else { return };
-        let Is::Stands(stands) = call.is else { return };
+        let CallState::Stands(stands) = call.state else { return };
         self.leave_client(now, call.client, ue);
         self.control.try_ended(now, ue, stands.pool, Ended::Cancelled, true, Report::default());
         self.release_to(now, stands.pool, call.id, cause);
--- a/crates/platform/src/calls.rs
+++ b/crates/platform/src/calls.rs
@@ -15,7 +15,7 @@
 }
 
 /// An attach that is owed its final answer.
-pub struct InHand {
+pub struct PendingCall {
     pub procedure: usize,
     pub number: Box<str>,
     pub description: Box<str>,
@@ -32,8 +32,8 @@
     pub confirmed: bool,
 }
 
-pub enum Is {
-    InHand(Box<InHand>),
+pub enum CallState {
+    Pending(Box<PendingCall>),
     Stands(Stands),
 }
 
@@ -42,7 +42,7 @@
     pub ue: UeName,
     /// The connection its set-up came on.
     pub client: ConnectionId,
-    pub is: Is,
+    pub state: CallState,
 }
 
 #[derive(Default)]
@@ -58,14 +58,14 @@
 
 impl Calls {
     /// Takes a call in; its ue is new.
-    pub fn add(&mut self, id: u64, client: ConnectionId, is: Is) -> UeName {
+    pub fn add(&mut self, id: u64, client: ConnectionId, state: CallState) -> UeName {
         self.next_ue = self.next_ue.wrapping_add(1);
         let ue = self.next_ue;
-        if let Is::InHand(hand) = &is {
+        if let CallState::Pending(pending) = &state {
             self.in_hand += 1;
-            self.bytes += hand.description.len();
+            self.bytes += pending.description.len();
         }
-        let key = self.slab.insert(Call { id, ue, client, is });
+        let key = self.slab.insert(Call { id, ue, client, state });
         self.by_id.insert(id, key);
         self.by_ue.insert(ue, key);
         ue
@@ -75,9 +75,9 @@
         let key = self.by_ue.remove(&ue)?;
         let call = self.slab.remove(key);
         self.by_id.remove(&call.id);
-        if let Is::InHand(hand) = &call.is {
+        if let CallState::Pending(pending) = &call.state {
             self.in_hand -= 1;
-            self.bytes -= hand.description.len();
+            self.bytes -= pending.description.len();
         }
         Some(call)
     }
@@ -85,11 +85,11 @@
     /// The attach's call stands from now on.
     pub fn stands(&mut self, ue: UeName, pool: PoolName) {
         let Some(&key) = self.by_ue.get(&ue) else { return };
-        if let Is::InHand(hand) = &self.slab[key].is {
+        if let CallState::Pending(pending) = &self.slab[key].state {
             self.in_hand -= 1;
-            self.bytes -= hand.description.len();
+            self.bytes -= pending.description.len();
         }
-        self.slab[key].is = Is::Stands(Stands { pool, confirmed: false });
+        self.slab[key].state = CallState::Stands(Stands { pool, confirmed: false });
     }
 
     pub fn by_id(&mut self, id: u64) -> Option<&mut Call> {
@@ -101,28 +101,32 @@
     }
 
     /// The attach in hand of that name.
-    pub fn hand(&mut self, ue: UeName) -> Option<(u64, ConnectionId, &mut InHand)> {
+    pub fn pending(&mut self, ue: UeName) -> Option<(u64, ConnectionId, &mut PendingCall)> {
         let call = self.by_ue(ue)?;
-        match &mut call.is {
-            Is::InHand(hand) => Some((call.id, call.client, hand)),
-            Is::Stands(_) => None,
+        match &mut call.state {
+            CallState::Pending(pending) => Some((call.id, call.client, pending)),
+            CallState::Stands(_) => None,
         }
     }
 
     /// Those in hand, in the order of their places.
-    pub fn all_in_hand(&self) -> Vec<UeName> {
-        self.slab.iter().filter(|(_, c)| matches!(c.is, Is::InHand(_))).map(|(_, c)| c.ue).collect()
+    pub fn all_pending(&self) -> Vec<UeName> {
+        self.slab
+            .iter()
+            .filter(|(_, c)| matches!(c.state, CallState::Pending(_)))
+            .map(|(_, c)| c.ue)
+            .collect()
     }
 
     /// In hand, and no setup try of it has been written, or none is out any more.
     pub fn is_unsent(&self, ue: UeName) -> bool {
-        let call = self.by_ue.get(&ue).map(|&key| &self.slab[key].is);
-        matches!(call, Some(Is::InHand(h)) if h.out.as_ref().is_none_or(|t| t.link.is_none()))
+        let call = self.by_ue.get(&ue).map(|&key| &self.slab[key].state);
+        matches!(call, Some(CallState::Pending(h)) if h.out.as_ref().is_none_or(|t| t.link.is_none()))
     }
 
     /// Those that stand at a pool, in the order of their places.
     pub fn standing_at(&self, pool: PoolName) -> Vec<UeName> {
-        let there = |c: &Call| matches!(&c.is, Is::Stands(s) if s.pool == pool);
+        let there = |c: &Call| matches!(&c.state, CallState::Stands(s) if s.pool == pool);
         self.slab.iter().filter(|(_, c)| there(c)).map(|(_, c)| c.ue).collect()
     }
 
--- a/crates/platform/src/edge.rs
+++ b/crates/platform/src/edge.rs
@@ -1,7 +1,7 @@
 //! One front: what it is told, what it does about it. Inputs update what is known; [`Edge::poll`] then pulls
 //! the module's decisions and carries them out; [`Edge::next_output`] hands out what the host is to do.
 
-use crate::calls::{Calls, Is, Try};
+use crate::calls::{CallState, Calls, Try};
 use crate::client_connection::{ClientConnection, ClientConnections};
 use crate::early::EarlyCancels;
 use crate::feed::{Event, Feed, DIAL_WITHIN};
@@ -321,8 +321,8 @@
             Due::Try(ue, number) => self.try_due(now, ue, number),
             Due::Waited(ue, number) => {
                 let waits = |t: &Try| t.link.is_none();
-                let hand = self.calls.hand(ue).map(|c| c.2);
-                if hand.is_some_and(|h| h.tries == number && h.out.as_ref().is_some_and(waits)) {
+                let pending = self.calls.pending(ue).map(|c| c.2);
+                if pending.is_some_and(|h| h.tries == number && h.out.as_ref().is_some_and(waits)) {
                     self.try_over(now, ue, Ended::Unreached, Report::default());
                 }
             }
@@ -342,7 +342,7 @@
         match decision {
             Decision::SetUp { ue, pool, time_out } => self.set_up(now, ue, pool, time_out),
             Decision::Cancel { ue, setup_try } => {
-                if self.calls.hand(ue).is_some_and(|c| c.2.out.is_some() && c.2.tries == setup_try + 1) {
+                if self.calls.pending(ue).is_some_and(|c| c.2.out.is_some() && c.2.tries == setup_try + 1) {
                     self.try_given_up(now, ue, Ended::Cancelled);
                 }
             }
@@ -360,10 +360,10 @@
     }
 
     fn set_up(&mut self, now: f64, ue: UeName, pool: PoolName, time_out: f64) {
-        let Some((_, _, hand)) = self.calls.hand(ue) else { return };
-        hand.tries += 1;
-        hand.out = Some(Try { pool, link: None, sent_at: now });
-        let (number, until) = (hand.tries, (now + time_out).min(hand.gives_up_at));
+        let Some((_, _, pending)) = self.calls.pending(ue) else { return };
+        pending.tries += 1;
+        pending.out = Some(Try { pool, link: None, sent_at: now });
+        let (number, until) = (pending.tries, (now + time_out).min(pending.gives_up_at));
         self.counters.tries += 1;
         self.timers.set(until, Due::Try(ue, number));
         if self.servers.all.get(&pool).is_none_or(|s| s.phase != Phase::Up) {
@@ -389,11 +389,12 @@
 
     /// Puts a setup try on a link. Callers have checked that its server still takes what is new.
     pub(crate) fn write_set_up(&mut self, now: f64, ue: UeName, connection: ConnectionId) {
-        let Some((id, _, hand)) = self.calls.hand(ue) else { return };
-        let Some(out) = hand.out.as_mut() else { return };
+        let Some((id, _, pending)) = self.calls.pending(ue) else { return };
+        let Some(out) = pending.out.as_mut() else { return };
         out.link = Some(connection);
-        let class = &self.procedures[hand.procedure].0;
-        let bytes = lines::set_up(id, class, &hand.number, hand.gives_up_at - now, &hand.description);
+        let class = &self.procedures[pending.procedure].0;
+        let bytes =
+            lines::set_up(id, class, &pending.number, pending.gives_up_at - now, &pending.description);
         if let Some(link) = self.servers.links.get_mut(&connection) {
             link.open.push(ue);
             link.asked(now);
@@ -403,7 +404,7 @@
 
     /// Takes the setup try that is out off the books of its link and of its server; returns it.
     pub(crate) fn take_try(&mut self, now: f64, ue: UeName) -> Option<Try> {
-        let out = self.calls.hand(ue)?.2.out.take()?;
+        let out = self.calls.pending(ue)?.2.out.take()?;
         match out.link {
             Some(connection) => {
                 if let Some(link) = self.servers.links.get_mut(&connection) {
@@ -445,8 +446,8 @@
 
     /// The front itself ends a setup try: its server is told, so that nothing of it is left there.
     fn try_given_up(&mut self, now: f64, ue: UeName, ended: Ended) {
-        let Some((id, _, hand)) = self.calls.hand(ue) else { return };
-        let connection = hand.out.as_ref().and_then(|t| t.link);
+        let Some((id, _, pending)) = self.calls.pending(ue) else { return };
+        let connection = pending.out.as_ref().and_then(|t| t.link);
         self.try_over(now, ue, ended, Report::default());
         if let Some(connection) = connection {
             self.end_try_on(now, connection, id);
@@ -454,8 +455,8 @@
     }
 
     fn try_due(&mut self, now: f64, ue: UeName, number: u32) {
-        let Some((_, _, hand)) = self.calls.hand(ue) else { return };
-        let Some(out) = hand.out.as_ref().filter(|_| hand.tries == number) else { return };
+        let Some((_, _, pending)) = self.calls.pending(ue) else { return };
+        let Some(out) = pending.out.as_ref().filter(|_| pending.tries == number) else { return };
         let Some(connection) = out.link else {
             // Still waiting for a link: nothing of it has left.
             return self.try_over(now, ue, Ended::Unreached, Report::default());
@@ -473,13 +474,13 @@
     /// The attach's one final answer, other than that its call stands.
     pub(crate) fn final_answer(&mut self, now: f64, ue: UeName, status: u16, pause: Option<f64>) {
         // The module answers only when no try is out; should one be, it must not be left behind.
-        if self.calls.hand(ue).is_some_and(|c| c.2.out.is_some()) {
+        if self.calls.pending(ue).is_some_and(|c| c.2.out.is_some()) {
             self.try_given_up(now, ue, Ended::Cancelled);
         }
         let Some(call) = self.calls.remove(ue) else { return };
-        if let Is::InHand(hand) = call.is {
+        if let CallState::Pending(pending) = call.state {
             self.leave_client(now, call.client, ue);
-            let bytes = sip::refusal(status, &hand.head, pause);
+            let bytes = sip::refusal(status, &pending.head, pause);
             self.out.push_back(Output::Write { connection: call.client, bytes });
         }
     }
--- a/crates/platform/src/ending.rs
+++ b/crates/platform/src/ending.rs
@@ -51,15 +51,15 @@
     /// Guards attaches that are in hand when the front ends by itself: what was taken is answered. A front that left
     /// them to the close of their connections lost them.
     pub(crate) fn last_answers(&mut self, now: f64) {
-        for ue in self.calls.all_in_hand() {
+        for ue in self.calls.all_pending() {
             self.give_up(now, ue);
         }
     }
 
     /// The front itself gives an attach up. Where a setup try is out, another might not be harmless: it has failed.
     pub(crate) fn give_up(&mut self, now: f64, ue: UeName) {
-        let Some((_, _, hand)) = self.calls.hand(ue) else { return };
-        let went_out = hand.out.as_ref().is_some_and(|t| t.link.is_some());
+        let Some((_, _, pending)) = self.calls.pending(ue) else { return };
+        let went_out = pending.out.as_ref().is_some_and(|t| t.link.is_some());
         self.counters.given_up += 1;
         self.final_answer(now, ue, if went_out { 504 } else { 503 }, None);
         self.control.client_left(now, ue);
--- a/crates/platform/src/handover.rs
+++ b/crates/platform/src/handover.rs
@@ -4,7 +4,7 @@
 //! when the list has had its time: to tell the caller at once that its call is over would end calls that stand.
 
 use crate::callers::CUT;
-use crate::calls::{Is, Stands};
+use crate::calls::{CallState, Stands};
 use crate::client_connection::Use;
 use crate::edge::{ConnectionId, Edge};
 use shalespindle_control::interface::PoolName;
@@ -48,7 +48,7 @@
     }
 
     fn hold(&mut self, now: f64, client: ConnectionId, id: u64, pool: PoolName) {
-        self.calls.add(id, client, Is::Stands(Stands { pool, confirmed: true }));
+        self.calls.add(id, client, CallState::Stands(Stands { pool, confirmed: true }));
         if let Some(server) = self.servers.all.get_mut(&pool) {
             server.standing += 1;
         }
--- a/crates/platform/src/servers.rs
+++ b/crates/platform/src/servers.rs
@@ -1,7 +1,7 @@
 //! The signalling servers' side of a front: the list, links, and what comes on them.
 
 use crate::callers::CUT;
-use crate::calls::Is;
+use crate::calls::CallState;
 use crate::edge::{ConnectionId, Due, Edge, Loss, Output};
 use crate::feed::Event;
 use crate::lines::{self, Kind, Line};
@@ -367,16 +367,16 @@
 
     fn answered(&mut self, now: f64, connection: ConnectionId, pool: PoolName, id: u64, line: &Line) {
         let call = self.calls.by_id(id);
-        let ue = call.map(|call| (call.ue, call.client, &call.is));
+        let ue = call.map(|call| (call.ue, call.client, &call.state));
         let (ue, client) = match ue {
-            Some((ue, client, Is::InHand(hand)))
-                if hand.out.as_ref().is_some_and(|t| t.link == Some(connection))
-                    && now <= hand.gives_up_at =>
+            Some((ue, client, CallState::Pending(pending)))
+                if pending.out.as_ref().is_some_and(|t| t.link == Some(connection))
+                    && now <= pending.gives_up_at =>
             {
                 (ue, client)
             }
             // A second copy.
-            Some((_, _, Is::Stands(stands))) if stands.pool == pool => return,
+            Some((_, _, CallState::Stands(stands))) if stands.pool == pool => return,
             // Late, or for a try that is over: nothing may be left standing of it.
             _ => {
                 self.counters.late_answers += 1;
@@ -385,8 +385,8 @@
             }
         };
         let Some(out) = self.take_try(now, ue) else { return };
-        let Some((_, _, hand)) = self.calls.hand(ue) else { return };
-        let bytes = sip::answer(&hand.head, &line.description);
+        let Some((_, _, pending)) = self.calls.pending(ue) else { return };
+        let bytes = sip::answer(&pending.head, &line.description);
         self.counters.stood += 1;
         self.control.attach_stands(now, ue, pool, now - out.sent_at);
         self.calls.stands(ue, pool);
@@ -409,16 +409,18 @@
         line: &Line,
         report: Report,
     ) {
-        let call = self.calls.by_id(id).map(|call| (call.ue, &call.is));
+        let call = self.calls.by_id(id).map(|call| (call.ue, &call.state));
         match call {
-            Some((ue, Is::InHand(hand))) if hand.out.as_ref().is_some_and(|t| t.link == Some(connection)) => {
+            Some((ue, CallState::Pending(pending)))
+                if pending.out.as_ref().is_some_and(|t| t.link == Some(connection)) =>
+            {
                 if line.cause == CLEARED {
                     self.ended_before_answer(now, ue, report);
                 } else {
                     self.try_over(now, ue, line.ended(), report);
                 }
             }
-            Some((ue, Is::Stands(stands))) if stands.pool == pool => {
+            Some((ue, CallState::Stands(stands))) if stands.pool == pool => {
                 let ended = if line.cause == CLEARED { Ended::Released } else { Ended::Cut };
                 self.control.try_ended(now, ue, pool, ended, true, report);
                 self.out.push_back(Output::Write { connection, bytes: lines::released(id) });
