coordinator: replicas compare what changes seldom; a moved client's words are told on again

Change: acknowledgements are out of the digest; what a client had said to a coordinator that died is told on by the next one (test: a replica that missed it).

--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -294,6 +294,13 @@
         #[arg(long, default_value_t = 1)]
         seed: u64,
     },
+    /// Writes the tables of the capacity page from the runs kept beside it.
+    CapacityPage {
+        #[arg(long, default_value = "docs/capacity")]
+        data: PathBuf,
+        #[arg(long, default_value = "docs/CAPACITY.md")]
+        page: PathBuf,
+    },
     /// The embedded scripted bad day, on sockets.
     BadDay {
         #[command(flatten)]
--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -7,7 +7,9 @@
 use shalespindle_lab::play::{play, Fronts};
 use shalespindle_lab::scenario::{Scenario, BAD_DAY};
 use shalespindle_lab::summary::{Knowledge, LevelSteps, Report};
-use shalespindle_lab::{chain, coordinated, fleet_cost, fleet_size, names, scale, sim, throughput, walk};
+use shalespindle_lab::{
+    capacity, chain, coordinated, fleet_cost, fleet_size, names, scale, sim, throughput, walk,
+};
 use shalespindle_rig::FleetShape;
 use std::io;
 use std::net::SocketAddr;
@@ -179,6 +181,7 @@
             }
             Ok(ExitCode::SUCCESS)
         }
+        Lab::CapacityPage { data, page } => capacity_page(&data, &page),
         Lab::Chain { hops, calls, patience, seed } => chains(hops, calls, patience, seed),
         Lab::Throughput { seconds, rounds, rate: Some(rate), .. } => {
             for added in throughput::measure_added(seconds, rounds, rate)? {
@@ -197,6 +200,20 @@
     }
 }
 
+fn capacity_page(data: &Path, page: &Path) -> io::Result<ExitCode> {
+    let text = std::fs::read_to_string(page)?;
+    let filled = capacity::Runs::read(data)
+        .map_err(|why| why.to_string())
+        .and_then(|runs| capacity::fill(&text, &runs).map_err(|why| format!("{}: {why}", page.display())));
+    match filled {
+        Ok(filled) => std::fs::write(page, filled).map(|()| ExitCode::SUCCESS),
+        Err(why) => {
+            eprintln!("{why}");
+            Ok(ExitCode::from(BAD_INPUT))
+        }
+    }
+}
+
 fn chains(hops: usize, calls: u32, patience: f64, seed: u64) -> io::Result<ExitCode> {
     for at in [chain::Failing::OneHop, chain::Failing::AllHops] {
         for failing in [0.001, 0.01, 0.1] {
--- a/crates/coordinator/src/store.rs
+++ b/crates/coordinator/src/store.rs
@@ -127,6 +127,9 @@
             None => held.is_some_and(|entry| entry.version >= version),
         };
         if is_known || self.is_of_ended_process(owner, key, version) {
+            if source == Source::Direct {
+                self.take_over(place, version);
+            }
             return Applied::Known;
         }
         if held.is_none() && self.entries.len() >= self.most {
@@ -139,6 +142,15 @@
         Applied::Newer
     }
 
+    /// A client says here what it had said to another coordinator, which may have died before it told all replicas.
+    fn take_over(&mut self, place: (NodeId, Key), version: Version) {
+        let Some(entry) = self.entries.get_mut(&place) else { return };
+        if entry.version == version && entry.source == Source::Replica {
+            entry.source = Source::Direct;
+            self.renumber(place);
+        }
+    }
+
     /// Guards against words of a process that has ended, told on by somebody who has not heard of its successor.
     fn is_of_ended_process(&self, owner: NodeId, key: Key, version: Version) -> bool {
         let current = self.entries.get(&(owner, Key::Member)).map(|entry| entry.version.incarnation);
@@ -318,7 +330,8 @@
         told.fold(0, |digest, (place, entry)| digest ^ fingerprint(&statement(place, entry)))
     }
 
-    /// Equal at replicas that hold the same, whatever words on servers they hold beside the newest.
+    /// Equal at replicas that hold the same, whatever words on servers they hold beside the newest. Acknowledgements are
+    /// left out: they change so often that replicas would seldom be equal, and their fronts say them again.
     pub(crate) fn replica_digest(&mut self) -> u64 {
         let (revision, digest) = self.replica_digest;
         if revision == self.revision {
@@ -329,7 +342,7 @@
             .iter()
             .filter_map(|(address, leader)| Some(hash_of(&(address, self.server_state(*address, *leader)?))));
         let live = self.entries.iter().filter(|(_, entry)| entry.value.is_some());
-        let others = live.filter(|(place, _)| !matches!(place.1, Key::Server(_)));
+        let others = live.filter(|(place, _)| !matches!(place.1, Key::Server(_) | Key::Acknowledgement));
         let of_others = others.map(|(place, entry)| fingerprint(&statement(place, entry)));
         let digest = of_servers.chain(of_others).fold(0, |digest, hash| digest ^ hash);
         self.replica_digest = (self.revision, digest);
--- a/crates/coordinator/tests/failures.rs
+++ b/crates/coordinator/tests/failures.rs
@@ -38,6 +38,30 @@
     assert_eq!(world.coordinators[&NodeId(2)].store().member(NodeId(1)), Some(MemberState::Suspected));
 }
 
+#[test]
+fn what_a_coordinator_told_to_some_before_it_died_comes_to_all() {
+    let mut world = settled(3, 9);
+    let now = world.now;
+    // The third replica misses what the first two hear; then the first one dies.
+    world.cut_off.insert(NodeId(2));
+    for client in 0..9 {
+        world.client(client).tell_server(now, server(0), Some(state(5, Told::Ready)));
+        world.client(client).refuse(now, "no room");
+    }
+    world.pass(0.5);
+    world.coordinators.remove(&NodeId(0));
+    world.cut_off.clear();
+    world.pass(12.0);
+    let status = |n| world.coordinators[&NodeId(n)].status(world.now);
+    assert_eq!(status(1).members, status(2).members);
+    for client in 0..9 {
+        let said = |n| {
+            world.coordinators[&NodeId(n)].store().value(client_name(client), Key::Acknowledgement).cloned()
+        };
+        assert_eq!(said(1), said(2), "client {client}");
+    }
+}
+
 #[test]
 fn without_any_coordinator_clients_keep_what_they_hold_and_say_how_old_it_is() {
     let mut world = settled(3, 4);
--- /dev/null
+++ b/crates/lab/src/capacity/page.rs
@@ -0,0 +1,42 @@
+//! The page's blocks: between `<!-- table: NAME -->` and `<!-- end -->` stands what the runs give.
+
+use super::data::Runs;
+use super::tables;
+
+/// A page that cannot be filled.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum PageFault {
+    /// A block of a name that is not known.
+    #[error("no table is named {0}; there are: {known}", known = tables::NAMES.join(", "))]
+    Unknown(String),
+    /// A block that does not end.
+    #[error("the table {0} does not end with <!-- end -->")]
+    Endless(String),
+    /// A table that the page does not have.
+    #[error("the page has no block <!-- table: {0} -->")]
+    Missing(&'static str),
+}
+
+const BEGINS: &str = "<!-- table: ";
+const BEGIN_ENDS: &str = " -->\n";
+const ENDS: &str = "<!-- end -->";
+
+/// The page with its tables as the runs give them.
+pub fn fill(page: &str, runs: &Runs) -> Result<String, PageFault> {
+    let (mut filled, mut rest) = (String::new(), page);
+    let mut missing = tables::NAMES.to_vec();
+    while let Some((before, block)) = rest.split_once(BEGINS) {
+        let endless = || PageFault::Endless(block.lines().next().unwrap_or_default().to_string());
+        let (name, body) = block.split_once(BEGIN_ENDS).ok_or_else(endless)?;
+        let (_, after) = body.split_once(ENDS).ok_or_else(endless)?;
+        let table = tables::table(name, runs).ok_or_else(|| PageFault::Unknown(name.to_string()))?;
+        missing.retain(|missing| *missing != name);
+        filled.push_str(&format!("{before}{BEGINS}{name}{BEGIN_ENDS}{table}{ENDS}"));
+        rest = after;
+    }
+    if let Some(name) = missing.first() {
+        return Err(PageFault::Missing(name));
+    }
+    filled.push_str(rest);
+    Ok(filled)
+}
--- a/crates/lab/src/coordinated/measure.rs
+++ b/crates/lab/src/coordinated/measure.rs
@@ -386,7 +386,9 @@
             self.start_front(place);
             self.tell_own_list(place);
         }
-        self.rest()
+        let recovered = self.rest();
+        self.pass(WINDOW);
+        recovered
     }
 
     fn region_cut(&mut self) -> f64 {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -2,6 +2,7 @@
 //! loopback sockets (`play`), the rules checked over what passed, and one summary.
 
 pub mod baseline;
+pub mod capacity;
 pub mod chain;
 pub mod compare;
 pub mod coordinated;
