coordinator: an update names the client's process that it is for

Followed: the publisher, started 0.4 to 7 s before, held 'stored 91' while its own sequence was 36; the change went out only once its sequence passed 91. An update on its way to the process of before had reached the new one, which took the number of published statements in it for its own. Excluded: loss (all other messages came), the coordinator's count (right for the old one). Change: an update names the client's process; others are not heeded, at fronts and at coordinators. Test with such an update, fails without the guard.

--- a/crates/coordinator/src/client.rs
+++ b/crates/coordinator/src/client.rs
@@ -248,7 +248,8 @@
             return;
         }
         match message {
-            Message::Update(update) => self.update_heard(now, update),
+            Message::Update(update) if update.client == self.incarnation => self.update_heard(now, update),
+            Message::Update(_) => {}
             Message::Busy { retry_after } => self.busy_heard(now, retry_after),
             // Nobody is a client of a front.
             Message::Heartbeat(_) => {}
--- a/crates/coordinator/src/coordinator.rs
+++ b/crates/coordinator/src/coordinator.rs
@@ -199,7 +199,10 @@
     pub fn heard(&mut self, now: f64, from: NodeId, message: Message) {
         match message {
             Message::Heartbeat(heartbeat) => self.heartbeat_heard(now, from, heartbeat),
-            Message::Update(update) => self.update_heard(now, from, update),
+            Message::Update(update) if update.client == self.incarnation => {
+                self.update_heard(now, from, update);
+            }
+            Message::Update(_) => {}
             // A coordinator asks its peers again with its next heartbeat.
             Message::Busy { .. } => {}
         }
--- a/crates/coordinator/src/message.rs
+++ b/crates/coordinator/src/message.rs
@@ -71,6 +71,8 @@
 pub struct Update {
     /// The coordinator's process.
     pub coordinator: Incarnation,
+    /// The client's process: what was on its way to the one before says nothing to this one.
+    pub client: Incarnation,
     /// The changes after this revision,
     pub from: u64,
     /// up to this one.
--- a/crates/coordinator/src/serving.rs
+++ b/crates/coordinator/src/serving.rs
@@ -120,6 +120,7 @@
         let is_replica = !matches!(session.filter, Filter::Servers(_));
         let update = Update {
             coordinator: self.incarnation,
+            client: session.incarnation,
             from,
             to,
             revision: self.store.revision(),
--- a/crates/coordinator/tests/failures.rs
+++ b/crates/coordinator/tests/failures.rs
@@ -62,6 +62,25 @@
     }
 }
 
+/// Found by the simulated fleet: an update on its way to a front's process reached the next one, which took the number
+/// of published statements in it for its own and kept what it had to say to itself.
+#[test]
+fn an_update_for_a_clients_process_of_before_says_nothing_to_its_next_one() {
+    let mut world = settled(1, 1);
+    let now = world.now;
+    (0..20).for_each(|n| world.client(0).tell_server(now, server(n), Some(state(1, Told::Ready))));
+    world.pass(3.0);
+    let is_update = |message: &Message| matches!(message, Message::Update(_));
+    let (_, from, _, late) = world.log.iter().rev().find(|(.., message)| is_update(message)).unwrap().clone();
+    world.start_client(0);
+    let now = world.now;
+    world.client(0).heard(now, from, late);
+    let now = world.now;
+    world.client(0).announce(now, 9, 90).unwrap();
+    world.pass(3.0);
+    assert_eq!(world.coordinators[&NodeId(0)].store().in_force().unwrap().id.number, 9);
+}
+
 #[test]
 fn without_any_coordinator_clients_keep_what_they_hold_and_say_how_old_it_is() {
     let mut world = settled(3, 4);
--- a/crates/lab/src/coordinated/measure.rs
+++ b/crates/lab/src/coordinated/measure.rs
@@ -1,7 +1,7 @@
 //! Measures a simulated fleet with coordinators under one scenario.
 
 use super::fleet::{Fleet, Node, Place};
-use super::scenario::{CoordinatedShape, Scenario};
+use super::scenario::{CoordinatedShape, Planted, Scenario};
 use crate::resources::resident_bytes;
 use rand::Rng;
 use serde::Serialize;
@@ -110,6 +110,9 @@
         Scenario::CoordinatorsDown => run.coordinators_down(),
         Scenario::SessionsLost => run.sessions_lost(),
     };
+    if let Some(planted) = shape.planted {
+        run.plant(planted);
+    }
     let seconds = run.fleet.now - begin;
     let share = |spent: f64, nodes: usize| spent / seconds / nodes.max(1) as f64;
     let mut front_bytes: Vec<f64> = run
@@ -460,6 +463,20 @@
         NOTICED_WITHIN + self.restart_one_and_rest()
     }
 
+    fn plant(&mut self, planted: Planted) {
+        let place = self.shape.coordinators;
+        match planted {
+            Planted::NewcomerWithoutTime => self.start_front(place),
+            Planted::VersionFromTheFuture => {
+                if let Some(front) = self.fleet.front(place) {
+                    front.in_force = u64::MAX;
+                }
+                self.announce_at(0);
+                self.rest();
+            }
+        }
+    }
+
     // ---- what is left at the end ----
 
     fn totals(&mut self) -> (u64, u64, u64) {
--- a/crates/lab/src/coordinated/mod.rs
+++ b/crates/lab/src/coordinated/mod.rs
@@ -6,4 +6,4 @@
 mod scenario;
 
 pub use measure::{measure, CoordinatedCost};
-pub use scenario::{CoordinatedShape, Scenario};
+pub use scenario::{CoordinatedShape, Planted, Scenario};
--- a/crates/lab/src/coordinated/scenario.rs
+++ b/crates/lab/src/coordinated/scenario.rs
@@ -19,6 +19,16 @@
     SessionsLost,
 }
 
+/// A fault planted at the end of a run, so that its checks are seen to fail.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Planted {
+    /// A front starts and is not given the time to learn anything: it is behind, and what its process of before said
+    /// is still held.
+    NewcomerWithoutTime,
+    /// A front takes a version for newer than all that will be announced.
+    VersionFromTheFuture,
+}
+
 /// What is measured.
 #[derive(Clone, Debug)]
 pub struct CoordinatedShape {
@@ -38,6 +48,8 @@
     pub seed: u64,
     /// What happens.
     pub scenario: Scenario,
+    /// None but in tests of the checks.
+    pub planted: Option<Planted>,
 }
 
 impl CoordinatedShape {
@@ -52,6 +64,7 @@
             loss: 0.01,
             seed,
             scenario,
+            planted: None,
         }
     }
 }
