--- a/crates/lab/src/capacity/tables.rs
+++ b/crates/lab/src/capacity/tables.rs
@@ -63,7 +63,7 @@
     let digits = value.unsigned_abs().to_string();
     let mut out = String::new();
     for (place, digit) in digits.chars().enumerate() {
-        if place > 0 && (digits.len() - place) % 3 == 0 {
+        if place > 0 && (digits.len() - place).is_multiple_of(3) {
             out.push(',');
         }
         out.push(digit);
