--- a/crates/coordinator/tests/common/mod.rs
+++ b/crates/coordinator/tests/common/mod.rs
@@ -8,6 +8,7 @@
     Message, NodeId, ServerState,
 };
 use shalespindle_membership::Told;
+use shalespindle_timeline::Timeline;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
@@ -22,6 +23,38 @@
     ServerState { incarnation, told }
 }
 
+fn name_of(node: NodeId) -> String {
+    match node.0.checked_sub(FIRST_CLIENT) {
+        Some(client) => format!("f{client}"),
+        None => format!("c{}", node.0),
+    }
+}
+
+fn coordinator_words(event: &CoordinatorEvent) -> String {
+    match event {
+        CoordinatorEvent::Suspected(nodes) => {
+            let names: Vec<String> = nodes.iter().map(|node| name_of(*node)).collect();
+            format!("suspects {}", names.join(" "))
+        }
+        CoordinatorEvent::Isolated(true) => "isolated".into(),
+        CoordinatorEvent::Isolated(false) => "not isolated".into(),
+        CoordinatorEvent::InForce(version) => format!("version {}", version.id.number),
+    }
+}
+
+fn client_words(event: &ClientEvent) -> String {
+    match event {
+        ClientEvent::InForce(version) => format!("acts on {}", version.id.number),
+        ClientEvent::Server(address, Some(state)) => {
+            format!("{address} {:?} {}", state.told, state.incarnation)
+        }
+        ClientEvent::Server(address, None) => format!("{address} gone"),
+        ClientEvent::Level(level) => format!("level {level:?}"),
+        ClientEvent::Connected(true) => "connected".into(),
+        ClientEvent::Connected(false) => "not connected".into(),
+    }
+}
+
 /// Coordinators have the first names, clients those from 100 on.
 pub const FIRST_CLIENT: u64 = 100;
 
@@ -40,6 +73,8 @@
     starts: u64,
     peers: Vec<NodeId>,
     pub params: CoordinatorParams,
+    /// What coordinators and clients made known.
+    pub timeline: Timeline,
 }
 
 impl World {
@@ -50,7 +85,11 @@
 
     pub fn with(params: CoordinatorParams, coordinators: u64, clients: u64) -> World {
         let peers = (0..coordinators).map(NodeId).collect();
-        let mut world = World { peers, params, ..World::default() };
+        const COLUMN_STEP: f64 = 0.1;
+        let names = (0..coordinators).map(|n| format!("c{n}"));
+        let names = names.chain((0..clients).map(|n| format!("f{n}")));
+        let timeline = Timeline::new(names, COLUMN_STEP);
+        let mut world = World { peers, params, timeline, ..World::default() };
         (0..coordinators).for_each(|n| world.start_coordinator(n));
         (0..clients).for_each(|n| world.start_client(n));
         world
@@ -113,8 +152,10 @@
                 coordinator.poll(now);
             }
             sent.extend(std::iter::from_fn(|| coordinator.next_outgoing()).map(|out| (*name, out)));
-            let events = std::iter::from_fn(|| coordinator.next_event());
-            self.coordinator_events.extend(events.map(|event| (*name, event)));
+            while let Some(event) = coordinator.next_event() {
+                self.timeline.add(now, name.0 as usize, coordinator_words(&event));
+                self.coordinator_events.push((*name, event));
+            }
         }
         for (name, client) in &mut self.clients {
             if client.wake_at() <= now {
@@ -124,6 +165,8 @@
                 if matches!(event, ClientEvent::InForce(_)) {
                     client.act(now);
                 }
+                let place = self.peers.len() + (name.0 - FIRST_CLIENT) as usize;
+                self.timeline.add(now, place, client_words(&event));
                 self.client_events.push((*name, event));
             }
             sent.extend(std::iter::from_fn(|| client.next_outgoing()).map(|out| (*name, out)));
