--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -316,6 +316,9 @@
         /// Set-ups a second instead of as many as go: relay and front in turn, what the front adds.
         #[arg(long, conflicts_with = "fleet")]
         rate: Option<f64>,
+        /// Servers in scope, with --rate.
+        #[arg(long, default_value_t = 16, requires = "rate")]
+        servers: usize,
         /// What telling other fronts costs instead: a front alone against one of four that tell each other.
         #[arg(long)]
         fleet: bool,
--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -183,8 +183,8 @@
         }
         Lab::CapacityPage { data, page } => capacity_page(&data, &page),
         Lab::Chain { hops, calls, patience, seed } => chains(hops, calls, patience, seed),
-        Lab::Throughput { seconds, rounds, rate: Some(rate), .. } => {
-            for added in throughput::measure_added(seconds, rounds, rate)? {
+        Lab::Throughput { seconds, rounds, rate: Some(rate), servers, .. } => {
+            for added in throughput::measure_added(seconds, rounds, rate, servers.max(1))? {
                 println!("{}", serde_json::to_string(&added)?);
             }
             Ok(ExitCode::SUCCESS)
--- a/crates/lab/src/fleet_cost.rs
+++ b/crates/lab/src/fleet_cost.rs
@@ -2,7 +2,7 @@
 //! of four fronts that tell each other, and the same with what it knows kept on disk; in turn, in one run. All of
 //! them share this machine's cores, so the others' work counts against the front that is measured.
 
-use crate::throughput::{drive, scenario, servers, Measured, Pace, WINDOW};
+use crate::throughput::{drive, scenario, servers, Load, Measured, Pace, SERVERS, WINDOW};
 use shalespindle_settings::{FleetSettings, Settings};
 use shalespindle_sockets::Ground;
 use shalespindle_standin::loopback::{free_address, networks};
@@ -54,7 +54,7 @@
 
 /// Measures `rounds` rounds of six parts of `seconds` each.
 pub fn measure(seconds: f64, rounds: usize) -> io::Result<FleetCost> {
-    let scenario = scenario()?;
+    let scenario = scenario(SERVERS)?;
     let ground = Ground::new();
     let servers = servers(&scenario, &ground, false)?;
     let folder = tempfile::tempdir()?;
@@ -76,10 +76,10 @@
     let address = |n: usize| services[measured[n]].address();
     let mut out = FleetCost::default();
     for _ in 0..rounds {
-        let closed = |n| drive(address(n), Pace::Closed(WINDOW), seconds, STANDS);
+        let closed = |n| drive(address(n), &Load::of(Pace::Closed(WINDOW), seconds, STANDS));
         let closed = [closed(0)?, closed(1)?, closed(2)?];
         let rate = closed[0].per_second / 2.0;
-        let half = |n| drive(address(n), Pace::Open(rate), seconds, STANDS);
+        let half = |n| drive(address(n), &Load::of(Pace::Open(rate), seconds, STANDS));
         let half = [half(0)?, half(1)?, half(2)?];
         let [c0, c1, c2] = closed;
         let [h0, h1, h2] = half;
--- a/crates/lab/src/throughput.rs
+++ b/crates/lab/src/throughput.rs
@@ -22,7 +22,8 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-const SERVERS: usize = 16;
+/// Servers in scope, where nothing else is asked for.
+pub(crate) const SERVERS: usize = 16;
 /// Attaches in flight in the closed loop.
 pub(crate) const WINDOW: usize = 320;
 
@@ -50,11 +51,32 @@
     pub bytes_an_attach: f64,
 }
 
+/// How set-ups follow each other.
+#[derive(Clone, Copy)]
 pub(crate) enum Pace {
+    /// So many are out at any time.
     Closed(usize),
+    /// So many a second.
     Open(f64),
 }
 
+/// What is asked of a front or of the relay.
+pub(crate) struct Load {
+    pub pace: Pace,
+    pub seconds: f64,
+    /// How long a call stands.
+    pub stands: Duration,
+    /// Calls take turns at so many trunk groups.
+    pub servers: usize,
+}
+
+impl Load {
+    /// Over the usual number of servers.
+    pub fn of(pace: Pace, seconds: f64, stands: Duration) -> Load {
+        Load { pace, seconds, stands, servers: SERVERS }
+    }
+}
+
 pub(crate) struct Servers {
     hosted: Vec<HostedServer>,
     addresses: Vec<SocketAddr>,
@@ -76,7 +98,7 @@
     let trace = Trace::off();
     let mut list = Feed::new(1, 1, 0.0);
     let (mut hosted, mut addresses) = (Vec::new(), Vec::new());
-    for s in 0..SERVERS {
+    for s in 0..scenario.fleet.servers {
         let address = std::net::TcpListener::bind("127.0.0.1:0")?.local_addr()?;
         list.known(s, address, s as u16);
         let core =
@@ -92,9 +114,9 @@
     Ok(Servers { hosted, addresses, feed: address, list })
 }
 
-pub(crate) fn scenario() -> io::Result<Scenario> {
+pub(crate) fn scenario(servers: usize) -> io::Result<Scenario> {
     let mut scenario = Scenario::read(BAD_DAY).map_err(io::Error::other)?;
-    scenario.fleet.servers = SERVERS;
+    scenario.fleet.servers = servers;
     scenario.fleet.fronts = 1;
     scenario.servers.capacity = 1e6;
     scenario.servers.lines = 10_000_000;
@@ -106,7 +128,7 @@
 
 /// Measures `rounds` pairs of `seconds` each.
 pub fn measure(seconds: f64, rounds: usize) -> io::Result<Throughput> {
-    let scenario = scenario()?;
+    let scenario = scenario(SERVERS)?;
     let ground = Ground::new();
     let servers = servers(&scenario, &ground, false)?;
     let relay = Relay::start(&servers.addresses)?;
@@ -116,11 +138,12 @@
     std::thread::sleep(Duration::from_millis(500));
     let mut out = Throughput::default();
     for _ in 0..rounds {
-        let bare = drive(relay.address, Pace::Closed(WINDOW), seconds, AT_ONCE)?;
-        let ours = drive(front, Pace::Closed(WINDOW), seconds, AT_ONCE)?;
-        let half = Pace::Open(ours.per_second / 2.0);
-        let bare_half = drive(relay.address, Pace::Open(ours.per_second / 2.0), seconds, AT_ONCE)?;
-        let ours_half = drive(front, half, seconds, AT_ONCE)?;
+        let closed = Load::of(Pace::Closed(WINDOW), seconds, AT_ONCE);
+        let bare = drive(relay.address, &closed)?;
+        let ours = drive(front, &closed)?;
+        let half = Load::of(Pace::Open(ours.per_second / 2.0), seconds, AT_ONCE);
+        let bare_half = drive(relay.address, &half)?;
+        let ours_half = drive(front, &half)?;
         out.rounds.push([bare, ours, bare_half, ours_half]);
     }
     std::thread::sleep(Duration::from_millis(500));
@@ -156,21 +179,22 @@
 }
 
 /// Measures relay and front in turn at that rate, `rounds` times.
-pub fn measure_added(seconds: f64, rounds: usize, rate: f64) -> io::Result<Vec<Added>> {
-    let scenario = scenario()?;
+pub fn measure_added(seconds: f64, rounds: usize, rate: f64, in_scope: usize) -> io::Result<Vec<Added>> {
+    let scenario = scenario(in_scope)?;
     let ground = Ground::new();
     let servers = servers(&scenario, &ground, false)?;
     let relay = Relay::start(&servers.addresses)?;
     let settings = scenario.settings(SocketAddr::from(([127, 0, 0, 1], 0)), servers.feed, &[], 0.05);
     let service = Service::start(&settings, 1, ground.clone())?;
     std::thread::sleep(Duration::from_millis(500));
+    let load = Load { pace: Pace::Open(rate), seconds, stands: AT_ONCE, servers: in_scope };
     let mut out = Vec::new();
     for _ in 0..rounds {
-        let bare = drive(relay.address, Pace::Open(rate), seconds, AT_ONCE)?;
-        let ours = drive(service.address(), Pace::Open(rate), seconds, AT_ONCE)?;
+        let bare = drive(relay.address, &load)?;
+        let ours = drive(service.address(), &load)?;
         out.push(Added {
             rate,
-            servers: SERVERS,
+            servers: in_scope,
             relay_p50_us: bare.p50_us,
             relay_p99_us: bare.p99_us,
             front_p50_us: ours.p50_us,
@@ -187,7 +211,7 @@
 
 /// Resident bytes that an attach in hand adds: thousands are asked of servers that never answer.
 fn memory() -> io::Result<f64> {
-    let scenario = scenario()?;
+    let scenario = scenario(SERVERS)?;
     let ground = Ground::new();
     let servers = servers(&scenario, &ground, true)?;
     let settings = scenario.settings(SocketAddr::from(([127, 0, 0, 1], 0)), servers.feed, &[], 0.05);
@@ -198,7 +222,7 @@
     let before = resident_bytes();
     let count = 4000;
     for call in 0..count {
-        socket.send_to(&invite(&host, service.address(), call), service.address())?;
+        socket.send_to(&invite(&host, service.address(), call, SERVERS), service.address())?;
         if call % 50 == 0 {
             std::thread::sleep(Duration::from_millis(2));
         }
@@ -209,10 +233,10 @@
     Ok(grown as f64 / (held.max(1) as f64))
 }
 
-fn invite(host: &str, to: SocketAddr, call: u64) -> Vec<u8> {
+fn invite(host: &str, to: SocketAddr, call: u64, servers: usize) -> Vec<u8> {
     Writer::request(
         Method::Invite,
-        &format!("sip:+91{call:09};tgrp=tg-{};trunk-context=x@{to}", call % SERVERS as u64),
+        &format!("sip:+91{call:09};tgrp=tg-{};trunk-context=x@{to}", call % servers as u64),
     )
     .with_args("Via", format_args!("SIP/2.0/UDP {host};rport;branch=z9hG4bKi{call}"))
     .with("Max-Forwards", "70")
@@ -241,7 +265,8 @@
 
 /// Sets calls up and releases them when they have stood for so long, from one thread of its own. Those that stand at the
 /// end of the measurement are released in their time, too, so that the next one does not begin in a crowd of releases.
-pub(crate) fn drive(to: SocketAddr, pace: Pace, seconds: f64, stands: Duration) -> io::Result<Measured> {
+pub(crate) fn drive(to: SocketAddr, load: &Load) -> io::Result<Measured> {
+    let Load { pace, seconds, stands, servers } = *load;
     let socket = std::net::UdpSocket::bind("127.0.0.1:0")?;
     socket.set_read_timeout(Some(Duration::from_micros(200)))?;
     let host = socket.local_addr()?.to_string();
@@ -276,7 +301,7 @@
                 }
             };
             let call = next + 1_000_000 * u64::from(to.port());
-            socket.send_to(&invite(&host, to, call), to)?;
+            socket.send_to(&invite(&host, to, call, servers), to)?;
             out.insert(call, due);
             next += 1;
         }
