--- a/crates/coordinator/tests/common/mod.rs
+++ b/crates/coordinator/tests/common/mod.rs
@@ -95,6 +95,16 @@
         world
     }
 
+    /// With version 1 in force everywhere.
+    pub fn settled(coordinators: u64, clients: u64) -> World {
+        let mut world = World::new(coordinators, clients);
+        let now = world.now;
+        world.coordinator(0).announce(now, 1, 10).unwrap();
+        world.until("version 1 everywhere", 5.0, |world| world.all_act_on(1));
+        world.pass(2.0);
+        world
+    }
+
     fn incarnation(&mut self) -> Incarnation {
         self.starts += 1;
         Incarnation { number: 1000 + self.starts, nonce: self.starts }
--- a/crates/coordinator/tests/failures.rs
+++ b/crates/coordinator/tests/failures.rs
@@ -13,19 +13,9 @@
     NodeId(FIRST_CLIENT + n)
 }
 
-/// With version 1 in force everywhere.
-fn settled(coordinators: u64, clients: u64) -> World {
-    let mut world = World::new(coordinators, clients);
-    let now = world.now;
-    world.coordinator(0).announce(now, 1, 10).unwrap();
-    world.until("version 1 everywhere", 5.0, |world| world.all_act_on(1));
-    world.pass(2.0);
-    world
-}
-
 #[test]
 fn clients_of_a_dead_coordinator_go_on_with_another_and_nobody_suspects_them() {
-    let mut world = settled(3, 12);
+    let mut world = World::settled(3, 12);
     world.coordinators.remove(&NodeId(1));
     world.pass(4.0);
     let now = world.now;
@@ -40,7 +30,7 @@
 
 #[test]
 fn what_a_coordinator_told_to_some_before_it_died_comes_to_all() {
-    let mut world = settled(3, 9);
+    let mut world = World::settled(3, 9);
     let now = world.now;
     // The third replica misses what the first two hear; then the first one dies.
     world.cut_off.insert(NodeId(2));
@@ -66,7 +56,7 @@
 /// of published statements in it for its own and kept what it had to say to itself.
 #[test]
 fn an_update_for_a_clients_process_of_before_says_nothing_to_its_next_one() {
-    let mut world = settled(1, 1);
+    let mut world = World::settled(1, 1);
     let now = world.now;
     (0..20).for_each(|n| world.client(0).tell_server(now, server(n), Some(state(1, Told::Ready))));
     world.pass(3.0);
@@ -83,7 +73,7 @@
 
 #[test]
 fn without_any_coordinator_clients_keep_what_they_hold_and_say_how_old_it_is() {
-    let mut world = settled(3, 4);
+    let mut world = World::settled(3, 4);
     let now = world.now;
     world.client(0).tell_server(now, server(0), Some(state(5, Told::Draining)));
     world.pass(1.0);
@@ -101,7 +91,7 @@
 
 #[test]
 fn coordinators_that_come_back_with_nothing_are_given_operators_words_back() {
-    let mut world = settled(3, 6);
+    let mut world = World::settled(3, 6);
     let now = world.now;
     world.coordinator(2).pin_level(now, Some(2));
     world.pass(2.0);
@@ -121,7 +111,7 @@
 
 #[test]
 fn two_versions_announced_apart_end_as_one_everywhere_and_the_other_is_listed() {
-    let mut world = settled(2, 0);
+    let mut world = World::settled(2, 0);
     world.cut_off.insert(NodeId(1));
     world.pass(10.0);
     let now = world.now;
@@ -140,7 +130,7 @@
 
 #[test]
 fn a_client_never_goes_back_to_an_older_version() {
-    let mut world = settled(1, 2);
+    let mut world = World::settled(1, 2);
     let now = world.now;
     world.coordinator(0).announce(now, 5, 50).unwrap();
     world.until("version 5 everywhere", 3.0, |world| world.all_act_on(5));
@@ -155,7 +145,7 @@
 
 #[test]
 fn many_that_fall_silent_at_once_are_one_event_and_more_than_half_are_none() {
-    let mut world = settled(1, 10);
+    let mut world = World::settled(1, 10);
     (0..4).for_each(|n| drop(world.clients.remove(&client_name(n))));
     world.pass(8.0);
     let suspected: Vec<&CoordinatorEvent> = world
@@ -176,7 +166,7 @@
 
 #[test]
 fn a_client_that_another_coordinator_suspects_while_it_is_heard_here_counts_as_alive() {
-    let mut world = settled(2, 1);
+    let mut world = World::settled(2, 1);
     let now = world.now;
     let here = world.client(0).status(now).coordinator.unwrap();
     let other = if here == NodeId(0) { NodeId(1) } else { NodeId(0) };
@@ -194,7 +184,7 @@
 
 #[test]
 fn a_front_that_leaves_is_told_as_left_and_not_suspected() {
-    let mut world = settled(3, 3);
+    let mut world = World::settled(3, 3);
     world.client(1).leave();
     world.step();
     world.clients.remove(&client_name(1));
@@ -206,7 +196,7 @@
 
 #[test]
 fn a_client_that_does_not_read_costs_a_bounded_number_of_updates_and_then_catches_up() {
-    let mut world = settled(1, 2);
+    let mut world = World::settled(1, 2);
     world.cut_off.insert(client_name(0));
     for number in 2..200 {
         let now = world.now;
@@ -302,7 +292,7 @@
 #[test]
 fn the_same_inputs_give_the_same_messages() {
     let run = || {
-        let mut world = settled(3, 6);
+        let mut world = World::settled(3, 6);
         world.coordinators.remove(&NodeId(1));
         world.pass(10.0);
         world.log
--- a/crates/coordinator/tests/timelines.rs
+++ b/crates/coordinator/tests/timelines.rs
@@ -5,19 +5,9 @@
 use common::*;
 use shalespindle_coordinator::NodeId;
 
-/// Three coordinators and six fronts, with version 1 in force everywhere; what came before is not shown.
-fn settled() -> World {
-    let mut world = World::new(3, 6);
-    let now = world.now;
-    world.coordinator(0).announce(now, 1, 10).unwrap();
-    world.until("version 1 everywhere", 5.0, |world| world.all_act_on(1));
-    world.pass(2.0);
-    world
-}
-
 #[test]
 fn a_coordinators_death() {
-    let mut world = settled();
+    let mut world = World::settled(3, 6);
     world.timeline.world(world.now, "c1 dies");
     world.coordinators.remove(&NodeId(1));
     world.pass(3.0);
@@ -31,7 +21,7 @@
 
 #[test]
 fn a_herds_return() {
-    let mut world = settled();
+    let mut world = World::settled(3, 6);
     world.timeline.world(world.now, "f0 to f2 are killed");
     (0..3).for_each(|n| drop(world.clients.remove(&NodeId(FIRST_CLIENT + n))));
     world.pass(6.0);
@@ -44,7 +34,7 @@
 
 #[test]
 fn a_regions_heal() {
-    let mut world = settled();
+    let mut world = World::settled(3, 6);
     // Its coordinator and the fronts that follow it; those have no other in this small fleet that they hear.
     world.timeline.world(world.now, "c2 is cut off");
     world.cut_off.insert(NodeId(2));
