live: the log names the call, and the reason for each end, close, retry and refusal

Change: typed log records in place of three strings; causes of releases stand once, in causes.rs. No decision changes.

--- a/crates/platform-service/src/owner.rs
+++ b/crates/platform-service/src/owner.rs
@@ -2,11 +2,11 @@
 
 use crate::places::Places;
 use crate::readers;
-use shalespindle_platform::{ConnectionId, Edge, Loss, Output, StartFile, UNCOUNTED};
+use shalespindle_platform::{ConnectionId, Edge, LogLevel, LogRecord, Loss, Output, StartFile, UNCOUNTED};
 use shalespindle_sockets::{Ground, Mail, Mailbox, Writing};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
-use tracing::info;
+use tracing::{debug, info};
 
 /// The longest time that the core's turn is put off while more and more comes.
 const INTAKE: f64 = 0.02;
@@ -170,9 +170,7 @@
                         peer.writing.close(reset);
                     }
                 }
-                Output::Belief { what, of, why } => {
-                    info!(target: "shalespindle::platform", of, why, "{what}")
-                }
+                Output::Log(record) => log(&record),
             }
         }
     }
@@ -232,3 +230,11 @@
         info!(target: "shalespindle::platform", in_hand, standing, clients, links, late_ms, ?counters, "counters");
     }
 }
+
+fn log(record: &LogRecord) {
+    let LogRecord { level, event, subject, reason } = record;
+    match level {
+        LogLevel::Info => info!(target: "shalespindle::platform", of = subject, why = reason, "{event}"),
+        LogLevel::Debug => debug!(target: "shalespindle::platform", of = subject, why = reason, "{event}"),
+    }
+}
--- a/crates/platform/src/callers.rs
+++ b/crates/platform/src/callers.rs
@@ -1,17 +1,16 @@
 //! The callers' side of a front: what comes on their connections, and what goes out to them.
 
 use crate::calls::{CallState, PendingCall, Stands};
+use crate::causes::{CLEARED, CUT};
 use crate::client_connection::{Use, MOST_BAD};
 use crate::edge::{ConnectionId, Edge, Output};
+use crate::log::{call_subject, connection_subject, LogLevel};
 use crate::releases::Release;
 use crate::sip;
 use shalespindle_control::interface::{Ended, NewAttach, PoolName, Report, UeName};
 use shalespindle_signalling::write::{ResponseHead, Writer};
 use shalespindle_signalling::{Framer, Message, Method, Start};
 
-/// Cause of a release for a call that was cut.
-pub(crate) const CUT: u16 = 41;
-
 impl Edge {
     pub(crate) fn client_bytes(&mut self, now: f64, arrived: f64, connection: ConnectionId, bytes: &[u8]) {
         let Some(client) = self.clients.all.get_mut(&connection) else { return };
@@ -46,7 +45,7 @@
     fn unreadable(&mut self, now: f64, connection: ConnectionId, status: u16) {
         self.counters.unreadable += 1;
         self.out.push_back(Output::Write { connection, bytes: sip::unreadable(status) });
-        self.close_client(now, connection);
+        self.close_client(now, connection, "what came on it cannot be read");
     }
 
     fn message(&mut self, now: f64, arrived: f64, connection: ConnectionId, message: &Message) {
@@ -87,7 +86,7 @@
         let Some(client) = self.clients.all.get_mut(&connection) else { return };
         client.bad += 1;
         if client.bad >= MOST_BAD {
-            self.close_client(now, connection);
+            self.close_client(now, connection, "too many messages of bad form");
         }
     }
 
@@ -119,6 +118,8 @@
             || self.calls.bytes() + asked.description.len() > self.most_bytes;
         if full || self.takes_no_more(now) {
             self.counters.no_place += 1;
+            let reason = if full { "503: no room" } else { "503: the front ends" };
+            self.log_info("attach refused", call_subject(id), reason);
             self.clients.used(now, connection, Use::Asks);
             return self.respond(connection, 503, message);
         }
@@ -134,6 +135,7 @@
         };
         let ue = self.calls.add(id, connection, CallState::Pending(Box::new(pending)));
         self.counters.attaches += 1;
+        self.log_debug("attach taken", call_subject(id), format!("connection {connection}"));
         self.clients.used(now, connection, Use::Asks);
         if let Some(client) = self.clients.all.get_mut(&connection) {
             client.open.push(ue);
@@ -184,15 +186,15 @@
             CallState::Stands(Stands { confirmed: false, .. }) => {
                 let client = call.client;
                 self.respond(connection, 200, message);
-                self.released_by_caller(now, ue, 16);
-                self.send_release(now, client, id, 16);
+                self.released_by_caller(now, ue, CLEARED);
+                self.send_release(now, client, id, CLEARED);
             }
             CallState::Stands(_) => self.respond(connection, 200, message),
         }
     }
 
     fn bye(&mut self, now: f64, connection: ConnectionId, message: &Message) {
-        let cause = message.q850_cause().unwrap_or(16);
+        let cause = message.q850_cause().unwrap_or(CLEARED);
         let Some(call) = sip::id(message).and_then(|id| self.calls.by_id(id)) else {
             let handed = sip::id(message).is_some_and(|id| self.handed_released(id, cause));
             return self.respond(connection, if handed { 200 } else { 481 }, message);
@@ -212,6 +214,7 @@
         self.counters.left += 1;
         self.control.client_left(now, ue);
         let Some((id, client, _)) = self.calls.pending(ue) else { return };
+        self.log_debug("caller left", call_subject(id), format!("connection {client}"));
         if let Some(out) = self.take_try(now, ue) {
             if let Some(connection) = out.link {
                 self.end_try_on(now, connection, id);
@@ -233,8 +236,11 @@
     }
 
     /// A call that stood is over by its server's word or end: its caller is told.
-    pub(crate) fn over(&mut self, now: f64, ue: UeName, pool: PoolName, cause: u16) {
+    pub(crate) fn over(&mut self, now: f64, ue: UeName, pool: PoolName, cause: u16, reason: &'static str) {
         let Some(call) = self.calls.remove(ue) else { return };
+        let level = if cause == CLEARED { LogLevel::Debug } else { LogLevel::Info };
+        let reason = format!("cause {cause} at {}: {reason}", self.server_name(pool));
+        self.log(level, "call over", call_subject(call.id), reason);
         self.leave_client(now, call.client, ue);
         self.send_release(now, call.client, call.id, cause);
         self.stands_no_more(pool);
@@ -252,11 +258,8 @@
             if again {
                 self.counters.byes_again += 1;
                 let use_of = self.clients.all.get(&connection).map_or(Use::None, |d| d.use_of);
-                self.belief(
-                    "release not heard",
-                    format!("{id:016x}"),
-                    format!("again on {connection}, {use_of:?}"),
-                );
+                let reason = format!("again on {connection}, {use_of:?}");
+                self.log_info("release not heard", call_subject(id), reason);
             }
             self.out.push_back(Output::Write { connection, bytes: sip::bye(id, cause) });
         }
@@ -270,7 +273,8 @@
         }
     }
 
-    pub(crate) fn close_client(&mut self, now: f64, connection: ConnectionId) {
+    pub(crate) fn close_client(&mut self, now: f64, connection: ConnectionId, reason: &'static str) {
+        self.log_info("client closed", connection_subject(connection), reason);
         self.out.push_back(Output::Close { connection, reset: false });
         self.client_lost(now, connection);
     }
@@ -301,12 +305,13 @@
             if useless {
                 self.out.push_back(Output::Write { connection, bytes: sip::unreadable(408) });
             }
-            self.close_client(now, connection);
+            let reason = if useless { "nothing of use came in time" } else { "idle" };
+            self.close_client(now, connection, reason);
         }
         self.expire_handed(now);
         for id in self.releases.expire(now) {
             self.counters.byes_unheard += 1;
-            self.belief("release never heard", format!("{id:016x}"), "given up".into());
+            self.log_info("release never heard", call_subject(id), "given up");
         }
         self.send_releases(now);
     }
--- a/crates/platform/src/edge.rs
+++ b/crates/platform/src/edge.rs
@@ -9,6 +9,7 @@
 use crate::handover::Handed;
 use crate::lines;
 use crate::link::{LinkState, Phase, Servers};
+use crate::log::{call_subject, LogRecord};
 use crate::releases::Releases;
 use crate::sip;
 use shalespindle_control::control::Control;
@@ -46,12 +47,7 @@
         connection: ConnectionId,
         reset: bool,
     },
-    /// A belief changed: what, of whom, why.
-    Belief {
-        what: &'static str,
-        of: String,
-        why: String,
-    },
+    Log(LogRecord),
 }
 
 /// What has been counted since the start.
@@ -205,7 +201,7 @@
     pub fn connected(&mut self, now: f64, connection: ConnectionId) {
         if self.feed.connection == Some(connection) {
             let bytes = self.feed.connected(now);
-            self.belief("feed connected", self.feed.to, format!("after event {}", self.feed.taken));
+            self.log_info("feed connected", self.feed.to, format!("after event {}", self.feed.taken));
             self.out.push_back(Output::Write { connection, bytes });
         } else {
             self.link_made(now, connection);
@@ -216,7 +212,7 @@
     pub fn lost(&mut self, now: f64, connection: ConnectionId, loss: Loss) {
         if self.feed.connection == Some(connection) {
             if self.feed.is_up() {
-                self.belief("feed lost", self.feed.to, "connection ended".into());
+                self.log_info("feed lost", self.feed.to, "connection ended");
             }
             self.feed.lost(now);
         } else if self.clients.all.contains_key(&connection) {
@@ -244,7 +240,7 @@
                 self.listed(now, event);
             }
             if !good {
-                self.belief("feed left", self.feed.to, "a gap, or what cannot be read".into());
+                self.log_info("feed left", self.feed.to, "a gap, or what cannot be read");
                 self.out.push_back(Output::Close { connection, reset: false });
                 self.feed.lost(now);
             }
@@ -253,7 +249,7 @@
 
     /// The file was replaced: the feed goes on at the address it names.
     pub fn reconfigured(&mut self, now: f64, file: StartFile) {
-        self.belief("configuration taken", file.feed, format!("known to {}", file.known.n));
+        self.log_info("configuration taken", file.feed, format!("known to {}", file.known.n));
         // Only what follows without a gap, or begins anew with the whole list, may be taken from the file.
         let first = file.known.events.iter().map(|e| e.n).find(|n| *n > self.feed.taken);
         if first == Some(self.feed.taken + 1) {
@@ -302,7 +298,7 @@
         }
         if self.feed.asks(now) {
             if let Some(connection) = self.feed.connection {
-                self.belief("feed left", self.feed.to, self.feed.why_left().into());
+                self.log_info("feed left", self.feed.to, self.feed.why_left());
                 self.out.push_back(Output::Close { connection, reset: false });
             }
             let connection = self.new_connection_id();
@@ -348,11 +344,11 @@
             }
             Decision::Refuse { ue, pause } => {
                 self.counters.refused += 1;
-                self.final_answer(now, ue, 503, Some(pause));
+                self.final_answer(now, ue, 503, Some(pause), "no server may take it now");
             }
             Decision::Abort { ue } => {
                 self.counters.aborted += 1;
-                self.final_answer(now, ue, 504, None);
+                self.final_answer(now, ue, 504, None, "no time is left for another try");
             }
             Decision::Probe { pool } => self.test(now, pool),
             Decision::Wake { after } => self.timers.set(now + after, Due::Wake),
@@ -392,6 +388,7 @@
         let Some((id, _, pending)) = self.calls.pending(ue) else { return };
         let Some(out) = pending.out.as_mut() else { return };
         out.link = Some(connection);
+        let (number, pool) = (pending.tries, out.pool);
         let class = &self.procedures[pending.procedure].0;
         let bytes =
             lines::set_up(id, class, &pending.number, pending.gives_up_at - now, &pending.description);
@@ -400,6 +397,8 @@
             link.asked(now);
         }
         self.out.push_back(Output::Write { connection, bytes });
+        let reason = format!("try {number} at {} on connection {connection}", self.server_name(pool));
+        self.log_debug("set-up sent", call_subject(id), reason);
     }
 
     /// Takes the setup try that is out off the books of its link and of its server; returns it.
@@ -427,9 +426,18 @@
     pub(crate) fn try_over(&mut self, now: f64, ue: UeName, ended: Ended, report: Report) {
         let Some(out) = self.take_try(now, ue) else { return };
         self.count(ended);
+        self.log_try_over(now, ue, &out, ended);
         self.control.try_ended(now, ue, out.pool, ended, false, report);
     }
 
+    fn log_try_over(&mut self, now: f64, ue: UeName, out: &Try, ended: Ended) {
+        let Some((id, _, pending)) = self.calls.pending(ue) else { return };
+        let (number, lasted) = (pending.tries, now - out.sent_at);
+        let reason =
+            format!("{ended:?}, try {number} at {}, after {lasted:.3} s", self.server_name(out.pool));
+        self.log_info("try over", call_subject(id), reason);
+    }
+
     pub(crate) fn count(&mut self, ended: Ended) {
         let counters = &mut self.counters;
         let counter = match ended {
@@ -472,7 +480,14 @@
     }
 
     /// The attach's one final answer, other than that its call stands.
-    pub(crate) fn final_answer(&mut self, now: f64, ue: UeName, status: u16, pause: Option<f64>) {
+    pub(crate) fn final_answer(
+        &mut self,
+        now: f64,
+        ue: UeName,
+        status: u16,
+        pause: Option<f64>,
+        reason: &'static str,
+    ) {
         // The module answers only when no try is out; should one be, it must not be left behind.
         if self.calls.pending(ue).is_some_and(|c| c.2.out.is_some()) {
             self.try_given_up(now, ue, Ended::Cancelled);
@@ -482,6 +497,8 @@
             self.leave_client(now, call.client, ue);
             let bytes = sip::refusal(status, &pending.head, pause);
             self.out.push_back(Output::Write { connection: call.client, bytes });
+            let reason = format!("{status} after {} tries: {reason}", pending.tries);
+            self.log_info("attach refused", call_subject(call.id), reason);
         }
     }
 
@@ -494,8 +511,4 @@
         self.last_test = self.last_test.wrapping_add(1);
         self.last_test
     }
-
-    pub(crate) fn belief(&mut self, what: &'static str, of: impl ToString, why: String) {
-        self.out.push_back(Output::Belief { what, of: of.to_string(), why });
-    }
 }
--- a/crates/platform/src/ending.rs
+++ b/crates/platform/src/ending.rs
@@ -20,6 +20,8 @@
     pub fn end(&mut self, now: f64) {
         if self.ending.is_none() {
             self.ending = Some(now);
+            let left = self.ends_at_latest(now) - now;
+            self.log_info("ending", "front", format!("asked to; in {left:.3} s at the latest"));
             self.timers.set(self.ends_at_latest(now) - ANSWERS_READ, Due::LastAnswers);
         }
     }
@@ -52,16 +54,16 @@
     /// them to the close of their connections lost them.
     pub(crate) fn last_answers(&mut self, now: f64) {
         for ue in self.calls.all_pending() {
-            self.give_up(now, ue);
+            self.give_up(now, ue, "the front ends");
         }
     }
 
     /// The front itself gives an attach up. Where a setup try is out, another might not be harmless: it has failed.
-    pub(crate) fn give_up(&mut self, now: f64, ue: UeName) {
+    pub(crate) fn give_up(&mut self, now: f64, ue: UeName, reason: &'static str) {
         let Some((_, _, pending)) = self.calls.pending(ue) else { return };
         let went_out = pending.out.as_ref().is_some_and(|t| t.link.is_some());
         self.counters.given_up += 1;
-        self.final_answer(now, ue, if went_out { 504 } else { 503 }, None);
+        self.final_answer(now, ue, if went_out { 504 } else { 503 }, None, reason);
         self.control.client_left(now, ue);
     }
 }
--- a/crates/platform/src/handover.rs
+++ b/crates/platform/src/handover.rs
@@ -3,8 +3,8 @@
 //! A server that is gone is in no list; one that is new may be in one that has not come. Which of the two it is shows
 //! when the list has had its time: to tell the caller at once that its call is over would end calls that stand.
 
-use crate::callers::CUT;
 use crate::calls::{CallState, Stands};
+use crate::causes::CUT;
 use crate::client_connection::Use;
 use crate::edge::{ConnectionId, Edge};
 use shalespindle_control::interface::PoolName;
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod callers;
 mod calls;
+mod causes;
 mod client_connection;
 mod early;
 mod edge;
@@ -13,6 +14,7 @@
 mod handover;
 mod lines;
 mod link;
+mod log;
 mod releases;
 mod room;
 mod servers;
@@ -21,4 +23,5 @@
 
 pub use edge::{ConnectionId, Counters, Edge, Loss, Output};
 pub use file::{read_file, StartFile};
+pub use log::{LogLevel, LogRecord};
 pub use room::UNCOUNTED;
--- /dev/null
+++ b/crates/platform/src/log.rs
@@ -0,0 +1,62 @@
+//! Records for the log: every change of what the front believes, and the reason for each close, retry and refusal,
+//! with the id of the call, server or connection that it concerns.
+
+use crate::edge::{ConnectionId, Edge, Output};
+use shalespindle_control::interface::PoolName;
+
+/// How much a record matters to an operator.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LogLevel {
+    /// A change of state, or something that did not go its ordinary way.
+    Info,
+    /// A step of a call that goes its ordinary way.
+    Debug,
+}
+
+/// What happened, to which call, server or connection, and why.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LogRecord {
+    pub level: LogLevel,
+    pub event: &'static str,
+    pub subject: String,
+    pub reason: String,
+}
+
+/// A call as the log names it: by its id on the wire.
+pub(crate) fn call_subject(id: u64) -> String {
+    format!("{id:016x}")
+}
+
+/// A connection as the log names it.
+pub(crate) fn connection_subject(connection: ConnectionId) -> String {
+    format!("connection {connection}")
+}
+
+impl Edge {
+    pub(crate) fn log_info(
+        &mut self,
+        event: &'static str,
+        subject: impl ToString,
+        reason: impl Into<String>,
+    ) {
+        self.log(LogLevel::Info, event, subject.to_string(), reason.into());
+    }
+
+    pub(crate) fn log_debug(
+        &mut self,
+        event: &'static str,
+        subject: impl ToString,
+        reason: impl Into<String>,
+    ) {
+        self.log(LogLevel::Debug, event, subject.to_string(), reason.into());
+    }
+
+    pub(crate) fn log(&mut self, level: LogLevel, event: &'static str, subject: String, reason: String) {
+        self.out.push_back(Output::Log(LogRecord { level, event, subject, reason }));
+    }
+
+    /// The name of a server that is still listed.
+    pub(crate) fn server_name(&self, pool: PoolName) -> &str {
+        self.servers.all.get(&pool).map_or("a server no longer listed", |server| server.id.as_str())
+    }
+}
--- a/crates/platform/src/room.rs
+++ b/crates/platform/src/room.rs
@@ -42,9 +42,9 @@
             self.counters.clients_evicted += 1;
             // Guards what is open there against being lost with its connection.
             for ue in self.clients.all.get(&least).map(|d| d.open.clone()).unwrap_or_default() {
-                self.give_up(now, ue);
+                self.give_up(now, ue, "its connection makes room for another");
             }
-            self.close_client(now, least);
+            self.close_client(now, least, "it makes room for another");
         }
     }
 }
--- a/crates/platform/src/servers.rs
+++ b/crates/platform/src/servers.rs
@@ -1,11 +1,12 @@
 //! The signalling servers' side of a front: the list, links, and what comes on them.
 
-use crate::callers::CUT;
 use crate::calls::CallState;
+use crate::causes::{CLEARED, CUT};
 use crate::edge::{ConnectionId, Due, Edge, Loss, Output};
 use crate::feed::Event;
 use crate::lines::{self, Kind, Line};
 use crate::link::{Link, LinkState, Phase, MOST_LINKS};
+use crate::log::call_subject;
 use crate::sip;
 use shalespindle_control::interface::{Ended, PoolEntry, PoolName, Report, UeName};
 use std::collections::HashSet;
@@ -19,8 +20,6 @@
 const DEAD_AFTER: f64 = 2.0;
 /// Part of the time for a dial that a server has to say its state unasked.
 const UNASKED: f64 = 0.2;
-/// Cause of a release for a call that came to its ordinary end (Q.850: normal call clearing).
-const CLEARED: u16 = 16;
 /// Releases that wait for a link to one server.
 const MOST_OWED: usize = 4096;
 
@@ -69,7 +68,7 @@
             entries.push(PoolEntry { name: pool, number, started, ready: phase == Phase::Up });
             let at = self.servers.all.get(&pool).map(|s| s.address);
             let why = format!("{phase:?}, pool {number}, {at:?}, started {started}, event {}", event.n);
-            self.belief("server listed", &member.id, why);
+            self.log_info("server listed", &member.id, why);
             self.phase(now, pool, phase);
         }
         self.control.pools_listed(now, &entries, news.complete);
@@ -100,7 +99,7 @@
         for connection in server.links.clone() {
             self.drop_link(now, connection, "its server started anew");
         }
-        self.ends_at(now, pool);
+        self.ends_at(now, pool, "its server started anew");
     }
 
     /// A server that was removed has had the time for its last words.
@@ -113,15 +112,15 @@
         for connection in server.links.clone() {
             self.drop_link(now, connection, "its server was removed");
         }
-        self.ends_at(now, pool);
+        self.ends_at(now, pool, "its server was removed");
         self.servers.forget(pool);
     }
 
     /// What stands at a server is over.
-    fn ends_at(&mut self, now: f64, pool: PoolName) {
+    fn ends_at(&mut self, now: f64, pool: PoolName, reason: &'static str) {
         for ue in self.calls.standing_at(pool) {
             self.control.try_ended(now, ue, pool, Ended::Cut, true, Report::default());
-            self.over(now, ue, pool, CUT);
+            self.over(now, ue, pool, CUT, reason);
         }
         if let Some(server) = self.servers.all.get_mut(&pool) {
             server.owed.clear();
@@ -215,7 +214,7 @@
     pub(crate) fn drop_link(&mut self, now: f64, connection: ConnectionId, why: &'static str) {
         if let Some(link) = self.servers.links.get(&connection) {
             let of = self.servers.all.get(&link.pool).map_or(String::new(), |s| s.id.clone());
-            self.belief("link given up", of, why.into());
+            self.log_info("link given up", of, format!("connection {connection}: {why}"));
             self.out.push_back(Output::Close { connection, reset: true });
             self.link_lost(now, connection, Loss::Broken);
         }
@@ -234,7 +233,7 @@
         if self.servers.links.get(&connection).is_some_and(|l| l.blocked) {
             self.drop_link(now, connection, "blocked, with a set-up that was given up");
         } else {
-            self.out.push_back(Output::Write { connection, bytes: lines::release(id, 16) });
+            self.out.push_back(Output::Write { connection, bytes: lines::release(id, CLEARED) });
         }
     }
 
@@ -261,9 +260,9 @@
         for ue in waiting {
             self.try_over(now, ue, Ended::Unreached, Report::default());
         }
-        self.belief("link down", id, format!("{:?}, {loss:?}", link.state));
+        self.log_info("link down", id, format!("connection {connection}: {:?}, {loss:?}", link.state));
         if dead {
-            self.ends_at(now, pool);
+            self.ends_at(now, pool, "its server's address refuses connections");
         }
         if pause > 0.0 {
             self.timers.set(now + pause, Due::Dial(pool));
@@ -301,7 +300,7 @@
         if test_waits {
             self.test_on(now, connection);
         }
-        self.belief("link up", id, String::new());
+        self.log_info("link up", id, format!("connection {connection}"));
     }
 
     /// Guards against attaches whose callers have gone: what waited for a link goes out only when all that came beside
@@ -380,7 +379,7 @@
             // Late, or for a try that is over: nothing may be left standing of it.
             _ => {
                 self.counters.late_answers += 1;
-                self.out.push_back(Output::Write { connection, bytes: lines::release(id, 16) });
+                self.out.push_back(Output::Write { connection, bytes: lines::release(id, CLEARED) });
                 return;
             }
         };
@@ -388,6 +387,7 @@
         let Some((_, _, pending)) = self.calls.pending(ue) else { return };
         let bytes = sip::answer(&pending.head, &line.description);
         self.counters.stood += 1;
+        self.log_debug("call stands", call_subject(id), self.server_name(pool).to_string());
         self.control.attach_stands(now, ue, pool, now - out.sent_at);
         self.calls.stands(ue, pool);
         if let Some(server) = self.servers.all.get_mut(&pool) {
@@ -424,7 +424,7 @@
                 let ended = if line.cause == CLEARED { Ended::Released } else { Ended::Cut };
                 self.control.try_ended(now, ue, pool, ended, true, report);
                 self.out.push_back(Output::Write { connection, bytes: lines::released(id) });
-                self.over(now, ue, pool, line.cause);
+                self.over(now, ue, pool, line.cause, "its server's word");
             }
             _ => self.control.pool_heard(now, pool, false, report),
         }
@@ -435,7 +435,7 @@
     fn ended_before_answer(&mut self, now: f64, ue: UeName, report: Report) {
         self.counters.ended_before_answer += 1;
         self.try_over(now, ue, Ended::Released, report);
-        self.final_answer(now, ue, 504, None);
+        self.final_answer(now, ue, 504, None, "it ended before its answer came");
         self.control.client_left(now, ue);
     }
 
--- a/crates/platform/tests/common/mod.rs
+++ b/crates/platform/tests/common/mod.rs
@@ -93,7 +93,7 @@
                     self.log.push((self.now, connection, None));
                     self.closed.push((connection, reset));
                 }
-                Output::Belief { .. } => {}
+                Output::Log(_) => {}
             }
         }
     }
