--- a/crates/cli/tests/common/live.rs
+++ b/crates/cli/tests/common/live.rs
@@ -46,6 +46,13 @@
     std::fs::write(path, config.to_string()).unwrap();
 }
 
+/// A message from the front: its status or method, its call and its body.
+pub struct Received {
+    pub what: String,
+    pub call: String,
+    pub body: String,
+}
+
 pub struct Caller {
     pub stream: TcpStream,
     framer: Framer,
@@ -111,6 +118,12 @@
 
     /// Status or method of the next message, and its body.
     pub fn next(&mut self) -> (String, String) {
+        let received = self.next_message();
+        (received.what, received.body)
+    }
+
+    /// The next message.
+    pub fn next_message(&mut self) -> Received {
         let mut buffer = [0; 4096];
         loop {
             if let Some(frame) = self.framer.next_frame().unwrap() {
@@ -119,13 +132,32 @@
                     Start::Response { status, .. } => status.to_string(),
                     Start::Request { method, .. } => method.to_string(),
                 };
-                return (what, String::from_utf8(message.body.to_vec()).unwrap());
+                let call = message.call_id().unwrap_or("").to_string();
+                return Received { what, call, body: String::from_utf8(message.body.to_vec()).unwrap() };
             }
             let size = self.stream.read(&mut buffer).unwrap();
             assert!(size > 0, "the front closed the connection");
             self.framer.push(&buffer[..size]);
         }
     }
+
+    /// Has a call stand at a server: set up, answered, confirmed.
+    pub fn stand(&mut self, call: &str, server: &LineServer) {
+        self.send("INVITE", call, "9d41\r\n");
+        let set_up = server.expect("setup", PATIENCE).unwrap();
+        assert_eq!(set_up.id(), call);
+        set_up.reply(&json!({"type": "answer", "id": call, "fields": {}, "sdp": "77"})).unwrap();
+        assert_eq!(self.next_message().what, "200");
+        self.send("ACK", call, "");
+    }
+
+    /// Confirms that a call is over.
+    pub fn confirm_release(&mut self, call: &str) {
+        let text = format!(
+            "SIP/2.0 200 OK\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: {call}\r\nCSeq: 1 BYE\r\nContent-Length: 0\r\n\r\n"
+        );
+        self.stream.write_all(text.as_bytes()).unwrap();
+    }
 }
 
 /// A live front in service beside stand-in servers (`s-0`, `s-1` and so on, a pool each) and its feed.
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod nameserver;
 pub mod net;
 pub mod platform;
+pub mod presence;
 pub mod processor;
 pub mod server;
 pub mod terms;
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -2,6 +2,7 @@
 //! and a control feed of server-sent events. A test says what they do; everything they get comes out of a
 //! channel.
 
+use crate::presence::{Presence, PresenceSwitch};
 use serde_json::Value;
 use socket2::{Domain, Socket, Type};
 use std::io::{self, BufRead, BufReader, Read, Write};
@@ -53,6 +54,7 @@
     got: Receiver<Got>,
     held: Held,
     accepted: Arc<AtomicUsize>,
+    presence: PresenceSwitch,
 }
 
 /// The connections whose first word is held back; none where it is not.
@@ -76,14 +78,21 @@
         let holding = held.clone();
         let accepted = Arc::new(AtomicUsize::new(0));
         let counting = accepted.clone();
+        let presence = PresenceSwitch::new(listener);
+        let switch = presence.clone();
         std::thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
+            while let Ok(stream) = switch.accept() {
                 counting.fetch_add(1, Ordering::Relaxed);
-                let (tell, held) = (tell.clone(), holding.clone());
-                std::thread::spawn(move || serve(stream, &tell, &held));
+                let (tell, held, switch) = (tell.clone(), holding.clone(), switch.clone());
+                std::thread::spawn(move || serve(stream, &tell, &held, &switch));
             }
         });
-        Ok(LineServer { address, got, held, accepted })
+        Ok(LineServer { address, got, held, accepted, presence })
+    }
+
+    /// Hangs, vanishes or serves again.
+    pub fn set_presence(&self, presence: Presence) -> io::Result<()> {
+        self.presence.set(presence)
     }
 
     /// How many connections have been made to it so far.
@@ -122,13 +131,14 @@
 }
 
 /// Ends with its connection, whatever the reason.
-fn serve(stream: TcpStream, tell: &Sender<Got>, held: &Held) -> Option<()> {
+fn serve(stream: TcpStream, tell: &Sender<Got>, held: &Held, presence: &PresenceSwitch) -> Option<()> {
     match &mut *locked(held) {
         Some(waiting) => waiting.push(stream.try_clone().ok()?),
         None => write_line(&stream, &state()).ok()?,
     }
     for line in BufReader::new(stream.try_clone().ok()?).lines() {
         let line: Value = serde_json::from_str(&line.ok()?).ok()?;
+        presence.wait_until_serving();
         if line["type"] == "ping" && locked(held).is_some() {
             // Silent altogether: an answer would be a first word too.
             continue;
