live: a silent server's calls end within 8 s of its last word, whatever the list says

Cause: what stood on a server was taken for over by the list's word, a new start, or 2 s of refused connections alone (servers.rs, ends_at). A machine that vanished refuses nothing, and the list was away: nobody told its callers. Excluded by the log of the reproduction: late question to the feed, held-back calls, unheard releases, a front that stood still (late_ms 1). Class: silence taken for no news, and the end of something owned left to one outside source. Change: control::liveness judges a server by what is heard, asked and refused; 1 s silent: asked, 7 s: its calls are over. Related paths mended: a caller's connection whose calls stand was closed as idle after 6 s; one silent link beside others that speak; another process at the address of one that went; a server that refuses one more connection but speaks was taken for dead; a server that hung once was 'up when made' for good; a cut-off server was never told of ends.

--- a/crates/platform/src/callers.rs
+++ b/crates/platform/src/callers.rs
@@ -269,6 +269,7 @@
         if let Some(client) = self.clients.all.get_mut(&connection) {
             client.open.retain(|u| *u != ue);
             client.unconfirmed.retain(|u| *u != ue);
+            client.standing.remove(&ue);
             client.last_at = now;
         }
     }
--- a/crates/platform/src/client_connection.rs
+++ b/crates/platform/src/client_connection.rs
@@ -4,7 +4,7 @@
 use crate::lines::LONGEST;
 use shalespindle_control::interface::UeName;
 use shalespindle_signalling::Framer;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// A caller's connection is owed a refusal, an error or its close within 3 s: one on which nothing of use
 /// has come by then is closed a little earlier.
@@ -39,6 +39,8 @@
     pub open: Vec<UeName>,
     /// Calls whose answer went out on it and is not yet confirmed.
     pub unconfirmed: Vec<UeName>,
+    /// Calls that stand and whose set-up came on it: their ends are told on it.
+    pub standing: BTreeSet<UeName>,
     pub bad: u32,
 }
 
@@ -52,6 +54,7 @@
             partial_since: None,
             open: Vec::new(),
             unconfirmed: Vec::new(),
+            standing: BTreeSet::new(),
             bad: 0,
         }
     }
@@ -59,6 +62,11 @@
     fn is_idle(&self) -> bool {
         self.open.is_empty()
     }
+
+    /// Nothing is left on it: neither an attach in hand nor a call that stands.
+    pub fn carries_nothing(&self) -> bool {
+        self.is_idle() && self.standing.is_empty()
+    }
 }
 
 #[derive(Default)]
@@ -79,11 +87,17 @@
     }
 
     /// The one to close first where there are too many: of least use so far, then longest idle. After them the one that
-    /// came last, whose request may still be on its way; then those that wait for their caller's word on an answer; one
+    /// came last, whose request may still be on its way; then those whose calls stand, and those that wait for their
+    /// caller's word on an answer; one
     /// on which an answer is owed only where all owe one, and then the newest.
     pub fn least_useful(&self, now: f64) -> Option<ConnectionId> {
         let rank = |connection, d: &ClientConnection| {
-            (!d.is_idle(), !d.unconfirmed.is_empty(), self.is_awaited(now, connection))
+            (
+                !d.is_idle(),
+                !d.unconfirmed.is_empty(),
+                !d.standing.is_empty(),
+                self.is_awaited(now, connection),
+            )
         };
         let least = self.all.iter().min_by(|(a_connection, a), (b_connection, b)| {
             let order = rank(**a_connection, a).cmp(&rank(**b_connection, b)).then(a.use_of.cmp(&b.use_of));
@@ -104,7 +118,7 @@
         let over = |d: &ClientConnection| {
             let useless = d.use_of == Use::None && d.is_idle() && now - d.opened_at > USELESS;
             let partial = d.partial_since.is_some_and(|since| now - since > USELESS);
-            useless || partial || d.is_idle() && now - d.last_at > IDLE
+            useless || partial || d.carries_nothing() && now - d.last_at > IDLE
         };
         self.all.iter().filter(|d| over(d.1)).map(|d| *d.0).collect()
     }
--- a/crates/platform/src/edge.rs
+++ b/crates/platform/src/edge.rs
@@ -14,6 +14,7 @@
 use crate::sip;
 use shalespindle_control::control::Control;
 use shalespindle_control::interface::{Decision, Ended, PoolName, Report, UeName};
+use shalespindle_control::liveness::Asking;
 use shalespindle_signalling::timers::Timers;
 use shalespindle_startup::Reading;
 use std::collections::VecDeque;
@@ -73,6 +74,8 @@
     pub links_spoilt: u64,
     pub links_lost: u64,
     pub late_answers: u64,
+    /// Calls that stood on servers which fell silent, and are taken for over.
+    pub calls_at_silent_servers: u64,
     /// Calls that came to their end at their server before their answer was heard.
     pub ended_before_answer: u64,
     pub clients_evicted: u64,
@@ -151,6 +154,7 @@
         let mut deployment = startup.deployment;
         deployment.release_guard += SOCKET_SLACK;
         let longest = deployment.procedures.iter().map(|p| p.t_timer);
+        let asking = if deployment.may_probe { Asking::Test } else { Asking::Dial };
         let procedures = startup.place.procedures.into_iter().zip(longest).collect();
         let mut edge = Edge {
             control: Control::new(file.seed, deployment, now),
@@ -165,7 +169,7 @@
             clients: ClientConnections::default(),
             releases: Releases::default(),
             early_cancels: EarlyCancels::default(),
-            servers: Servers::default(),
+            servers: Servers::new(asking),
             feed: Feed::new(file.feed, now),
             timers: Timers::default(),
             out: VecDeque::new(),
@@ -329,6 +333,7 @@
             Due::LastAnswers => self.last_answers(now),
             Due::Sweep => {
                 self.sweep(now);
+                self.watch_servers(now);
                 self.timers.set(now + SWEEP, Due::Sweep);
             }
         }
--- a/crates/platform/src/handover.rs
+++ b/crates/platform/src/handover.rs
@@ -48,7 +48,10 @@
     }
 
     fn hold(&mut self, now: f64, client: ConnectionId, id: u64, pool: PoolName) {
-        self.calls.add(id, client, CallState::Stands(Stands { pool, confirmed: true }));
+        let ue = self.calls.add(id, client, CallState::Stands(Stands { pool, confirmed: true }));
+        if let Some(client) = self.clients.all.get_mut(&client) {
+            client.standing.insert(ue);
+        }
         if let Some(server) = self.servers.all.get_mut(&pool) {
             server.standing += 1;
         }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -15,6 +15,7 @@
 mod lines;
 mod link;
 mod log;
+mod presence;
 mod releases;
 mod room;
 mod servers;
--- a/crates/platform/src/link.rs
+++ b/crates/platform/src/link.rs
@@ -3,7 +3,9 @@
 
 use crate::edge::ConnectionId;
 use crate::lines::Lines;
+use crate::releases::TOLD_WITHIN;
 use shalespindle_control::interface::{PoolName, UeName};
+use shalespindle_control::liveness::{Asking, Liveness};
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 
@@ -85,6 +87,11 @@
         self.asked_at = (!self.open.is_empty() || !self.tests.is_empty()).then_some(now);
     }
 
+    /// Since when something that wants an answer has met silence on it.
+    pub fn unanswered_since(&self) -> Option<f64> {
+        self.asked_at
+    }
+
     /// Silent for longer than a new connection would take: it may be dead without a sign.
     pub fn is_doubtful(&self, now: f64, within: f64) -> bool {
         self.asked_at.is_some_and(|at| now - at > within)
@@ -105,7 +112,9 @@
     pub links: Vec<ConnectionId>,
     /// Setup tries that wait for a link.
     pub waiting: VecDeque<UeName>,
-    /// It did not say its state first on a link that was made: the next ones are up when they are made.
+    /// It has said its state first on a link that was made, unasked.
+    pub says_state: bool,
+    /// It did not, and never has: its next links are up when they are made.
     pub mute: bool,
     /// A test waits for a link.
     pub test_waits: bool,
@@ -113,23 +122,28 @@
     pub owed: VecDeque<(u64, u16)>,
     /// Pause before the next dial, doubling.
     pub pause: f64,
-    /// Since when its address has refused every connection.
-    pub refused_since: Option<f64>,
+    pub liveness: Liveness,
     pub standing: usize,
     /// When it was removed.
     pub removed_at: f64,
 }
 
 /// Servers by the name the module knows them by, and links by connection.
-#[derive(Default)]
 pub struct Servers {
     pub all: BTreeMap<PoolName, Server>,
     by_id: BTreeMap<String, PoolName>,
     pub links: BTreeMap<ConnectionId, Link>,
     last: PoolName,
+    /// How a silent one is asked for a word.
+    pub asking: Asking,
 }
 
 impl Servers {
+    pub fn new(asking: Asking) -> Servers {
+        let (all, by_id, links) = Default::default();
+        Servers { all, by_id, links, last: 0, asking }
+    }
+
     pub fn named(&self, id: &str) -> Option<PoolName> {
         self.by_id.get(id).copied()
     }
@@ -147,11 +161,12 @@
             phase: Phase::Up,
             links: Vec::new(),
             waiting: VecDeque::new(),
+            says_state: false,
             mute: false,
             test_waits: false,
             owed: VecDeque::new(),
             pause: 0.0,
-            refused_since: None,
+            liveness: Liveness::new(TOLD_WITHIN, self.asking),
             standing: 0,
             removed_at: 0.0,
         };
--- a/crates/platform/src/releases.rs
+++ b/crates/platform/src/releases.rs
@@ -10,8 +10,9 @@
 
 /// The platform wants a release told within 1 s: four connections can be tried in that time.
 const HEARD_WITHIN: f64 = 0.2;
-/// It is of use for so long where no connection could take it at once.
-const OWED: f64 = 8.0;
+/// The platform wants a call's end told within this where its server could not release it. A release is of use for as
+/// long.
+pub(crate) const TOLD_WITHIN: f64 = 8.0;
 /// Connections that one release goes out on at most.
 const MOST_TRIED: usize = 8;
 /// Releases remembered; past that the oldest is given up.
@@ -93,7 +94,8 @@
 
     /// Gives up what is of no use any more; returns the calls whose release nobody has heard.
     pub fn expire(&mut self, now: f64) -> Vec<u64> {
-        let over: Vec<u64> = self.owed.iter().filter(|o| now - o.1.since >= OWED).map(|o| *o.0).collect();
+        let over: Vec<u64> =
+            self.owed.iter().filter(|o| now - o.1.since >= TOLD_WITHIN).map(|o| *o.0).collect();
         for id in &over {
             self.owed.remove(id);
         }
--- a/crates/platform/src/servers.rs
+++ b/crates/platform/src/servers.rs
@@ -16,12 +16,10 @@
 const LONGEST_PAUSE: f64 = 1.0;
 /// So long after a server was removed what stood there is over, unless it said so itself.
 const LAST_WORDS: f64 = 0.5;
-/// So long a server refuses every connection before what stood there counts as over.
-const DEAD_AFTER: f64 = 2.0;
 /// Part of the time for a dial that a server has to say its state unasked.
 const UNASKED: f64 = 0.2;
 /// Releases that wait for a link to one server.
-const MOST_OWED: usize = 4096;
+pub(crate) const MOST_OWED: usize = 4096;
 
 impl Edge {
     // ---- the list ----
@@ -99,7 +97,7 @@
         for connection in server.links.clone() {
             self.drop_link(now, connection, "its server started anew");
         }
-        self.ends_at(now, pool, "its server started anew");
+        self.process_gone(now, pool, "its server started anew");
     }
 
     /// A server that was removed has had the time for its last words.
@@ -112,16 +110,21 @@
         for connection in server.links.clone() {
             self.drop_link(now, connection, "its server was removed");
         }
-        self.ends_at(now, pool, "its server was removed");
+        self.process_gone(now, pool, "its server was removed");
         self.servers.forget(pool);
     }
 
     /// What stands at a server is over.
-    fn ends_at(&mut self, now: f64, pool: PoolName, reason: &'static str) {
+    pub(crate) fn ends_at(&mut self, now: f64, pool: PoolName, reason: &'static str) {
         for ue in self.calls.standing_at(pool) {
             self.control.try_ended(now, ue, pool, Ended::Cut, true, Report::default());
             self.over(now, ue, pool, CUT, reason);
         }
+    }
+
+    /// The process is gone, and with it what stood there: it need not be told of anything.
+    pub(crate) fn process_gone(&mut self, now: f64, pool: PoolName, reason: &'static str) {
+        self.ends_at(now, pool, reason);
         if let Some(server) = self.servers.all.get_mut(&pool) {
             server.owed.clear();
         }
@@ -197,7 +200,8 @@
             return;
         };
         if let Some(server) = self.servers.all.get_mut(&link.pool) {
-            server.mute = true;
+            // One that has said its state before hangs, or its word is late: that a connection is made tells nothing.
+            server.mute = !server.says_state;
         }
         self.test_on(now, connection);
     }
@@ -249,7 +253,7 @@
         server.links.retain(|w| *w != connection);
         let id = server.id.clone();
         let refused = !was_up && loss == Loss::Refused;
-        let dead = refused && now - *server.refused_since.get_or_insert(now) >= DEAD_AFTER;
+        let dead = refused && server.liveness.refused(now);
         if was_up {
             server.pause = 0.0;
         }
@@ -262,7 +266,7 @@
         }
         self.log_info("link down", id, format!("connection {connection}: {:?}, {loss:?}", link.state));
         if dead {
-            self.ends_at(now, pool, "its server's address refuses connections");
+            self.process_gone(now, pool, "its server's address refuses connections");
         }
         if pause > 0.0 {
             self.timers.set(now + pause, Due::Dial(pool));
@@ -271,31 +275,19 @@
         }
     }
 
-    /// Guards standing calls against a process that ends without a sign on some of its links: one that is no
-    /// longer probed is asked for a word on those that are left, and where nobody is there the word is refused.
-    pub(crate) fn ask_other_links(&mut self, now: f64, pool: PoolName) {
-        let draining = |s: &&crate::link::Server| s.phase == Phase::Draining && s.standing > 0;
-        let Some(server) = self.servers.all.get(&pool).filter(draining) else { return };
-        for connection in server.links.clone() {
-            if self.servers.links.get(&connection).is_some_and(|l| l.state == LinkState::Up) {
-                self.test_on(now, connection);
-            }
-        }
-    }
-
     /// Its first line came: the process behind it is there.
     fn link_up(&mut self, now: f64, connection: ConnectionId) {
         let Some(link) = self.servers.links.get_mut(&connection) else { return };
         link.state = LinkState::Up;
         let pool = link.pool;
         let Some(server) = self.servers.all.get_mut(&pool) else { return };
-        (server.pause, server.refused_since) = (0.0, None);
-        let owed = std::mem::take(&mut server.owed);
+        server.pause = 0.0;
         let test_waits = std::mem::take(&mut server.test_waits);
         let id = server.id.clone();
-        for (id, cause) in owed {
-            self.out.push_back(Output::Write { connection, bytes: lines::release(id, cause) });
+        if server.liveness.is_another_process() {
+            self.process_replaced(now, pool, connection);
         }
+        self.send_owed(pool, connection);
         self.linked.push(pool);
         if test_waits {
             self.test_on(now, connection);
@@ -344,8 +336,15 @@
         let Some(link) = self.servers.links.get(&connection) else { return };
         let pool = link.pool;
         if link.state != LinkState::Up {
+            if let Some(server) = self.servers.all.get_mut(&pool).filter(|_| line.kind == Kind::State) {
+                (server.says_state, server.mute) = (true, false);
+            }
             self.link_up(now, connection);
         }
+        if let Some(server) = self.servers.all.get_mut(&pool) {
+            server.liveness.heard(now);
+        }
+        self.send_owed(pool, connection);
         let report = line.report(&self.reading);
         match (line.kind, line.id) {
             (Kind::Answer, Some(id)) => self.answered(now, connection, pool, id, line),
@@ -396,6 +395,7 @@
         self.leave_client(now, client, ue);
         if let Some(client) = self.clients.all.get_mut(&client) {
             client.unconfirmed.push(ue);
+            client.standing.insert(ue);
         }
         self.out.push_back(Output::Write { connection: client, bytes });
     }
@@ -464,7 +464,7 @@
         }
     }
 
-    fn test_on(&mut self, now: f64, connection: ConnectionId) {
+    pub(crate) fn test_on(&mut self, now: f64, connection: ConnectionId) {
         let id = self.new_test();
         if let Some(link) = self.servers.links.get_mut(&connection) {
             link.test_sent(now, id);
