--- a/crates/cli/tests/common/live.rs
+++ b/crates/cli/tests/common/live.rs
@@ -20,6 +20,15 @@
     kill(Pid::from_raw(front.0.id() as i32), signal).unwrap();
 }
 
+/// What is done meanwhile lies unread when the process gets its next turn.
+pub fn while_stopped(front: &Front, act: impl FnOnce()) {
+    signal(front, Signal::SIGSTOP);
+    let state = PathBuf::from(format!("/proc/{}/stat", front.0.id()));
+    until("the stop", || std::fs::read_to_string(&state).is_ok_and(|s| s.contains(") T ")));
+    closing(act);
+    signal(front, Signal::SIGCONT);
+}
+
 pub fn event(n: u64, servers: &[(&str, SocketAddr)]) -> String {
     let members: Vec<Value> = servers
         .iter()
@@ -198,11 +207,7 @@
 
     /// What is done meanwhile lies unread when the process gets its next turn.
     pub fn while_stopped(&self, act: impl FnOnce()) {
-        signal(&self.front, Signal::SIGSTOP);
-        let state = PathBuf::from(format!("/proc/{}/stat", self.front.0.id()));
-        until("the stop", || std::fs::read_to_string(&state).is_ok_and(|s| s.contains(") T ")));
-        closing(act);
-        signal(&self.front, Signal::SIGCONT);
+        while_stopped(&self.front, act);
     }
 
     /// Waits for the process to end.
--- a/crates/cli/tests/races.rs
+++ b/crates/cli/tests/races.rs
@@ -8,14 +8,17 @@
 #[allow(dead_code)]
 mod process;
 
-use live::{closing, event, free_address, run, run_limited, signal, write_config, Caller, Live};
+use live::{
+    closing, event, free_address, run, run_limited, signal, while_stopped, write_config, Caller, Live,
+};
 use nix::sys::signal::Signal;
 use process::{until, Front, PATIENCE};
 use shalespindle_standin::platform::{DeafServer, EventFeed, LineServer};
+use std::collections::BTreeMap;
 use std::io::Write;
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::os::unix::fs::OpenOptionsExt;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use tempfile::TempDir;
 
 const CALLS: [&str; 2] = ["9b1f03aa5c7e2d41", "9b1f03aa5c7e2d42"];
@@ -276,10 +279,10 @@
     let (listen, folder) = (free_address(), tempfile::tempdir().unwrap());
     let config = folder.path().join("config.json");
     write_config(&config, listen, free_address(), &event(1, &[("s-0", server.address)]));
-    let _front = run(&config, listen);
+    let front = run(&config, listen);
     let log = || std::fs::read_to_string(config.with_extension("log")).unwrap_or_default();
     until("a link", || log().contains("link up"));
-    // Each is longer than what the server's socket holds, so none has come there whole.
+    // Each is longer than what the server's socket is asked to hold; the system may take a few all the same.
     let long = "x".repeat(15_000);
     let mut callers = Vec::new();
     while !log().contains("writing waits for its reader") {
@@ -288,9 +291,56 @@
         callers.push(caller);
         assert!(callers.len() < 90, "everything fits");
     }
-    closing(|| callers.iter().for_each(|c| c.stream.shutdown(Shutdown::Both).unwrap()));
+    // What has left the front by now is in the system's hands and arrives, whole set-ups among it; nothing more may.
+    let mut left = BTreeMap::new();
+    while_stopped(&front, || {
+        left = bytes_left_for(server.address);
+        callers.iter().for_each(|c| c.stream.shutdown(Shutdown::Both).unwrap());
+    });
     // Answered after what came before it: connections are read in the order in which they have something to read.
     Caller::accepted(listen);
-    let heard = server.hear(std::time::Duration::from_millis(300)).unwrap();
-    assert_eq!(heard, Vec::<String>::new());
+    let (mut heard, mut whole) = (0, 0);
+    for connection in server.hear(Duration::from_millis(300)).unwrap() {
+        let had_left = left.get(&connection.peer.port()).map_or(0, |bytes| bytes / SET_UP_LINE);
+        assert!(connection.ids.len() <= had_left, "{connection:?}: {had_left} had left, of {left:?}");
+        (heard, whole) = (heard + connection.ids.len(), whole + had_left);
+    }
+    println!("{heard} set-ups heard, {whole} had left whole, of {} callers", callers.len());
+    assert!(whole < callers.len(), "none waited in the front: {left:?}");
+}
+
+/// Least length of the line that such a set-up is sent on as: its description, and the rest of the line.
+const SET_UP_LINE: usize = 15_100;
+
+/// Bytes that have left a process for a server and have not been read there, by the port of their sender: what the
+/// system's two sockets of each connection hold, once it has stopped changing.
+fn bytes_left_for(server: SocketAddr) -> BTreeMap<u16, usize> {
+    let mut before = BTreeMap::new();
+    let unchanged = || {
+        std::thread::sleep(Duration::from_millis(250));
+        let now = held_by_sockets(server.port());
+        let same = now == before;
+        before = now;
+        same
+    };
+    until("sockets that move nothing any more", unchanged);
+    before
+}
+
+fn held_by_sockets(server: u16) -> BTreeMap<u16, usize> {
+    let table = std::fs::read_to_string("/proc/self/net/tcp").unwrap();
+    let hexadecimal = |text: &str| usize::from_str_radix(text, 16).unwrap();
+    let port = |address: &str| address.split_once(':').map(|(_, port)| hexadecimal(port) as u16).unwrap();
+    let mut held = BTreeMap::new();
+    for row in table.lines().skip(1) {
+        let columns: Vec<&str> = row.split_whitespace().collect();
+        let (local, remote) = (port(columns[1]), port(columns[2]));
+        let (sending, received) = columns[4].split_once(':').unwrap();
+        if remote == server {
+            *held.entry(local).or_default() += hexadecimal(sending);
+        } else if local == server && remote != 0 {
+            *held.entry(remote).or_default() += hexadecimal(received);
+        }
+    }
+    held
 }
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -78,10 +78,10 @@
         let holding = held.clone();
         let accepted = Arc::new(AtomicUsize::new(0));
         let counting = accepted.clone();
-        let presence = PresenceSwitch::new(listener);
+        let presence = PresenceSwitch::new(vec![listener]);
         let switch = presence.clone();
         std::thread::spawn(move || {
-            while let Ok(stream) = switch.accept() {
+            while let Ok(stream) = switch.accept(0) {
                 counting.fetch_add(1, Ordering::Relaxed);
                 let (tell, held, switch) = (tell.clone(), holding.clone(), switch.clone());
                 std::thread::spawn(move || serve(stream, &tell, &held, &switch));
@@ -132,6 +132,7 @@
 
 /// Ends with its connection, whatever the reason.
 fn serve(stream: TcpStream, tell: &Sender<Got>, held: &Held, presence: &PresenceSwitch) -> Option<()> {
+    presence.wait_until_serving();
     match &mut *locked(held) {
         Some(waiting) => waiting.push(stream.try_clone().ok()?),
         None => write_line(&stream, &state()).ok()?,
@@ -157,7 +158,7 @@
 /// A server that says its state and reads nothing, with sockets that hold next to nothing, until it is told to.
 pub struct DeafServer {
     pub address: SocketAddr,
-    streams: Shared<Vec<TcpStream>>,
+    streams: Shared<Vec<(SocketAddr, TcpStream)>>,
 }
 
 impl DeafServer {
@@ -169,23 +170,25 @@
         listener.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into())?;
         listener.listen(64)?;
         let listener = TcpListener::from(listener);
-        let (address, streams): (_, Shared<Vec<TcpStream>>) = (listener.local_addr()?, Shared::default());
+        let (address, streams): (_, Shared<Vec<(SocketAddr, TcpStream)>>) =
+            (listener.local_addr()?, Shared::default());
         let kept = streams.clone();
         std::thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
+            while let Ok((stream, peer)) = listener.accept() {
                 if write_line(&stream, &state()).is_ok() {
-                    locked(&kept).push(stream);
+                    locked(&kept).push((peer, stream));
                 }
             }
         });
         Ok(DeafServer { address, streams })
     }
 
-    /// Reads at last: the ids of all set-ups that come whole on the connections made so far, until each of them has ended
-    /// or has been silent for that long.
-    pub fn hear(&self, silent_for: Duration) -> io::Result<Vec<String>> {
-        let mut ids = Vec::new();
-        for stream in locked(&self.streams).drain(..) {
+    /// Reads at last: the ids of all set-ups that come whole on each connection made so far, until it has ended or has
+    /// been silent for that long.
+    pub fn hear(&self, silent_for: Duration) -> io::Result<Vec<Heard>> {
+        let mut heard = Vec::new();
+        for (peer, stream) in locked(&self.streams).drain(..) {
+            let mut ids = Vec::new();
             stream.set_read_timeout(Some(silent_for))?;
             let mut reader = BufReader::new(stream);
             let mut line = Vec::new();
@@ -196,11 +199,19 @@
                     ids.push(message["id"].as_str().unwrap_or("").to_string());
                 }
             }
+            heard.push(Heard { peer, ids });
         }
-        Ok(ids)
+        Ok(heard)
     }
 }
 
+/// The set-ups that came whole on one connection, and who sent them.
+#[derive(Debug)]
+pub struct Heard {
+    pub peer: SocketAddr,
+    pub ids: Vec<String>,
+}
+
 /// A control feed: keeps all events, and tells a front those after the number it names.
 pub struct EventFeed {
     pub address: SocketAddr,
--- a/crates/standin/src/presence.rs
+++ b/crates/standin/src/presence.rs
@@ -27,15 +27,16 @@
 #[derive(Clone)]
 pub struct PresenceSwitch {
     shared: Arc<(Mutex<Presence>, Condvar)>,
-    listener: Arc<TcpListener>,
+    listeners: Arc<Vec<TcpListener>>,
     fillers: Arc<Mutex<Vec<Socket>>>,
 }
 
 impl PresenceSwitch {
-    pub fn new(listener: TcpListener) -> PresenceSwitch {
+    /// For a server that listens on each of these.
+    pub fn new(listeners: Vec<TcpListener>) -> PresenceSwitch {
         PresenceSwitch {
             shared: Arc::new((Mutex::new(Presence::Serving), Condvar::new())),
-            listener: Arc::new(listener),
+            listeners: Arc::new(listeners),
             fillers: Arc::default(),
         }
     }
@@ -44,21 +45,29 @@
     pub fn set(&self, presence: Presence) -> io::Result<()> {
         *self.shared.0.lock().unwrap_or_else(PoisonError::into_inner) = presence;
         self.shared.1.notify_all();
-        let listening = SockRef::from(&*self.listener);
         self.fillers.lock().unwrap_or_else(PoisonError::into_inner).clear();
-        match presence {
-            Presence::Vanished => {
-                listening.listen(0)?;
-                self.fill_queue()
-            }
-            Presence::Serving | Presence::Hanging => listening.listen(ORDINARY_BACKLOG),
+        let backlog = if presence == Presence::Vanished { 0 } else { ORDINARY_BACKLOG };
+        for listener in self.listeners.iter() {
+            SockRef::from(listener).listen(backlog)?;
+        }
+        if presence == Presence::Vanished {
+            self.listeners.iter().try_for_each(|listener| self.fill_queue(listener))?;
         }
+        Ok(())
     }
 
     pub fn get(&self) -> Presence {
         *self.shared.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// The process ends: from now on its address refuses connections.
+    pub fn close(&self) -> io::Result<()> {
+        self.fillers.lock().unwrap_or_else(PoisonError::into_inner).clear();
+        // A listener that is shut down listens no more, and whoever waits in `accept` is woken with an error.
+        let mut listeners = self.listeners.iter();
+        listeners.try_for_each(|listener| SockRef::from(listener).shutdown(std::net::Shutdown::Both))
+    }
+
     /// Blocks its caller for as long as the server does not serve.
     pub fn wait_until_serving(&self) {
         let presence = self.shared.0.lock().unwrap_or_else(PoisonError::into_inner);
@@ -66,24 +75,19 @@
         drop(self.shared.1.wait_while(presence, not_serving));
     }
 
-    /// The next connection, once the server serves.
-    pub fn accept(&self) -> io::Result<TcpStream> {
-        loop {
-            let (stream, _) = self.listener.accept()?;
-            if self.get() == Presence::Serving {
-                return Ok(stream);
-            }
-            // Taken from the system's queue by a thread that waited there already: nothing is said on it until then.
-            self.wait_until_serving();
-            if stream.peer_addr().is_ok() {
-                return Ok(stream);
-            }
+    /// The next connection to that listener: the system makes it also for a server that hangs.
+    pub fn accept(&self, listener: usize) -> io::Result<TcpStream> {
+        let (stream, _) = self.listeners[listener].accept()?;
+        // Taken by a thread that waited there already, to fill the queue: nothing comes of it.
+        while self.get() == Presence::Vanished {
+            std::thread::sleep(NOT_MADE);
         }
+        Ok(stream)
     }
 
     /// Fills the listener's queue: a full one drops whatever else wants to connect, as no machine at all would.
-    fn fill_queue(&self) -> io::Result<()> {
-        let to: SocketAddr = self.listener.local_addr()?;
+    fn fill_queue(&self, listener: &TcpListener) -> io::Result<()> {
+        let to: SocketAddr = listener.local_addr()?;
         let begin = Instant::now();
         for _ in 0..MOST_FILLERS {
             let filler = Socket::new(Domain::IPV4, Type::STREAM, None)?;
