live: a front that ends closes what carries nothing; an end read before a hand-over is told

From 0.7 s after SIGTERM those on which nothing is left are closed once all that came on them is read, and the front stays until nobody has come for 0.15 s.

--- a/crates/control/src/liveness.rs
+++ b/crates/control/src/liveness.rs
@@ -4,9 +4,12 @@
 //! nothing. So the end of its calls is judged by what is heard of it: a silent server is asked, and one that answers
 //! nothing for most of the time in which callers must be told is taken for gone.
 
-/// A server that has been silent for this part of the limit is asked, and again after as long.
-const ASK_AFTER: f64 = 1.0 / 8.0;
-/// The same where asking takes a new connection.
+/// A server that has been silent for this part of the limit is asked. A test is work for its server: asking at half of
+/// this cost a third more tests on a calm day.
+const ASK_AFTER: f64 = 1.0 / 4.0;
+/// And asked again after this.
+const ASK_AGAIN_AFTER: f64 = 1.0 / 8.0;
+/// Both where asking takes a new connection.
 const ASK_BY_DIAL_AFTER: f64 = 3.0 / 8.0;
 /// Silent for this part of the limit, it is gone: what is left of the limit is for its callers to be told.
 const GONE_AFTER: f64 = 7.0 / 8.0;
@@ -15,7 +18,7 @@
 /// It must have had this part of the limit to answer: the front itself may have stood still.
 const TIME_TO_ANSWER: f64 = 1.0 / 8.0;
 /// One connection that has been silent for this part of the limit is asked, also where its server speaks on others.
-const ASK_CONNECTION_AFTER: f64 = 1.0 / 2.0;
+const ASK_CONNECTION_AFTER: f64 = 5.0 / 8.0;
 /// It refuses every connection for this part of the limit: no process is there.
 const REFUSED_FOR: f64 = 1.0 / 4.0;
 
@@ -120,14 +123,13 @@
         if silent_for >= gone_after * self.limit && asked_for >= TIME_TO_ANSWER * self.limit {
             return Verdict::Gone;
         }
-        let ask_after = self.limit
-            * match self.asking {
-                Asking::Test => ASK_AFTER,
-                Asking::Dial => ASK_BY_DIAL_AFTER,
-            };
+        let (ask_after, ask_again_after) = match self.asking {
+            Asking::Test => (ASK_AFTER, ASK_AGAIN_AFTER),
+            Asking::Dial => (ASK_BY_DIAL_AFTER, ASK_BY_DIAL_AFTER),
+        };
         // One never heard has no connection that could say anything unasked.
-        let is_silent = silent_for >= ask_after || self.heard_at.is_none();
-        if is_silent && now - self.asked_at >= ask_after {
+        let is_silent = silent_for >= ask_after * self.limit || self.heard_at.is_none();
+        if is_silent && now - self.asked_at >= ask_again_after * self.limit {
             return Verdict::Ask;
         }
         Verdict::Present
--- a/crates/platform-service/src/owner.rs
+++ b/crates/platform-service/src/owner.rs
@@ -18,6 +18,8 @@
 const AGAIN: f64 = 0.005;
 /// What readers get to read what came while the process stood still.
 const SETTLE: Duration = Duration::from_millis(5);
+/// A connection that is closed in order waits so long for its peer to read what was written, seconds.
+const LINGERS: f64 = 3.0;
 /// Time between two lines of counters in the log.
 const COUNTERS: f64 = 5.0;
 
@@ -35,6 +37,14 @@
     writing: Writing,
     /// What did not fit into the socket yet.
     waiting: Vec<u8>,
+    /// The core has closed it: it goes once that is written, or then.
+    closes_at: Option<f64>,
+}
+
+impl Peer {
+    fn new(writing: Writing) -> Peer {
+        Peer { writing, waiting: Vec::new(), closes_at: None }
+    }
 }
 
 pub(crate) struct Owner {
@@ -122,19 +132,19 @@
 
     fn lies_unread(&self) -> bool {
         let unread = |connection| self.peers.get(connection).is_some_and(|p| p.writing.has_unread());
-        self.edge.read_first().iter().any(unread)
+        self.edge.read_first(self.ground.now()).iter().any(unread)
     }
 
     fn take(&mut self, event: OwnerEvent) {
         let now = self.ground.now();
         match event {
             OwnerEvent::Accepted { connection, writing } => {
-                self.peers.insert(connection, Peer { writing, waiting: Vec::new() });
+                self.peers.insert(connection, Peer::new(writing));
                 self.edge.accepted(now, connection);
             }
             OwnerEvent::Connected { connection, writing } => {
                 if self.dialled.remove(&connection) {
-                    self.peers.insert(connection, Peer { writing, waiting: Vec::new() });
+                    self.peers.insert(connection, Peer::new(writing));
                     self.edge.connected(now, connection);
                 }
             }
@@ -166,15 +176,23 @@
                 Output::Write { connection, bytes } => self.write(connection, &bytes),
                 Output::Close { connection, reset } => {
                     self.dialled.remove(&connection);
-                    if let Some(peer) = self.peers.remove(&connection) {
-                        peer.writing.close(reset);
-                    }
+                    self.close(connection, reset);
                 }
                 Output::Log(record) => log(&record),
             }
         }
     }
 
+    /// Guards answers that wait for their reader: a connection that is closed in order is closed behind them.
+    fn close(&mut self, connection: ConnectionId, reset: bool) {
+        let Some(mut peer) = self.peers.remove(&connection) else { return };
+        if reset || peer.waiting.is_empty() {
+            return peer.writing.close(reset);
+        }
+        peer.closes_at = Some(self.ground.now() + LINGERS);
+        self.peers.insert(connection, peer);
+    }
+
     fn write(&mut self, connection: ConnectionId, bytes: &[u8]) {
         let Some(peer) = self.peers.get_mut(&connection) else { return };
         let written = if peer.waiting.is_empty() { peer.writing.write_some(bytes) } else { Ok(0) };
@@ -197,7 +215,8 @@
 
     /// Writes on what waited.
     fn write_on(&mut self) {
-        let mut lost = Vec::new();
+        let now = self.ground.now();
+        let (mut lost, mut closed) = (Vec::new(), Vec::new());
         for (connection, peer) in self.peers.iter_mut().filter(|p| !p.1.waiting.is_empty()) {
             match peer.writing.write_some(&peer.waiting) {
                 Ok(size) => {
@@ -208,6 +227,14 @@
                 }
                 Err(_) => lost.push(*connection),
             }
+            if peer.closes_at.is_some_and(|at| peer.waiting.is_empty() || at <= now) {
+                closed.push(*connection);
+            }
+        }
+        for connection in closed {
+            if let Some(peer) = self.peers.remove(&connection) {
+                peer.writing.close(!peer.waiting.is_empty());
+            }
         }
         lost.into_iter().for_each(|connection| self.shut(connection));
     }
--- a/crates/platform/src/callers.rs
+++ b/crates/platform/src/callers.rs
@@ -3,7 +3,7 @@
 use crate::calls::{CallState, PendingCall, Stands};
 use crate::causes::{CLEARED, CUT};
 use crate::client_connection::{Use, MOST_BAD};
-use crate::edge::{ConnectionId, Edge, Output};
+use crate::edge::{ConnectionId, Due, Edge, Output};
 use crate::log::{call_subject, connection_subject, LogLevel};
 use crate::releases::Release;
 use crate::sip;
@@ -11,6 +11,9 @@
 use shalespindle_signalling::write::{ResponseHead, Writer};
 use shalespindle_signalling::{Framer, Message, Method, Start};
 
+/// Time for what has come on a connection to be read before it is closed, seconds.
+const READ_TO_END: f64 = 0.001;
+
 impl Edge {
     pub(crate) fn client_bytes(&mut self, now: f64, arrived: f64, connection: ConnectionId, bytes: &[u8]) {
         let Some(client) = self.clients.all.get_mut(&connection) else { return };
@@ -296,7 +299,31 @@
     }
 
     pub(crate) fn sweep(&mut self, now: f64) {
-        for connection in self.clients.overdue(now) {
+        self.mark_for_close(now);
+        self.expire_handed(now);
+        for id in self.releases.expire(now) {
+            self.counters.byes_unheard += 1;
+            self.log_info("release never heard", call_subject(id), "given up");
+        }
+        self.send_releases(now);
+    }
+
+    /// Finds the connections that have had their time, and those that an ending front keeps for nothing.
+    fn mark_for_close(&mut self, now: f64) {
+        self.closing = self.clients.overdue(now).into_iter().chain(self.idle_at_end(now)).collect();
+        if !self.closing.is_empty() {
+            self.timers.set(now + READ_TO_END, Due::Close);
+        }
+    }
+
+    /// Closes the connections that were marked, unless something has come on them that keeps them open: all that came
+    /// has been read since.
+    pub(crate) fn close_marked(&mut self, now: f64) {
+        let marked = std::mem::take(&mut self.closing);
+        for connection in self.idle_at_end(now).into_iter().filter(|c| marked.contains(c)) {
+            self.close_client(now, connection, "the front ends, and nothing is left on it");
+        }
+        for connection in self.clients.overdue(now).into_iter().filter(|c| marked.contains(c)) {
             self.counters.clients_overdue += 1;
             let useless = self
                 .clients
@@ -309,11 +336,5 @@
             let reason = if useless { "nothing of use came in time" } else { "idle" };
             self.close_client(now, connection, reason);
         }
-        self.expire_handed(now);
-        for id in self.releases.expire(now) {
-            self.counters.byes_unheard += 1;
-            self.log_info("release never heard", call_subject(id), "given up");
-        }
-        self.send_releases(now);
     }
 }
--- a/crates/platform/src/calls.rs
+++ b/crates/platform/src/calls.rs
@@ -4,7 +4,7 @@
 use shalespindle_control::interface::{PoolName, UeName};
 use shalespindle_signalling::write::ResponseHead;
 use slab::Slab;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 
 /// A setup try that is out, or that waits for a link.
 pub struct Try {
@@ -28,6 +28,8 @@
 /// A call that stands.
 pub struct Stands {
     pub pool: PoolName,
+    /// The link of its set-up: its server says its end there. None for a call that was handed over.
+    pub link: Option<ConnectionId>,
     /// Its caller has confirmed the answer.
     pub confirmed: bool,
 }
@@ -83,13 +85,13 @@
     }
 
     /// The attach's call stands from now on.
-    pub fn stands(&mut self, ue: UeName, pool: PoolName) {
+    pub fn stands(&mut self, ue: UeName, pool: PoolName, link: ConnectionId) {
         let Some(&key) = self.by_ue.get(&ue) else { return };
         if let CallState::Pending(pending) = &self.slab[key].state {
             self.in_hand -= 1;
             self.bytes -= pending.description.len();
         }
-        self.slab[key].state = CallState::Stands(Stands { pool, confirmed: false });
+        self.slab[key].state = CallState::Stands(Stands { pool, link: Some(link), confirmed: false });
     }
 
     pub fn by_id(&mut self, id: u64) -> Option<&mut Call> {
@@ -130,6 +132,15 @@
         self.slab.iter().filter(|(_, c)| there(c)).map(|(_, c)| c.ue).collect()
     }
 
+    /// The links of the set-ups of those that stand at a pool.
+    pub fn links_of_standing_at(&self, pool: PoolName) -> BTreeSet<ConnectionId> {
+        let link = |c: &Call| match &c.state {
+            CallState::Stands(stands) if stands.pool == pool => stands.link,
+            _ => None,
+        };
+        self.slab.iter().filter_map(|(_, c)| link(c)).collect()
+    }
+
     pub fn in_hand(&self) -> usize {
         self.in_hand
     }
--- a/crates/platform/src/early.rs
+++ b/crates/platform/src/early.rs
@@ -1,23 +1,24 @@
-//! Cancels that were read before the set-up that they belong to.
+//! Ends of calls that were read before their begin: a cancel before its set-up, a server's release before the call is
+//! handed over.
 //!
-//! A cancel may come on another connection than its set-up, and connections are read in no order that their writers
-//! agreed on. Without this the set-up of a caller that has gone would be sent on.
+//! The two come on different connections, which are read in no order that their writers agreed on. Without this the
+//! set-up of a caller that has gone would be sent on, and a call that is over be held as standing.
 
 use std::collections::{HashMap, VecDeque};
 
-/// Cancels remembered; past that the oldest is forgotten.
+/// Ids remembered; past that the oldest is forgotten.
 const MOST: usize = 1024;
 
-/// Call ids of such cancels. An id is never used twice, so one that is not asked for any more is only forgotten.
+/// Ids of such calls. An id is never used twice, so one that is not asked for any more is only forgotten.
 #[derive(Default)]
-pub struct EarlyCancels {
+pub struct EarlyIds {
     until: HashMap<u64, f64>,
     /// The same in the order in which they came.
     order: VecDeque<u64>,
 }
 
-impl EarlyCancels {
-    /// Remembers one for as long as its caller can have wanted to wait.
+impl EarlyIds {
+    /// Remembers one for that long.
     pub fn add(&mut self, now: f64, id: u64, longest: f64) {
         while let Some(oldest) = self.order.front() {
             let over = self.until.get(oldest).is_none_or(|until| *until <= now);
@@ -31,7 +32,7 @@
         }
     }
 
-    /// Whether that set-up has been cancelled already; it is asked once.
+    /// Whether the end of that call has been read already; it is asked once.
     pub fn take(&mut self, now: f64, id: u64) -> bool {
         self.until.remove(&id).is_some_and(|until| now < until)
     }
--- a/crates/platform/src/edge.rs
+++ b/crates/platform/src/edge.rs
@@ -3,7 +3,7 @@
 
 use crate::calls::{CallState, Calls, Try};
 use crate::client_connection::{ClientConnection, ClientConnections};
-use crate::early::EarlyCancels;
+use crate::early::EarlyIds;
 use crate::feed::{Event, Feed, DIAL_WITHIN};
 use crate::file::StartFile;
 use crate::handover::Handed;
@@ -17,7 +17,7 @@
 use shalespindle_control::liveness::Asking;
 use shalespindle_signalling::timers::Timers;
 use shalespindle_startup::Reading;
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 use std::net::SocketAddr;
 
 /// Name of a connection. The host gives even ones to those it accepts; the front dials odd ones.
@@ -107,6 +107,8 @@
     Gone(PoolName),
     /// An ending front answers what is still in hand.
     LastAnswers,
+    /// Callers' connections that were to be closed have been read to their end.
+    Close,
     Sweep,
 }
 
@@ -131,7 +133,13 @@
     pub(crate) calls: Calls,
     pub(crate) clients: ClientConnections,
     pub(crate) releases: Releases,
-    pub(crate) early_cancels: EarlyCancels,
+    pub(crate) early_cancels: EarlyIds,
+    /// Calls that a server released before this front knew of them: their callers may yet hand them over.
+    pub(crate) early_releases: EarlyIds,
+    /// Callers' connections to close once all that has come on them is read.
+    pub(crate) closing: BTreeSet<ConnectionId>,
+    /// When a caller's connection was last there.
+    pub(crate) clients_at: f64,
     pub(crate) servers: Servers,
     pub(crate) feed: Feed,
     pub(crate) timers: Timers<Due>,
@@ -168,7 +176,10 @@
             calls: Calls::default(),
             clients: ClientConnections::default(),
             releases: Releases::default(),
-            early_cancels: EarlyCancels::default(),
+            early_cancels: EarlyIds::default(),
+            early_releases: EarlyIds::default(),
+            closing: BTreeSet::new(),
+            clients_at: now,
             servers: Servers::new(asking),
             feed: Feed::new(file.feed, now),
             timers: Timers::default(),
@@ -283,12 +294,20 @@
     }
 
     /// Connections on which something may have come that changes what is sent next: those of callers whose attaches
-    /// may be sent on, and the feed. None where nothing may be sent.
-    pub fn read_first(&self) -> Vec<ConnectionId> {
+    /// may be sent on, and the feed; and those of callers that may be closed, since what has come on them is owed an
+    /// answer. None where nothing may be sent or closed.
+    pub fn read_first(&self, now: f64) -> Vec<ConnectionId> {
+        let all_may_close = self.takes_no_more(now) || self.clients.all.len() > self.most_clients();
         let unsent = |d: &ClientConnection| d.open.iter().any(|ue| self.calls.is_unsent(*ue));
-        let mut connections: Vec<ConnectionId> =
-            self.clients.all.iter().filter(|d| unsent(d.1)).map(|d| *d.0).collect();
-        if !connections.is_empty() {
+        let (mut connections, mut sends) = (Vec::new(), false);
+        for (connection, client) in &self.clients.all {
+            let is_unsent = unsent(client);
+            sends |= is_unsent;
+            if is_unsent || all_may_close || self.closing.contains(connection) {
+                connections.push(*connection);
+            }
+        }
+        if sends {
             connections.extend(self.feed.connection);
         }
         connections
@@ -331,9 +350,13 @@
             Due::Dial(pool) => self.dial_due(now, pool),
             Due::Gone(pool) => self.server_gone(now, pool),
             Due::LastAnswers => self.last_answers(now),
+            Due::Close => self.close_marked(now),
             Due::Sweep => {
                 self.sweep(now);
                 self.watch_servers(now);
+                if !self.clients.all.is_empty() {
+                    self.clients_at = now;
+                }
                 self.timers.set(now + SWEEP, Due::Sweep);
             }
         }
--- a/crates/platform/src/ending.rs
+++ b/crates/platform/src/ending.rs
@@ -1,7 +1,8 @@
 //! The last seconds of a front: what it still takes after SIGTERM, the answers it owes before it is killed, and
 //! when it is done.
 
-use crate::edge::{Due, Edge};
+use crate::client_connection::ClientConnection;
+use crate::edge::{ConnectionId, Due, Edge};
 use shalespindle_control::interface::UeName;
 
 /// After SIGTERM set-ups still come for so long; later ones are refused at once.
@@ -15,6 +16,11 @@
 /// And so long before that end it answers what is still in hand: time for the answers to be read.
 const ANSWERS_READ: f64 = 0.1;
 
+/// A caller confirms an answer or a release within this, and a request follows its connection.
+const CONFIRMS: f64 = 0.1;
+/// And connects anew within this where its set-up crossed the close of its connection.
+const COMES_AGAIN: f64 = 0.15;
+
 impl Edge {
     /// An orderly end is asked for.
     pub fn end(&mut self, now: f64) {
@@ -37,7 +43,23 @@
         let Some(since) = self.ending else { return false };
         // Calls that stand are released through this front for as long as it is there.
         let quiet = self.calls.in_hand() == 0 && self.calls.standing() == 0 && self.releases.is_quiet(now);
-        quiet && now - since > STILL_LISTENS || self.is_overdue(now)
+        // A caller whose set-up crossed the close of its connection sends it once more, on a new one.
+        let nobody_comes = self.clients.all.is_empty() && now - self.clients_at > COMES_AGAIN;
+        quiet && nobody_comes && now - since > STILL_LISTENS || self.is_overdue(now)
+    }
+
+    /// Connections of callers that an ending front keeps for nothing: no attach is in hand there, no call stands whose
+    /// set-up came on them, no answer and no release waits for its confirmation. A set-up that came later would be
+    /// refused on them, and one that crossed the front's end be lost.
+    pub(crate) fn idle_at_end(&self, now: f64) -> Vec<ConnectionId> {
+        if !self.takes_no_more(now) {
+            return Vec::new();
+        }
+        let kept_for_nothing = |client: &ClientConnection| {
+            let waits = !client.unconfirmed.is_empty() || client.partial_since.is_some();
+            client.carries_nothing() && !waits && now - client.last_at > CONFIRMS
+        };
+        self.clients.all.iter().filter(|c| kept_for_nothing(c.1)).map(|c| *c.0).collect()
     }
 
     /// It ends now, whatever is left to do.
--- a/crates/platform/src/handover.rs
+++ b/crates/platform/src/handover.rs
@@ -4,9 +4,10 @@
 //! when the list has had its time: to tell the caller at once that its call is over would end calls that stand.
 
 use crate::calls::{CallState, Stands};
-use crate::causes::CUT;
+use crate::causes::{CLEARED, CUT};
 use crate::client_connection::Use;
 use crate::edge::{ConnectionId, Edge};
+use crate::log::call_subject;
 use shalespindle_control::interface::PoolName;
 
 /// What the list knows reaches a front that follows it within this.
@@ -36,6 +37,11 @@
             return;
         }
         self.clients.used(now, client, Use::Asks);
+        self.log_info("call handed over", call_subject(id), format!("it stands at {server}"));
+        // Its server says an end again on the first connection that a front makes, which may be before this.
+        if self.early_releases.take(now, id) {
+            return self.send_release(now, client, id, CLEARED);
+        }
         match self.servers.named(server) {
             Some(pool) => self.hold(now, client, id, pool),
             None => {
@@ -48,7 +54,7 @@
     }
 
     fn hold(&mut self, now: f64, client: ConnectionId, id: u64, pool: PoolName) {
-        let ue = self.calls.add(id, client, CallState::Stands(Stands { pool, confirmed: true }));
+        let ue = self.calls.add(id, client, CallState::Stands(Stands { pool, link: None, confirmed: true }));
         if let Some(client) = self.clients.all.get_mut(&client) {
             client.standing.insert(ue);
         }
@@ -69,6 +75,16 @@
         }
     }
 
+    /// The server of such a call, which the list does not name yet, has released it; false where there is none of that id.
+    pub(crate) fn handed_ended(&mut self, now: f64, id: u64, cause: u16) -> bool {
+        let Some(place) = self.handed.iter().position(|h| h.id == id) else { return false };
+        let handed = self.handed.swap_remove(place);
+        if handed.released.is_none() {
+            self.send_release(now, handed.client, id, cause);
+        }
+        true
+    }
+
     /// The caller of such a call has released it; false where there is none of that id.
     pub(crate) fn handed_released(&mut self, id: u64, cause: u16) -> bool {
         let handed = self.handed.iter_mut().find(|h| h.id == id);
@@ -81,6 +97,11 @@
             std::mem::take(&mut self.handed).into_iter().partition(|h| h.until <= now);
         self.handed = left;
         for handed in over.into_iter().filter(|h| h.released.is_none()) {
+            self.log_info(
+                "call over",
+                call_subject(handed.id),
+                format!("no list names its server {}", handed.server),
+            );
             self.send_release(now, handed.client, handed.id, CUT);
         }
     }
--- a/crates/platform/src/presence.rs
+++ b/crates/platform/src/presence.rs
@@ -26,7 +26,7 @@
         }
     }
 
-    /// A server speaks on some connection; one that is silent beside it leads nowhere any more.
+    /// A server speaks on some connection; one with calls that is silent beside it leads nowhere any more.
     fn watch_links(&mut self, now: f64, pool: PoolName) {
         let Some(server) = self.servers.all.get(&pool) else { return };
         let verdict_of = |connection: &ConnectionId| {
@@ -34,9 +34,14 @@
             let verdict = server.liveness.judge_connection(now, link.heard_at, link.unanswered_since());
             // What is out on it has a time of its own.
             let keeps = verdict == Verdict::Gone && !link.open.is_empty();
-            Some((*connection, verdict)).filter(|_| !keeps)
+            Some((*connection, verdict)).filter(|_| verdict != Verdict::Present && !keeps)
         };
-        let verdicts: Vec<(ConnectionId, Verdict)> = server.links.iter().filter_map(verdict_of).collect();
+        let mut verdicts: Vec<(ConnectionId, Verdict)> = server.links.iter().filter_map(verdict_of).collect();
+        if verdicts.is_empty() {
+            return;
+        }
+        let with_calls = self.calls.links_of_standing_at(pool);
+        verdicts.retain(|(connection, _)| with_calls.contains(connection));
         for (connection, verdict) in verdicts {
             match verdict {
                 Verdict::Ask if self.servers.asking == Asking::Test => self.test_on(now, connection),
--- a/crates/platform/src/servers.rs
+++ b/crates/platform/src/servers.rs
@@ -16,6 +16,8 @@
 const LONGEST_PAUSE: f64 = 1.0;
 /// So long after a server was removed what stood there is over, unless it said so itself.
 const LAST_WORDS: f64 = 0.5;
+/// A call whose end was read before its caller told of it is remembered for so long.
+const HANDED_OVER_WITHIN: f64 = 30.0;
 /// Part of the time for a dial that a server has to say its state unasked.
 const UNASKED: f64 = 0.2;
 /// Releases that wait for a link to one server.
@@ -388,7 +390,7 @@
         self.counters.stood += 1;
         self.log_debug("call stands", call_subject(id), self.server_name(pool).to_string());
         self.control.attach_stands(now, ue, pool, now - out.sent_at);
-        self.calls.stands(ue, pool);
+        self.calls.stands(ue, pool, connection);
         if let Some(server) = self.servers.all.get_mut(&pool) {
             server.standing += 1;
         }
@@ -426,7 +428,13 @@
                 self.out.push_back(Output::Write { connection, bytes: lines::released(id) });
                 self.over(now, ue, pool, line.cause, "its server's word");
             }
-            _ => self.control.pool_heard(now, pool, false, report),
+            Some(_) => self.control.pool_heard(now, pool, false, report),
+            None => {
+                self.control.pool_heard(now, pool, false, report);
+                if !self.handed_ended(now, id, line.cause) {
+                    self.early_releases.add(now, id, HANDED_OVER_WITHIN);
+                }
+            }
         }
     }
 
