--- /dev/null
+++ b/crates/trials/src/server.rs
@@ -0,0 +1,451 @@
+//! A signalling server with faults: it answers set-ups, holds calls and ends them, and it hangs, vanishes, dies, spoils
+//! or loses answers, or resets connections when the plan or its dice say so.
+
+use crate::address::Hosts;
+use crate::record::{locked, CallId, Event, FrontId, Recorder, ServerId};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde_json::{json, Value};
+use shalespindle_standin::presence::{Presence, PresenceSwitch};
+use std::collections::{BTreeMap, HashMap};
+use std::io::{self, BufRead, BufReader, Write};
+use std::net::TcpStream;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// Time between two looks at what is due.
+const TICK: Duration = Duration::from_millis(3);
+/// It says its state unasked on each connection so often, seconds.
+const STATE_EVERY: f64 = 0.5;
+const CLEARED: u16 = 16;
+const FULL: u16 = 34;
+const CUT: u16 = 41;
+
+/// How often a server does what it should not, each of a hundred set-ups.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Quirks {
+    pub full: u32,
+    pub cut: u32,
+    pub lost: u32,
+    pub spoilt: u32,
+    pub twice: u32,
+    /// The connection is reset under the set-up.
+    pub reset: u32,
+    /// Longest time until an answer, seconds.
+    pub slowest: f64,
+    /// Longest time until the first word on a new connection, seconds.
+    pub latest_first_word: f64,
+    /// Connections on which nothing was said for so long are closed; 0: none.
+    pub closes_idle_after: f64,
+    /// It says its state unasked.
+    pub says_state: bool,
+    /// Longest time that a call stands, seconds.
+    pub longest_call: f64,
+}
+
+/// What becomes of a set-up.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Outcome {
+    Answer,
+    AnswerTwice,
+    Full,
+    Cut,
+    Lost,
+    Spoilt,
+    Reset,
+}
+
+struct Attempt {
+    call: CallId,
+    connection: usize,
+    due: f64,
+    outcome: Outcome,
+}
+
+struct Standing {
+    connection: usize,
+    front: FrontId,
+    ends_at: f64,
+    /// Its end has come while nobody could be told.
+    is_over: bool,
+}
+
+struct Connection {
+    stream: TcpStream,
+    front: FrontId,
+    /// When it says its state next.
+    state_at: f64,
+    /// It has said its first word there.
+    greeted: bool,
+    used_at: f64,
+}
+
+#[derive(Default)]
+struct State {
+    connections: BTreeMap<usize, Connection>,
+    next_connection: usize,
+    attempts: Vec<Attempt>,
+    standing: HashMap<CallId, Standing>,
+    /// Releases that go out on the next connection that is made as well.
+    repeats: Vec<(FrontId, CallId)>,
+    dead: bool,
+}
+
+struct Shared {
+    id: ServerId,
+    quirks: Quirks,
+    recorder: Recorder,
+    presence: PresenceSwitch,
+    state: Mutex<State>,
+    rng: Mutex<ChaCha8Rng>,
+}
+
+/// One server; it lives until its trial ends.
+#[derive(Clone)]
+pub struct Server {
+    pub port: u16,
+    shared: Arc<Shared>,
+}
+
+impl Server {
+    /// One that listens on that port for each front, or on any that is free.
+    pub fn start(
+        id: ServerId,
+        hosts: &Hosts,
+        port: Option<u16>,
+        quirks: Quirks,
+        seed: u64,
+        recorder: &Recorder,
+    ) -> io::Result<Server> {
+        let listeners = hosts.listen(port)?;
+        let port = listeners[0].local_addr()?.port();
+        let fronts = listeners.len();
+        let shared = Arc::new(Shared {
+            id,
+            quirks,
+            recorder: recorder.clone(),
+            presence: PresenceSwitch::new(listeners),
+            state: Mutex::default(),
+            rng: Mutex::new(ChaCha8Rng::seed_from_u64(seed)),
+        });
+        for front in 0..fronts {
+            let accepting = shared.clone();
+            std::thread::spawn(move || accept(&accepting, front));
+        }
+        let ticking = shared.clone();
+        std::thread::spawn(move || tick(&ticking));
+        Ok(Server { port, shared })
+    }
+
+    /// Hangs, vanishes or serves again. What stands goes on standing.
+    pub fn set_presence(&self, presence: Presence) -> io::Result<()> {
+        self.shared.presence.set(presence)?;
+        if presence == Presence::Vanished {
+            // What a front says of them does not arrive any more.
+            let state = locked(&self.shared.state);
+            state.attempts.iter().for_each(|a| self.shared.attempt_ended(a.call, true));
+        }
+        Ok(())
+    }
+
+    /// Its machine is gone for good: what stood on it is over, and nobody says so.
+    pub fn vanish_for_good(&self) -> io::Result<()> {
+        self.shared.presence.set(Presence::Vanished)?;
+        self.everything_ends();
+        Ok(())
+    }
+
+    /// Its process dies: its connections are reset, new ones refused.
+    pub fn die(&self) -> io::Result<()> {
+        let mut state = locked(&self.shared.state);
+        state.dead = true;
+        self.shared.presence.close()?;
+        for connection in std::mem::take(&mut state.connections).into_values() {
+            reset(&connection.stream);
+        }
+        drop(state);
+        self.everything_ends();
+        Ok(())
+    }
+
+    /// Ends its calls in order, each with a release: it is about to leave.
+    pub fn end_calls(&self) {
+        let now = self.shared.recorder.now();
+        locked(&self.shared.state).standing.values_mut().for_each(|standing| standing.ends_at = now);
+    }
+
+    pub fn is_dead(&self) -> bool {
+        locked(&self.shared.state).dead
+    }
+
+    fn everything_ends(&self) {
+        let mut state = locked(&self.shared.state);
+        for attempt in std::mem::take(&mut state.attempts) {
+            self.shared.attempt_ended(attempt.call, true);
+        }
+        for call in std::mem::take(&mut state.standing).into_keys() {
+            self.shared.recorder.saw(Event::CallOver { call, released: false });
+        }
+        state.dead = true;
+    }
+}
+
+fn reset(stream: &TcpStream) {
+    // Ended already: so much the better.
+    let _ = socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO));
+    let _ = stream.shutdown(std::net::Shutdown::Both);
+}
+
+fn write_line(mut stream: &TcpStream, line: &Value) -> bool {
+    stream.write_all(format!("{line}\n").as_bytes()).is_ok()
+}
+
+fn name(call: CallId) -> String {
+    format!("{call:016x}")
+}
+
+/// How the list names a server.
+pub fn server_name(id: ServerId) -> String {
+    format!("s-{id}")
+}
+
+/// The description that a server gives a call: its caller can tell that it was made for it, and by whom.
+fn description_of(call: CallId, server: ServerId) -> String {
+    format!("77aa{call:016x} {}", server_name(server))
+}
+
+/// The server that made a description for that call; none where no server did.
+pub fn server_that_described(call: CallId, description: &[u8]) -> Option<String> {
+    let text = std::str::from_utf8(description).ok()?;
+    let server = text.strip_prefix(&format!("77aa{call:016x} "))?;
+    server.strip_prefix("s-")?.parse::<ServerId>().ok()?;
+    Some(server.to_string())
+}
+
+fn release(call: CallId, cause: u16) -> Value {
+    json!({"type": "release", "id": name(call), "fields": {}, "cause": cause})
+}
+
+fn state_line() -> Value {
+    json!({"type": "state", "id": "", "fields": {"load": "x0:40;x1:40;latency_ms:1"}})
+}
+
+/// Ends when the server dies.
+fn accept(shared: &Arc<Shared>, front: FrontId) {
+    while let Ok(stream) = shared.presence.accept(front) {
+        let _ = stream.set_nodelay(true);
+        let _ = stream.set_write_timeout(Some(Duration::from_secs(1)));
+        let Ok(reading) = stream.try_clone() else { continue };
+        let now = shared.recorder.now();
+        let latest = shared.quirks.latest_first_word;
+        let late = if latest > 0.0 { locked(&shared.rng).random_range(0.0..latest) } else { 0.0 };
+        let mut state = locked(&shared.state);
+        if state.dead {
+            return reset(&stream);
+        }
+        state.next_connection += 1;
+        let number = state.next_connection;
+        state
+            .connections
+            .insert(number, Connection { stream, front, state_at: now + late, greeted: false, used_at: now });
+        drop(state);
+        let shared = shared.clone();
+        std::thread::spawn(move || shared.read(number, reading));
+    }
+}
+
+/// Does what is due until the server is dead.
+fn tick(shared: &Arc<Shared>) {
+    loop {
+        std::thread::sleep(TICK);
+        let mut state = locked(&shared.state);
+        if state.dead {
+            return;
+        }
+        let now = shared.recorder.now();
+        if shared.presence.get() == Presence::Serving {
+            shared.say_states(now, &mut state);
+            shared.answer(now, &mut state);
+            shared.close_idle(now, &mut state);
+        }
+        shared.end_calls(now, &mut state);
+    }
+}
+
+impl Shared {
+    fn attempt_ended(&self, call: CallId, unsure: bool) {
+        self.recorder.saw(Event::AttemptEnded { call, server: self.id, unsure });
+    }
+
+    /// Reads a connection until it ends.
+    fn read(&self, connection: usize, stream: TcpStream) {
+        for line in BufReader::new(stream).lines() {
+            let Ok(line) = line else { break };
+            // Nothing reaches a machine that is not there.
+            if self.presence.get() == Presence::Vanished {
+                continue;
+            }
+            let Ok(message) = serde_json::from_str::<Value>(&line) else { break };
+            self.take(connection, &message);
+        }
+        let mut state = locked(&self.state);
+        state.connections.remove(&connection);
+        let (ended, left) = std::mem::take(&mut state.attempts)
+            .into_iter()
+            .partition(|a: &Attempt| a.connection == connection);
+        state.attempts = left;
+        ended.into_iter().for_each(|a| self.attempt_ended(a.call, true));
+    }
+
+    fn take(&self, connection: usize, message: &Value) {
+        let id = message["id"].as_str().unwrap_or("");
+        let call = CallId::from_str_radix(id, 16).unwrap_or(0);
+        let now = self.recorder.now();
+        let mut state = locked(&self.state);
+        if let Some(connection) = state.connections.get_mut(&connection) {
+            connection.used_at = now;
+        }
+        match message["type"].as_str().unwrap_or("") {
+            "setup" => {
+                self.recorder.saw(Event::SetUp { call, server: self.id });
+                let (outcome, due) = self.draw(now);
+                state.attempts.push(Attempt { call, connection, due, outcome });
+            }
+            "release" => {
+                if let Some(place) = state.attempts.iter().position(|a| a.call == call) {
+                    state.attempts.remove(place);
+                    self.attempt_ended(call, true);
+                }
+                state.standing.remove(&call);
+            }
+            // One that hangs answers nothing now; the question is lost with that time.
+            "ping" if self.presence.get() == Presence::Serving => {
+                let fields = json!({"load": "x0:40;x1:40;latency_ms:1"});
+                let pong = json!({"type": "pong", "id": id, "fields": fields, "cause": 1});
+                if let Some(connection) = state.connections.get(&connection) {
+                    write_line(&connection.stream, &pong);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn draw(&self, now: f64) -> (Outcome, f64) {
+        let quirks = self.quirks;
+        let mut rng = locked(&self.rng);
+        let due = now + rng.random_range(0.002..quirks.slowest.max(0.003));
+        let mut place = rng.random_range(0..100);
+        let ways = [
+            (quirks.full, Outcome::Full),
+            (quirks.cut, Outcome::Cut),
+            (quirks.lost, Outcome::Lost),
+            (quirks.spoilt, Outcome::Spoilt),
+            (quirks.twice, Outcome::AnswerTwice),
+            (quirks.reset, Outcome::Reset),
+        ];
+        for (share, outcome) in ways {
+            if place < share {
+                return (outcome, due);
+            }
+            place -= share;
+        }
+        (Outcome::Answer, due)
+    }
+
+    fn say_states(&self, now: f64, state: &mut State) {
+        let State { connections, repeats, .. } = state;
+        for connection in connections.values_mut().filter(|c| c.state_at <= now) {
+            write_line(&connection.stream, &state_line());
+            connection.state_at = if self.quirks.says_state { now + STATE_EVERY } else { f64::INFINITY };
+            if !std::mem::replace(&mut connection.greeted, true) {
+                // What that front may not have heard on an older connection.
+                let own = repeats.extract_if(.., |(front, _)| *front == connection.front);
+                for (_, call) in own.collect::<Vec<_>>() {
+                    write_line(&connection.stream, &release(call, CLEARED));
+                }
+            }
+        }
+    }
+
+    fn answer(&self, now: f64, state: &mut State) {
+        let (due, left) =
+            std::mem::take(&mut state.attempts).into_iter().partition(|a: &Attempt| a.due <= now);
+        state.attempts = left;
+        for mut attempt in due {
+            if attempt.outcome == Outcome::Lost {
+                // Still out, until the front gives it up.
+                attempt.due = f64::INFINITY;
+                state.attempts.push(attempt);
+                continue;
+            }
+            let Some(connection) = state.connections.get(&attempt.connection) else { continue };
+            let (stream, call) = (&connection.stream, attempt.call);
+            let answer = json!({"type": "answer", "id": name(call), "fields": {}, "sdp": description_of(call, self.id)});
+            match attempt.outcome {
+                Outcome::Answer | Outcome::AnswerTwice => {
+                    self.attempt_ended(call, false);
+                    write_line(stream, &answer);
+                    if attempt.outcome == Outcome::AnswerTwice {
+                        write_line(stream, &answer);
+                    }
+                    let longest = self.quirks.longest_call.max(0.2);
+                    let ends_at = now + locked(&self.rng).random_range(0.1..longest);
+                    let (connection, front) = (attempt.connection, connection.front);
+                    state.standing.insert(call, Standing { connection, front, ends_at, is_over: false });
+                }
+                Outcome::Full => {
+                    self.attempt_ended(call, false);
+                    write_line(stream, &release(call, FULL));
+                }
+                Outcome::Cut => {
+                    self.attempt_ended(call, true);
+                    write_line(stream, &release(call, CUT));
+                }
+                Outcome::Spoilt => {
+                    self.attempt_ended(call, true);
+                    let _ = (&mut &*stream).write_all(b"{\"type\":\"answer\",\"id\":\"noise\n");
+                }
+                Outcome::Reset => {
+                    self.attempt_ended(call, true);
+                    reset(stream);
+                }
+                Outcome::Lost => {}
+            }
+        }
+    }
+
+    fn close_idle(&self, now: f64, state: &mut State) {
+        let after = self.quirks.closes_idle_after;
+        if after <= 0.0 {
+            return;
+        }
+        for connection in state.connections.values().filter(|c| now - c.used_at > after) {
+            let _ = connection.stream.shutdown(std::net::Shutdown::Both);
+        }
+    }
+
+    /// Ends the calls whose time is up. One that does not serve cannot say so; it does when it serves again.
+    fn end_calls(&self, now: f64, state: &mut State) {
+        let serves = self.presence.get() == Presence::Serving;
+        let over: Vec<CallId> = state.standing.iter().filter(|s| s.1.ends_at <= now).map(|s| *s.0).collect();
+        for call in over {
+            let Some(standing) = state.standing.get_mut(&call) else { continue };
+            let was_over = std::mem::replace(&mut standing.is_over, true);
+            if !serves {
+                if !was_over {
+                    self.recorder.saw(Event::CallOver { call, released: false });
+                }
+                continue;
+            }
+            let (own, front) = (standing.connection, standing.front);
+            let mut others = state.connections.values().filter(|c| c.front == front);
+            let on = state.connections.get(&own).or_else(|| others.next());
+            let released = on.is_some_and(|c| write_line(&c.stream, &release(call, CLEARED)));
+            if !was_over {
+                self.recorder.saw(Event::CallOver { call, released });
+            }
+            state.repeats.push((front, call));
+            state.standing.remove(&call);
+        }
+    }
+}
