--- a/crates/control/src/liveness.rs
+++ b/crates/control/src/liveness.rs
@@ -88,10 +88,11 @@
         now - *self.refused_since.get_or_insert(now) >= REFUSED_FOR * self.limit
     }
 
-    /// Whether a connection that comes up now leads to another process than the one heard before: its address refused
-    /// connections meanwhile, and nothing was heard on any older one since.
+    /// Whether a connection that comes up now leads to another process than the one heard before, or than the one that
+    /// calls stood on: its address refused connections since, and nothing was heard on any older one.
     pub fn is_another_process(&self) -> bool {
-        self.heard_at.is_some() && self.refused_since.is_some()
+        let stood_before = |refused| self.watched_since.is_some_and(|watched| watched < refused);
+        self.refused_since.is_some_and(|refused| self.heard_at.is_some() || stood_before(refused))
     }
 
     /// Whether one connection still leads to the server: it was heard then, and has been asked since then without an
--- a/crates/control/tests/liveness.rs
+++ b/crates/control/tests/liveness.rs
@@ -116,6 +116,10 @@
     let mut liveness = Liveness::new(LIMIT, Asking::Test);
     assert!(!liveness.refused(0.0));
     assert!(!liveness.is_another_process(), "none was heard before");
+    let mut handed_over = Liveness::new(LIMIT, Asking::Test);
+    handed_over.judge(0.0, true);
+    handed_over.refused(0.2);
+    assert!(handed_over.is_another_process(), "a call was said to stand there");
     liveness.heard(1.0);
     assert!(!liveness.is_another_process());
     assert!(!liveness.refused(2.0));
--- a/crates/platform/src/servers.rs
+++ b/crates/platform/src/servers.rs
@@ -101,9 +101,14 @@
     fn drop_links_not_up(&mut self, now: f64, pool: PoolName) {
         let links = self.servers.all.get(&pool).map(|s| s.links.clone()).unwrap_or_default();
         for connection in links {
-            if self.servers.links.get(&connection).is_some_and(|l| l.state != LinkState::Up) {
-                self.drop_link(now, connection, "not up, and its server was removed");
+            if self.servers.links.get(&connection).is_none_or(|l| l.state == LinkState::Up) {
+                continue;
             }
+            // One that the host has not begun is not made at all: who takes it would say there what is said once.
+            let begins_it =
+                |o: &Output| matches!(o, Output::Dial { connection: dialled, .. } if *dialled == connection);
+            self.out.retain(|output| !begins_it(output));
+            self.drop_link(now, connection, "not up, and its server was removed");
         }
     }
 
--- a/crates/platform/tests/silent_servers.rs
+++ b/crates/platform/tests/silent_servers.rs
@@ -133,6 +133,21 @@
     assert_eq!((byes(&mut w, client), w.edge.held()[1]), (0, 1));
 }
 
+/// What a front knows at its start names a server, says that it was removed, and names its successor at its address.
+#[test]
+fn a_front_that_starts_dials_nobody_who_was_removed() {
+    let (old, new) = (member("s0", 0, "up", 0), member("s1", 0, "up", 0));
+    let removed = member("s0", 0, "removed", 0);
+    let known = [event(1, true, &[old]), event(2, false, &[removed]), event(3, false, &[new])];
+    let mut w = World::from(&file(&known, 4222));
+    assert_eq!(w.dials.iter().filter(|d| d.1 == 6000).count(), 1);
+    let link = w.link(0);
+    let client = w.client();
+    w.bytes(client, invite_with(1, "X-Setup-Ms: 3000\r\nX-Route: at:s1\r\n", "x").as_bytes());
+    w.say(link, &release(1, 16, ""));
+    assert_eq!(byes(&mut w, client), 1);
+}
+
 /// A call that was handed over names a server of which this front has never heard a word.
 #[test]
 fn a_call_handed_over_whose_server_cannot_be_reached_ends_sooner() {
--- a/crates/trials/src/front.rs
+++ b/crates/trials/src/front.rs
@@ -165,9 +165,9 @@
         self.notice_end()?;
         let mut process = locked(&self.process);
         let Some(mut child) = process.child.take() else { return Ok(()) };
-        self.recorder.saw(Event::Killed { front: self.id });
         child.kill()?;
         child.wait()?;
+        self.recorder.saw(Event::Killed { front: self.id });
         Ok(())
     }
 
