live: a set-up of which a part has left is held until its caller's close is read

Traced: the front's writing went on before the close that lay unread was taken in. Change: callers whose set-up waits on a link that does not take it are read first, and such links are not written on while they are unread. The test stopped the front in the middle of a turn at times (third set-up); it lets it deal with the last one first.

--- a/crates/cli/tests/races.rs
+++ b/crates/cli/tests/races.rs
@@ -285,12 +285,20 @@
     // Each is longer than what the server's socket is asked to hold; the system may take a few all the same.
     let long = "x".repeat(15_000);
     let mut callers = Vec::new();
-    while !log().contains("writing waits for its reader") {
-        let mut caller = Caller::accepted(listen);
-        caller.send("INVITE", &format!("{:016x}", callers.len()), &long);
-        callers.push(caller);
+    let mut had_left = 0;
+    // Until some wait in the front, once it has dealt with the last of them and the system takes nothing more: it is not
+    // stopped in the middle of a turn whose decisions are made already.
+    while callers.len() < 2 || had_left == callers.len() {
+        for _ in 0..4 {
+            let mut caller = Caller::accepted(listen);
+            caller.send("INVITE", &format!("{:016x}", callers.len()), &long);
+            callers.push(caller);
+        }
+        Caller::accepted(listen);
+        had_left = bytes_left_for(server.address).values().map(|bytes| bytes / SET_UP_LINE).sum();
         assert!(callers.len() < 90, "everything fits");
     }
+    assert!(log().contains("writing waits for its reader"));
     // What has left the front by now is in the system's hands and arrives, whole set-ups among it; nothing more may.
     let mut left = BTreeMap::new();
     while_stopped(&front, || {
--- a/crates/platform-service/src/owner.rs
+++ b/crates/platform-service/src/owner.rs
@@ -216,8 +216,13 @@
     /// Writes on what waited.
     fn write_on(&mut self) {
         let now = self.ground.now();
+        // Guards set-ups of which only a part has left: their callers may have gone by what lies unread.
+        let links_wait = self.lies_unread();
         let (mut lost, mut closed) = (Vec::new(), Vec::new());
         for (connection, peer) in self.peers.iter_mut().filter(|p| !p.1.waiting.is_empty()) {
+            if links_wait && self.edge.is_link(*connection) {
+                continue;
+            }
             match peer.writing.write_some(&peer.waiting) {
                 Ok(size) => {
                     peer.waiting.drain(..size);
--- a/crates/platform/src/calls.rs
+++ b/crates/platform/src/calls.rs
@@ -126,6 +126,14 @@
         matches!(call, Some(CallState::Pending(h)) if h.out.as_ref().is_none_or(|t| t.link.is_none()))
     }
 
+    /// The link that its setup try went out on.
+    pub fn link_of_try(&self, ue: UeName) -> Option<ConnectionId> {
+        match &self.slab[*self.by_ue.get(&ue)?].state {
+            CallState::Pending(pending) => pending.out.as_ref()?.link,
+            CallState::Stands(_) => None,
+        }
+    }
+
     /// Those that stand at a pool, in the order of their places.
     pub fn standing_at(&self, pool: PoolName) -> Vec<UeName> {
         let there = |c: &Call| matches!(&c.state, CallState::Stands(s) if s.pool == pool);
--- a/crates/platform/src/edge.rs
+++ b/crates/platform/src/edge.rs
@@ -298,7 +298,11 @@
     /// answer. None where nothing may be sent or closed.
     pub fn read_first(&self, now: f64) -> Vec<ConnectionId> {
         let all_may_close = self.takes_no_more(now) || self.clients.all.len() > self.most_clients();
-        let unsent = |d: &ClientConnection| d.open.iter().any(|ue| self.calls.is_unsent(*ue));
+        // Part of one that is being written to a server that does not read may still wait here.
+        let is_blocked = |link| self.servers.links.get(&link).is_some_and(|l| l.blocked);
+        let waits =
+            |ue: &UeName| self.calls.is_unsent(*ue) || self.calls.link_of_try(*ue).is_some_and(is_blocked);
+        let unsent = |d: &ClientConnection| d.open.iter().any(waits);
         let (mut connections, mut sends) = (Vec::new(), false);
         for (connection, client) in &self.clients.all {
             let is_unsent = unsent(client);
@@ -313,6 +317,11 @@
         connections
     }
 
+    /// Whether a connection is one to a server.
+    pub fn is_link(&self, connection: ConnectionId) -> bool {
+        self.servers.links.contains_key(&connection)
+    }
+
     /// Deals with what is due, then decides and carries out until there is nothing more.
     pub fn poll(&mut self, now: f64) {
         self.send_waiting(now);
