--- a/crates/cli/tests/races.rs
+++ b/crates/cli/tests/races.rs
@@ -285,26 +285,26 @@
     // Each is longer than what the server's socket is asked to hold; the system may take a few all the same.
     let long = "x".repeat(15_000);
     let mut callers = Vec::new();
-    let mut had_left = 0;
-    // Until some wait in the front, once it has dealt with the last of them and the system takes nothing more: it is not
-    // stopped in the middle of a turn whose decisions are made already.
-    while callers.len() < 2 || had_left == callers.len() {
-        for _ in 0..4 {
-            let mut caller = Caller::accepted(listen);
-            caller.send("INVITE", &format!("{:016x}", callers.len()), &long);
-            callers.push(caller);
-        }
-        Caller::accepted(listen);
-        had_left = bytes_left_for(server.address).values().map(|bytes| bytes / SET_UP_LINE).sum();
+    // What has left the front is in the system's hands and arrives, whole set-ups among it; nothing more may. The front is
+    // stopped when a part of one has left, between two of its turns: its word to a test comes behind the last set-up.
+    let (mut left, mut is_in_part) = (BTreeMap::new(), false);
+    while !is_in_part {
+        let mut caller = Caller::accepted(listen);
+        caller.send("INVITE", &format!("{:016x}", callers.len()), &long);
+        callers.push(caller);
         assert!(callers.len() < 90, "everything fits");
+        Caller::accepted(listen);
+        if !log().contains("writing waits for its reader") {
+            continue;
+        }
+        while_stopped(&front, || {
+            left = bytes_left_for(server.address);
+            is_in_part = left.values().any(|bytes| bytes % SET_UP_LINE > MORE_THAN_TESTS);
+            if is_in_part {
+                callers.iter().for_each(|c| c.stream.shutdown(Shutdown::Both).unwrap());
+            }
+        });
     }
-    assert!(log().contains("writing waits for its reader"));
-    // What has left the front by now is in the system's hands and arrives, whole set-ups among it; nothing more may.
-    let mut left = BTreeMap::new();
-    while_stopped(&front, || {
-        left = bytes_left_for(server.address);
-        callers.iter().for_each(|c| c.stream.shutdown(Shutdown::Both).unwrap());
-    });
     // Answered after what came before it: connections are read in the order in which they have something to read.
     Caller::accepted(listen);
     let (mut heard, mut whole) = (0, 0);
@@ -314,12 +314,14 @@
         (heard, whole) = (heard + connection.ids.len(), whole + had_left);
     }
     println!("{heard} set-ups heard, {whole} had left whole, of {} callers", callers.len());
-    assert!(whole < callers.len(), "none waited in the front: {left:?}");
 }
 
 /// Least length of the line that such a set-up is sent on as: its description, and the rest of the line.
 const SET_UP_LINE: usize = 15_100;
 
+/// The front's tests of a server that are held beside set-ups come to less than this.
+const MORE_THAN_TESTS: usize = 2_000;
+
 /// Bytes that have left a process for a server and have not been read there, by the port of their sender: what the
 /// system's two sockets of each connection hold, once it has stopped changing.
 fn bytes_left_for(server: SocketAddr) -> BTreeMap<u16, usize> {
