--- a/crates/trials/src/front.rs
+++ b/crates/trials/src/front.rs
@@ -171,6 +171,14 @@
         Ok(())
     }
 
+    /// The trial is over: its process ends with it, unseen.
+    pub fn end(&self) -> io::Result<()> {
+        let Some(mut child) = locked(&self.process).child.take() else { return Ok(()) };
+        child.kill()?;
+        child.wait()?;
+        Ok(())
+    }
+
     /// Whether its process has ended by itself; seen once.
     pub fn notice_end(&self) -> io::Result<bool> {
         let mut process = locked(&self.process);
--- a/crates/trials/src/trial.rs
+++ b/crates/trials/src/trial.rs
@@ -138,6 +138,8 @@
         for (_, server) in locked(&self.servers).iter() {
             server.die()?;
         }
+        // Threads of callers may hold them for longer than this.
+        self.fronts.iter().try_for_each(|front| front.end())?;
         Ok(Outcome {
             entries,
             end,
