--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -131,8 +131,7 @@
 class Link:
     def __init__(self, server, reader, writer, number):
         self.server, self.reader, self.writer, self.number = server, reader, writer, number
-        self.open, self.spoilt = True, False
-        self.set_ups = 0
+        self.open = True
 
     def send(self, message):
         if self.open and not self.writer.is_closing():
@@ -149,39 +148,10 @@
         self.set_ups = []  # (time of arrival, id)
         self.count = 0
         self.dead = False
-        self.on_set_up = None
-
-    async def start(self, listening=None):
-        """Listens at a free port, or goes on with a socket that another server has left."""
-        self.socket = listening or socket.socket()
-        if not listening:
-            self.socket.bind(("127.0.0.1", 0))
-        self.address = "127.0.0.1:%d" % self.socket.getsockname()[1]
-        self.listener = await asyncio.start_server(self.serve, sock=self.socket.dup(), backlog=64)
-
-    def vanish(self):
-        """The machine is gone without a sign: open connections stay open and silent, new ones never come
-        up (the listening socket stays, its queue is kept full)."""
-        self.dead = True
-        self.record.say(self.name, "the machine vanishes")
-        for call in self.calls.values():
-            if call.stands:
-                call.cut, call.over_at, call.stands = True, self.record.now(), False
-        for listening in self.listener.sockets:
-            asyncio.get_running_loop().remove_reader(listening.fileno())
-        self.socket.listen(0)
-        self.fillers = []
-        for _ in range(4):
-            filler = socket.socket()
-            filler.setblocking(False)
-            filler.connect_ex(self.socket.getsockname())
-            self.fillers.append(filler)
-
-    def leave_address(self):
-        """The address is free for another machine; connections of this one stay silent."""
-        for filler in self.fillers:
-            filler.close()
-        return self.socket
+
+    async def start(self):
+        self.listener = await asyncio.start_server(self.serve, "127.0.0.1", 0, backlog=64)
+        self.address = "127.0.0.1:%d" % self.listener.sockets[0].getsockname()[1]
 
     def entry(self, phase="up", since=0):
         return {"id": self.name, "host_port": self.address, "locality": "idukki", "flavor": "std",
@@ -225,13 +195,10 @@
             return link.send({"type": "pong", "id": cid, "fields": {"load": self.load()}, "cause": 1})
         if kind == "setup":
             now = self.record.now()
-            link.set_ups += 1
             self.record.say(self.name, f"link {link.number} set-up {cid} left {message['fields']['left']}")
             self.set_ups.append((now, cid))
             call = self.calls[cid] = Call(self, cid, link, now)
-            call.sdp = message["sdp"]
-            if not (self.on_set_up and self.on_set_up(self, link, call)):
-                asyncio.get_running_loop().call_later(self.work, self.answer, call)
+            asyncio.get_running_loop().call_later(self.work, self.answer, call)
         elif kind == "release":
             self.record.say(self.name, f"link {link.number} release {cid} from the front, cause {message.get('cause')}")
             call = self.calls.get(cid)
@@ -257,7 +224,7 @@
             return
         call.stands, call.over_at = False, self.record.now()
         message = {"type": "release", "id": call.id, "fields": {}, "cause": cause}
-        link = call.link if call.link.open else next((l for l in self.links if l.open and not l.spoilt), None)
+        link = call.link if call.link.open else next((l for l in self.links if l.open), None)
         self.record.say(self.name, f"{'link %d' % link.number if link else 'no link'} release {call.id} cause {cause}")
         if link:
             link.send(message)
@@ -318,11 +285,6 @@
                              f"CSeq: 1 INVITE\r\nX-Service: voice\r\nX-Setup-Ms: 9000\r\n"
                              f"X-Route: dest:0;width:1;via:-1;at:{server}\r\nContent-Length: 2\r\n\r\n\r\n").encode())
 
-    def release(self, connection, attach):
-        self.record.say("caller", f"connection {connection[2]} BYE {attach.id}")
-        connection[0].write((f"BYE sip:peer@net SIP/2.0\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: {attach.id}\r\nCSeq: 2 BYE\r\n"
-                             f"Reason: Q.850;cause=16\r\nContent-Length: 0\r\n\r\n").encode())
-
     async def read(self, connection, reader):
         try:
             while True:
@@ -424,12 +386,6 @@
             await asyncio.sleep(0.05)
         return False
 
-    def memory_mb(self):
-        """Resident memory of the process in MB: all of it, and what is its own (anonymous), without files."""
-        with open(f"/proc/{self.process.pid}/status") as f:
-            text = f.read()
-        return [int(re.search(name + r":\s+(\d+)", text).group(1)) * 1024 / 1e6 for name in ("VmRSS", "RssAnon")]
-
     def end(self):
         if self.process and self.process.poll() is None:
             self.process.kill()
