--- a/crates/platform/src/callers.rs
+++ b/crates/platform/src/callers.rs
@@ -9,7 +9,8 @@
 use crate::sip;
 use shalespindle_control::interface::{EndReason, NewAttach, PoolId, Report, UeId};
 use shalespindle_signalling::write::{ResponseHead, Writer};
-use shalespindle_signalling::{Framer, Message, Method, Start};
+use shalespindle_signalling::{FrameError, Framer, Message, Method, Start};
+use std::error::Error;
 
 /// Time between marking a connection for closing and closing it, in which pending input is read, seconds.
 const CLOSE_DELAY: f64 = 0.001;
@@ -24,15 +25,13 @@
             match framer.next_frame() {
                 Ok(Some(frame)) => match Message::parse(frame) {
                     Ok(message) => self.message(now, arrived, connection, &message),
-                    Err(_) => return self.unreadable(now, connection, 400),
+                    Err(error) => return self.unreadable(now, connection, 400, &error),
                 },
                 Ok(None) => break,
-                Err(shalespindle_signalling::FrameError::ContentLength) => {
-                    return self.unreadable(now, connection, 413)
-                }
-                Err(shalespindle_signalling::FrameError::HeadTooLong) => {
-                    return self.unreadable(now, connection, 400)
+                Err(error @ FrameError::ContentLength) => {
+                    return self.unreadable(now, connection, 413, &error)
                 }
+                Err(error @ FrameError::HeadTooLong) => return self.unreadable(now, connection, 400, &error),
             }
             if !self.clients.all.contains_key(&connection) {
                 return;
@@ -45,10 +44,10 @@
     }
 
     /// Answers and closes the connection: after an unreadable message, message boundaries are unknown.
-    fn unreadable(&mut self, now: f64, connection: ConnectionId, status: u16) {
+    fn unreadable(&mut self, now: f64, connection: ConnectionId, status: u16, error: &dyn Error) {
         self.counters.unreadable += 1;
         self.outputs.push_back(Output::Write { connection, bytes: sip::unreadable(status) });
-        self.close_client(now, connection, "unreadable message");
+        self.close_client(now, connection, format!("unreadable message: {error}"));
     }
 
     fn message(&mut self, now: f64, arrived: f64, connection: ConnectionId, message: &Message) {
@@ -287,7 +286,7 @@
         }
     }
 
-    pub(crate) fn close_client(&mut self, now: f64, connection: ConnectionId, reason: &'static str) {
+    pub(crate) fn close_client(&mut self, now: f64, connection: ConnectionId, reason: impl Into<String>) {
         self.log_info("client closed", connection_subject(connection), reason);
         self.outputs.push_back(Output::Close { connection, reset: false });
         self.client_connection_lost(now, connection);
