Answer pending attaches before the front closes their connection

Cause: close_client handled the front's own close with client_connection_lost, which takes every open attach for one whose caller has left and owes it nothing. Only the eviction for descriptors answered first. Change: every close by the front answers what is pending on the connection (504 where a try was sent, 503 otherwise) and then closes: unreadable bytes, four malformed messages, an incomplete message, eviction, shutdown. A call whose answer is unconfirmed stays established: an orderly close delivers the answer, and releasing it cut a call because of another message on the connection. Why it works: the answers are written before the close on the same connection, in order.

--- a/crates/platform/src/callers.rs
+++ b/crates/platform/src/callers.rs
@@ -46,8 +46,10 @@
     /// Answers and closes the connection: after an unreadable message, message boundaries are unknown.
     fn unreadable(&mut self, now: f64, connection: ConnectionId, status: u16, error: &dyn Error) {
         self.counters.unreadable += 1;
+        let reason = format!("unreadable message: {error}");
+        self.answer_pending_on(now, connection, &reason);
         self.outputs.push_back(Output::Write { connection, bytes: sip::unreadable(status) });
-        self.close_client(now, connection, format!("unreadable message: {error}"));
+        self.close_client(now, connection, &reason);
     }
 
     fn message(&mut self, now: f64, arrived: f64, connection: ConnectionId, message: &Message) {
@@ -286,12 +288,27 @@
         }
     }
 
-    pub(crate) fn close_client(&mut self, now: f64, connection: ConnectionId, reason: impl Into<String>) {
+    /// Closes a client connection on behalf of the front. Its callers have not left, so pending attaches are
+    /// answered first; calls whose answer is unconfirmed stay established, because an orderly close delivers
+    /// what was written before it.
+    pub(crate) fn close_client(&mut self, now: f64, connection: ConnectionId, reason: &str) {
+        self.answer_pending_on(now, connection, reason);
         self.log_info("client closed", connection_subject(connection), reason);
         self.outputs.push_back(Output::Close { connection, reset: false });
-        self.client_connection_lost(now, connection);
+        if self.clients.all.remove(&connection).is_some() {
+            self.resend_releases_of(now, connection);
+        }
+    }
+
+    /// Fails all pending attaches that arrived on a connection.
+    fn answer_pending_on(&mut self, now: f64, connection: ConnectionId, reason: &str) {
+        let pending = self.clients.all.get(&connection).map(|c| c.open.clone()).unwrap_or_default();
+        for ue in pending {
+            self.fail_attach(now, ue, reason);
+        }
     }
 
+    /// The peer ended a client connection, or it broke.
     pub(crate) fn client_connection_lost(&mut self, now: f64, connection: ConnectionId) {
         let Some(client) = self.clients.all.remove(&connection) else { return };
         for ue in client.open {
@@ -303,6 +320,11 @@
             self.released_by_caller(now, ue, TEMPORARY_FAILURE);
             self.send_release(now, connection, id, TEMPORARY_FAILURE);
         }
+        self.resend_releases_of(now, connection);
+    }
+
+    /// Sends the releases last sent on a connection that has ended on other connections.
+    fn resend_releases_of(&mut self, now: f64, connection: ConnectionId) {
         self.releases.client_connection_lost(now, connection);
         self.send_releases(now);
     }
--- a/crates/platform/src/descriptors.rs
+++ b/crates/platform/src/descriptors.rs
@@ -46,10 +46,6 @@
                 return;
             }
             self.counters.clients_evicted += 1;
-            // Pending attaches on the connection are answered before it is closed.
-            for ue in self.clients.all.get(&candidate).map(|c| c.open.clone()).unwrap_or_default() {
-                self.fail_attach(now, ue, "its connection is closed to free a descriptor");
-            }
             self.close_client(now, candidate, "closed to free a descriptor");
         }
     }
--- a/crates/platform/src/edge.rs
+++ b/crates/platform/src/edge.rs
@@ -64,8 +64,7 @@
     pub aborted: u64,
     /// Attaches whose caller left before the final answer.
     pub left: u64,
-    /// Attaches answered by the front itself because it shut down or closed the connection to free a
-    /// descriptor.
+    /// Attaches answered by the front itself because it shut down or closed their connection.
     pub given_up: u64,
     /// Malformed requests.
     pub bad_form: u64,
@@ -559,7 +558,7 @@
         ue: UeId,
         status: u16,
         pause: Option<f64>,
-        reason: &'static str,
+        reason: &str,
     ) {
         // `Control` answers only while no try is out; a try that is out nevertheless must be released.
         if self.calls.pending(ue).is_some_and(|c| c.2.current_try.is_some()) {
--- a/crates/platform/src/shutdown.rs
+++ b/crates/platform/src/shutdown.rs
@@ -101,7 +101,7 @@
 
     /// Fails an attach on behalf of the front: 504 if a setup try was sent, because another try elsewhere
     /// might run the call twice, and 503 otherwise.
-    pub(crate) fn fail_attach(&mut self, now: f64, ue: UeId, reason: &'static str) {
+    pub(crate) fn fail_attach(&mut self, now: f64, ue: UeId, reason: &str) {
         let Some((_, _, pending)) = self.calls.pending(ue) else { return };
         let was_sent = pending.current_try.as_ref().is_some_and(|t| t.link.is_some());
         self.counters.given_up += 1;
--- /dev/null
+++ b/crates/platform/tests/shared_connections.rs
@@ -0,0 +1,97 @@
+//! Connections that several attaches share, where one message or a limit makes the front end the connection.
+
+mod common;
+
+use common::*;
+use shalespindle_platform::ConnectionId;
+
+/// Time after which the front closes a connection with an incomplete message, with a margin, seconds.
+const PARTIAL_MESSAGE_TIMEOUT: f64 = 2.6;
+
+/// A connection on which one attach is out at a server and one waits for a link.
+struct SharedConnection {
+    front: TestFront,
+    link: ConnectionId,
+    client: ConnectionId,
+}
+
+const SENT: u64 = 1;
+const UNSENT: u64 = 2;
+
+impl SharedConnection {
+    fn new() -> SharedConnection {
+        let mut front = TestFront::new(2);
+        let link = front.bring_up_link(0);
+        let client = front.client();
+        for (call, dest) in [(SENT, 0), (UNSENT, 1)] {
+            let lines = format!("X-Setup-Ms: 9000\r\nX-Route: dest:{dest};width:1;via:-1\r\n");
+            front.bytes(client, invite_with(call, &lines, "9d41\r\n").as_bytes());
+        }
+        let written = front.take_written(link);
+        assert!(written.contains(&id(SENT)) && !written.contains(&id(UNSENT)), "{written}");
+        SharedConnection { front, link, client }
+    }
+
+    /// Checks that both attaches have exactly one answer, written before the close, and that the server was
+    /// told of the end of the attach that it had.
+    fn assert_answered_before_the_close(&mut self, case: &str) {
+        assert!(self.front.closed.contains(&(self.client, false)), "{case}");
+        let closed = self.front.log.iter().position(|(_, c, bytes)| *c == self.client && bytes.is_none());
+        let last = self.front.log.iter().rposition(|(_, c, bytes)| *c == self.client && bytes.is_some());
+        assert!(last < closed, "{case}: nothing is written after the close");
+        let mut answers = self.front.take_answers(self.client);
+        answers.retain(|(_, call)| !call.is_empty());
+        answers.sort_by(|a, b| a.1.cmp(&b.1));
+        // 504 where a try was sent, because a retry by the caller might run the call twice.
+        assert_eq!(answers, [("504".into(), id(SENT)), ("503".into(), id(UNSENT))], "{case}");
+        assert!(self.front.take_written(self.link).contains(r#""cause":16"#), "{case}");
+    }
+}
+
+fn oversized_set_up() -> String {
+    invite_with(3, "X-Setup-Ms: 9000\r\n", &"x".repeat(20_000))
+}
+
+/// Guards against review case 3: the front closed a connection because of one message on it, and the other
+/// attaches on it were never answered.
+#[test]
+fn attaches_are_answered_before_the_front_closes_their_connection() {
+    let negative_length = request("OPTIONS", 3).replace("Content-Length: 0", "Content-Length: -1");
+    let no_length = "noise\r\n\r\n".to_string();
+    let endless_head = format!("INVITE sip:1@net SIP/2.0\r\nX-Free: {}", "x".repeat(20_000));
+    for text in [oversized_set_up(), negative_length, no_length, endless_head] {
+        let mut shared = SharedConnection::new();
+        shared.front.bytes(shared.client, text.as_bytes());
+        shared.assert_answered_before_the_close(&format!("{text:.60}"));
+    }
+    let mut shared = SharedConnection::new();
+    shared.front.bytes(shared.client, &invite(3, 0).as_bytes()[..50]);
+    // The second server accepts no connection meanwhile; its attach still waits for a link or for a retry.
+    shared.front.advance(PARTIAL_MESSAGE_TIMEOUT);
+    assert!(shared.front.closed.contains(&(shared.client, false)), "incomplete message");
+    let mut calls: Vec<String> = shared.front.take_answers(shared.client).into_iter().map(|a| a.1).collect();
+    calls.retain(|call| !call.is_empty());
+    calls.sort();
+    assert_eq!(calls, [id(SENT), id(UNSENT)], "incomplete message");
+}
+
+/// Guards against a call cut for another message's sake: an answer written before an orderly close is
+/// delivered, so the call must stay established although its confirmation can no longer arrive.
+#[test]
+fn a_call_whose_answer_is_unconfirmed_survives_the_close_of_its_connection() {
+    let (mut front, links) = TestFront::with_links(1);
+    let client = front.client();
+    front.bytes(client, invite(1, 0).as_bytes());
+    front.send_line(links[0], &answer(1));
+    assert_eq!(front.first_answer(client), "200");
+    front.take_written(links[0]);
+    front.bytes(client, oversized_set_up().as_bytes());
+    assert!(front.closed.contains(&(client, false)));
+    assert_eq!(front.take_written(links[0]), "", "the call is not released at its server");
+    assert_eq!(front.edge.gauges()[1], 1);
+    // Its end is told on the caller's next connection.
+    let again = front.client();
+    front.bytes(again, invite(2, 0).as_bytes());
+    front.send_line(links[0], &release(1, 16, ""));
+    assert!(front.take_answers(again).contains(&("BYE".into(), id(1))));
+}
