Accept callers' messages of up to 16 KiB, whatever their header fields

Change: a head is limited by its size alone, 16 KiB, which bounds its lines too (four bytes each at least). The framer of the live front limits head and body together to 16 KiB: a connection with a message that never ends holds 16 KiB instead of 24. The heads kept for the answers of pending attaches count towards the eighth of the memory limit, as descriptions did: with longer heads they would have been unbounded.

--- a/crates/platform/src/callers.rs
+++ b/crates/platform/src/callers.rs
@@ -18,7 +18,7 @@
 impl Edge {
     pub(crate) fn client_bytes(&mut self, now: f64, arrived: f64, connection: ConnectionId, bytes: &[u8]) {
         let Some(client) = self.clients.all.get_mut(&connection) else { return };
-        let empty = Framer::with_max_body(0);
+        let empty = Framer::with_max_message(0);
         let mut framer = std::mem::replace(&mut client.framer, empty);
         framer.push(bytes);
         loop {
@@ -119,25 +119,38 @@
             Ok(request) => request,
             Err(_) => return self.bad(now, connection, message, 400),
         };
-        let is_full = self.calls.pending_count() >= self.max_pending
-            || self.calls.description_bytes() + request.description.len() > self.max_description_bytes;
-        if is_full || self.refuses_new_calls(now) {
-            self.counters.no_place += 1;
-            let reason = if is_full { "503: limit reached" } else { "503: shutting down" };
-            self.log_info("attach refused", call_subject(id), reason);
-            self.clients.used(now, connection, Usage::Requests);
-            return self.respond(connection, 503, message);
-        }
-        let gives_up_at = arrived + request.patience;
         let pending = PendingCall {
             procedure: request.procedure,
             number: request.number.into(),
             description: request.description.into(),
             head: ResponseHead::for_request(message, ""),
-            gives_up_at,
+            gives_up_at: arrived + request.patience,
             tries: 0,
             current_try: None,
         };
+        let is_full = self.calls.pending_count() >= self.max_pending
+            || self.calls.stored_bytes() + pending.stored_bytes() > self.max_stored_bytes;
+        if is_full || self.refuses_new_calls(now) {
+            self.counters.no_place += 1;
+            let reason = if is_full { "503: limit reached" } else { "503: shutting down" };
+            self.log_info("attach refused", call_subject(id), reason);
+            self.clients.used(now, connection, Usage::Requests);
+            return self.respond(connection, 503, message);
+        }
+        self.add_attach(now, connection, id, pending, request.first_choice);
+    }
+
+    /// Records a new attach and passes it to `Control`.
+    fn add_attach(
+        &mut self,
+        now: f64,
+        connection: ConnectionId,
+        id: u64,
+        pending: PendingCall,
+        first_choice: Option<u16>,
+    ) {
+        let (procedure, gives_up_at) = (pending.procedure, pending.gives_up_at);
+        let called_number = sip::number(&pending.number);
         let ue = self.calls.add(id, connection, CallState::Pending(Box::new(pending)));
         self.counters.attaches += 1;
         self.log_debug("attach accepted", call_subject(id), format!("connection {connection}"));
@@ -145,14 +158,9 @@
         if let Some(client) = self.clients.all.get_mut(&connection) {
             client.open.push(ue);
         }
-        let new = NewAttach {
-            ue,
-            procedure: request.procedure,
-            // A number that no pool has, where the caller names no first choice.
-            first_choice: request.first_choice.unwrap_or(u16::MAX),
-            called_number: sip::number(request.number),
-            gives_up_at,
-        };
+        // A number that no pool has, where the caller names no first choice.
+        let first_choice = first_choice.unwrap_or(u16::MAX);
+        let new = NewAttach { ue, procedure, first_choice, called_number, gives_up_at };
         self.control.attach_arrived(now, new);
         self.send_releases(now);
     }
--- a/crates/platform/src/calls.rs
+++ b/crates/platform/src/calls.rs
@@ -25,6 +25,13 @@
     pub current_try: Option<Try>,
 }
 
+impl PendingCall {
+    /// Bytes of the set-up that are kept until the final answer.
+    pub fn stored_bytes(&self) -> usize {
+        self.number.len() + self.description.len() + self.head.size()
+    }
+}
+
 /// A call that was answered and has not been released.
 pub struct EstablishedCall {
     pub pool: PoolId,
@@ -54,8 +61,8 @@
     by_ue: HashMap<UeId, usize>,
     next_ue: UeId,
     pending_count: usize,
-    /// Total size of the descriptions of pending attaches, in bytes.
-    bytes: usize,
+    /// Total size of what is kept of the set-ups of pending attaches, bytes.
+    stored_bytes: usize,
 }
 
 impl Calls {
@@ -65,7 +72,7 @@
         let ue = self.next_ue;
         if let CallState::Pending(pending) = &state {
             self.pending_count += 1;
-            self.bytes += pending.description.len();
+            self.stored_bytes += pending.stored_bytes();
         }
         let key = self.slab.insert(Call { id, ue, client, state });
         self.by_id.insert(id, key);
@@ -79,7 +86,7 @@
         self.by_id.remove(&call.id);
         if let CallState::Pending(pending) = &call.state {
             self.pending_count -= 1;
-            self.bytes -= pending.description.len();
+            self.stored_bytes -= pending.stored_bytes();
         }
         Some(call)
     }
@@ -89,7 +96,7 @@
         let Some(&key) = self.by_ue.get(&ue) else { return };
         if let CallState::Pending(pending) = &self.slab[key].state {
             self.pending_count -= 1;
-            self.bytes -= pending.description.len();
+            self.stored_bytes -= pending.stored_bytes();
         }
         self.slab[key].state =
             CallState::Established(EstablishedCall { pool, link: Some(link), confirmed: false });
@@ -165,7 +172,7 @@
         self.slab.len() - self.pending_count
     }
 
-    pub fn description_bytes(&self) -> usize {
-        self.bytes
+    pub fn stored_bytes(&self) -> usize {
+        self.stored_bytes
     }
 }
--- a/crates/platform/src/client_connection.rs
+++ b/crates/platform/src/client_connection.rs
@@ -1,7 +1,7 @@
 //! Client connections, and which of them is closed if there are too many.
 
 use crate::edge::ConnectionId;
-use crate::lines::MAX_LINE;
+use crate::limits::MAX_MESSAGE_BYTES;
 use shalespindle_control::interface::UeId;
 use shalespindle_signalling::Framer;
 use std::collections::{BTreeMap, BTreeSet};
@@ -48,7 +48,7 @@
 impl ClientConnection {
     fn new(now: f64) -> ClientConnection {
         ClientConnection {
-            framer: Framer::with_max_body(MAX_LINE),
+            framer: Framer::with_max_message(MAX_MESSAGE_BYTES),
             opened_at: now,
             usage: Usage::None,
             last_at: now,
--- a/crates/platform/src/edge.rs
+++ b/crates/platform/src/edge.rs
@@ -132,8 +132,8 @@
 /// On sockets the platform allows this much beyond its time limits, seconds; the release guard is extended by
 /// the same time.
 const SOCKET_SLACK: f64 = 0.05;
-/// Fraction of the memory limit that the descriptions of pending attaches may fill.
-const DESCRIPTION_MEMORY_SHARE: f64 = 0.125;
+/// Fraction of the memory limit that the set-ups of pending attaches may fill.
+const SET_UP_MEMORY_SHARE: f64 = 0.125;
 
 /// The state of one front.
 pub struct Edge {
@@ -142,7 +142,7 @@
     /// Names of the procedures, and the longest time in seconds that a caller of each may wait.
     pub(crate) procedures: Vec<(String, f64)>,
     pub(crate) max_pending: usize,
-    pub(crate) max_description_bytes: usize,
+    pub(crate) max_stored_bytes: usize,
     pub(crate) max_sockets: usize,
     pub(crate) dial_timeout: f64,
     /// Unix time at which the host's clock is zero, seconds.
@@ -186,7 +186,7 @@
             report_layout: startup.report_layout,
             procedures,
             max_pending: startup.host.max_pending_attaches,
-            max_description_bytes: (file.limits.memory_mb * 1e6 * DESCRIPTION_MEMORY_SHARE) as usize,
+            max_stored_bytes: (file.limits.memory_mb * 1e6 * SET_UP_MEMORY_SHARE) as usize,
             max_sockets: file.limits.sockets,
             dial_timeout: startup.host.connect_timeout,
             clock_epoch: unix - now,
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -12,6 +12,7 @@
 mod edge;
 mod feed;
 mod handover;
+mod limits;
 mod lines;
 mod link;
 mod log;
--- a/crates/platform/src/lines.rs
+++ b/crates/platform/src/lines.rs
@@ -1,5 +1,6 @@
 //! JSON lines exchanged with signalling servers.
 
+use crate::limits::MAX_MESSAGE_BYTES;
 use memchr::memchr;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
@@ -7,9 +8,6 @@
 use shalespindle_startup::ReportLayout;
 use std::borrow::Cow;
 
-/// Longest line, in bytes, without its line feed; a longer one is an error.
-pub const MAX_LINE: usize = 16 * 1024;
-
 /// Splits the bytes of one connection into lines.
 #[derive(Default)]
 pub struct LineFramer {
@@ -18,7 +16,7 @@
     searched: usize,
 }
 
-/// A line exceeds [`MAX_LINE`].
+/// A line exceeds [`MAX_MESSAGE_BYTES`].
 #[derive(Debug, PartialEq, Eq)]
 pub struct TooLong;
 
@@ -33,11 +31,11 @@
     pub fn next_line(&mut self) -> Result<Option<&[u8]>, TooLong> {
         let Some(end) = memchr(b'\n', &self.bytes[self.searched..]).map(|at| self.searched + at) else {
             self.searched = self.bytes.len();
-            return if self.searched - self.start > MAX_LINE { Err(TooLong) } else { Ok(None) };
+            return if self.searched - self.start > MAX_MESSAGE_BYTES { Err(TooLong) } else { Ok(None) };
         };
         let start = self.start;
         (self.start, self.searched) = (end + 1, end + 1);
-        if end - start > MAX_LINE {
+        if end - start > MAX_MESSAGE_BYTES {
             Err(TooLong)
         } else {
             Ok(Some(&self.bytes[start..end]))
--- a/crates/platform/tests/common/mod.rs
+++ b/crates/platform/tests/common/mod.rs
@@ -213,6 +213,24 @@
     )
 }
 
+/// The longest message that the platform allows, bytes.
+pub const MAX_MESSAGE_BYTES: usize = 16 * 1024;
+
+/// A set-up for call 1 of exactly `size` bytes: with as many of `header_line` as fit beside a body that fills
+/// the rest.
+pub fn invite_of_size(size: usize, header_line: &str) -> String {
+    let lines = |count: usize| {
+        format!("X-Setup-Ms: 3000\r\nX-Route: dest:0;width:1;via:-1\r\n{}", header_line.repeat(count))
+    };
+    let empty = invite_with(1, &lines(0), "").len();
+    // Room for the digits of Content-Length and a body of at least one byte.
+    let count = (size - empty - 10) / header_line.len().max(1);
+    let rest = size - invite_with(1, &lines(count), "").len();
+    let body =
+        (1..=rest).rev().find(|length| invite_with(1, &lines(count), &"x".repeat(*length)).len() == size);
+    invite_with(1, &lines(count), &"x".repeat(body.expect("a body of that size")))
+}
+
 pub fn request(method: &str, call: u64) -> String {
     format!(
         "{method} sip:net SIP/2.0\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: {}\r\nCSeq: 1 {method}\r\n\
--- a/crates/platform/tests/shared_connections.rs
+++ b/crates/platform/tests/shared_connections.rs
@@ -75,6 +75,56 @@
     assert_eq!(calls, [id(SENT), id(UNSENT)], "incomplete message");
 }
 
+/// Guards against review case 3: limits below the platform's 16 KiB rejected set-ups with many or long header
+/// fields, which the platform leaves free, and ended their connection.
+#[test]
+fn set_ups_up_to_the_longest_message_are_sent_on_whatever_their_header_fields() {
+    let many_fields: String = (0..70).map(|n| format!("X-Free-{n}: {n}\r\n")).collect();
+    let long_fields: String = (0..10).map(|n| format!("X-Free-{n}: {}\r\n", "x".repeat(950))).collect();
+    let beside = |lines: &str| {
+        invite_with(1, &format!("X-Setup-Ms: 3000\r\nX-Route: dest:0;width:1;via:-1\r\n{lines}"), "9d41\r\n")
+    };
+    let longest_line = format!("X-Free: {}\r\n", "x".repeat(15_000));
+    let set_ups = [
+        beside(&many_fields),
+        beside(&long_fields),
+        invite_of_size(MAX_MESSAGE_BYTES, "a:\r\n"),
+        invite_of_size(MAX_MESSAGE_BYTES, "X-Free: 1\r\n"),
+        invite_of_size(MAX_MESSAGE_BYTES, &longest_line),
+    ];
+    for set_up in set_ups {
+        let (mut front, links) = TestFront::with_links(1);
+        let client = front.client();
+        front.bytes(client, invite(2, 0).as_bytes());
+        front.bytes(client, set_up.as_bytes());
+        assert!(!front.closed.contains(&(client, false)), "{} bytes", set_up.len());
+        assert!(front.take_written(links[0]).contains(&id(1)), "{} bytes", set_up.len());
+        front.send_line(links[0], &answer(1));
+        front.send_line(links[0], &answer(2));
+        let answers = front.take_answers(client);
+        assert_eq!(answers, [("200".into(), id(1)), ("200".into(), id(2))], "{} bytes", set_up.len());
+    }
+}
+
+/// Guards against memory use that grows with free header fields: what is kept of pending set-ups is bounded
+/// as a whole.
+#[test]
+fn set_ups_with_long_heads_are_refused_beyond_the_share_of_memory() {
+    let small = file(&[event(1, true, &[member("s0", 0, "up", 0)])], 4222)
+        .replace("\"memory_mb\":64", "\"memory_mb\":8")
+        .replace("\"most_held\": 50", "\"most_held\": 500");
+    let mut front = TestFront::from(&small);
+    let client = front.client();
+    let via = format!("Via: SIP/2.0/TCP {}\r\n", "x".repeat(14_000));
+    let route = "X-Setup-Ms: 9000\r\nX-Route: dest:0;width:1;via:-1\r\n";
+    // All arrive before the first decision.
+    let set_ups: String =
+        (1..=100).map(|call| invite_with(call, &format!("{route}{via}"), "9d41\r\n")).collect();
+    front.bytes(client, set_ups.as_bytes());
+    // An eighth of 8 MB holds 70 heads of somewhat more than 14,000 bytes.
+    assert_eq!(front.edge.counters().no_place, 30);
+}
+
 /// Guards against a call cut for another message's sake: an answer written before an orderly close is
 /// delivered, so the call must stay established although its confirmation can no longer arrive.
 #[test]
--- a/crates/signalling/src/message.rs
+++ b/crates/signalling/src/message.rs
@@ -6,10 +6,9 @@
 use std::fmt;
 use std::sync::LazyLock;
 
-/// Maximum number of header lines of a message; parsing stops at the limit, so that memory is bounded.
-pub const MAX_HEADERS: usize = 64;
-/// Maximum size of a message head, bytes.
-pub const MAX_HEAD_BYTES: usize = 8 * 1024;
+/// Maximum size of a message head, bytes. It bounds the number of header lines too, since each has four bytes
+/// at least.
+pub const MAX_HEAD_BYTES: usize = 16 * 1024;
 /// Maximum size of a body, bytes.
 pub const MAX_BODY_BYTES: usize = 64 * 1024;
 
@@ -26,8 +25,6 @@
     StartLine,
     #[error("a header line is malformed")]
     MalformedHeader,
-    #[error("more than {MAX_HEADERS} header lines")]
-    TooManyHeaders,
     #[error("the header {0} is missing or malformed")]
     RequiredHeader(&'static str),
     #[error("the body is shorter than Content-Length says, or longer than allowed")]
@@ -118,10 +115,11 @@
     /// Parses one whole message: a datagram, or a frame of [`crate::Framer`]. Bytes after Content-Length are
     /// ignored, as RFC 3261 section 18.3 requires for datagrams.
     pub fn parse(bytes: &'a [u8]) -> Result<Message<'a>, ParseError> {
-        let end = head_end(bytes).ok_or(ParseError::UnterminatedHead)?;
-        if end > MAX_HEAD_BYTES {
-            return Err(ParseError::HeadTooLong);
-        }
+        let end = head_end(bytes).ok_or(if bytes.len() > MAX_HEAD_BYTES {
+            ParseError::HeadTooLong
+        } else {
+            ParseError::UnterminatedHead
+        })?;
         let head = std::str::from_utf8(&bytes[..end]).map_err(|_| ParseError::NotUtf8)?;
         let (start, headers) = grammar::head(head)?;
         let mut message = Message { start, headers, body: &bytes[end..] };
@@ -229,7 +227,7 @@
 /// Length of the head including its empty line; none if that is not among the bytes that a head may have.
 pub(crate) fn head_end(bytes: &[u8]) -> Option<usize> {
     // The search stops at the maximum head size, so that long invalid input is not scanned on every read.
-    let limit = bytes.len().min(MAX_HEAD_BYTES + 4);
+    let limit = bytes.len().min(MAX_HEAD_BYTES);
     static EMPTY_LINE: LazyLock<Finder> = LazyLock::new(|| Finder::new("\r\n\r\n"));
     EMPTY_LINE.find(&bytes[..limit]).map(|at| at + 4)
 }
--- a/crates/signalling/src/write.rs
+++ b/crates/signalling/src/write.rs
@@ -15,6 +15,11 @@
         ResponseHead(Box::default())
     }
 
+    /// Size of the header lines, bytes.
+    pub fn size(&self) -> usize {
+        self.0.len()
+    }
+
     /// The header lines for a request. `own_tag` is added to a To without a tag, unless it is empty.
     pub fn for_request(request: &Message, own_tag: &str) -> ResponseHead {
         let mut out = Writer(String::with_capacity(384));
