Keep a shared connection open after a bad message whose end is known

Cause: unreadable() was called for every parse error, on the ground that message boundaries are unknown. They are unknown only where framing fails (endless head, bad Content-Length); a message that is whole and cannot be parsed has a known end. The error response carried no Call-ID either. Change: such a message is answered 400 with the Via, From, To, Call-ID and CSeq that can be read, and counts as malformed. A connection with four bad messages is closed only while no attach is pending. Tests: bad_messages_whose_end_is_known_do_not_end_a_connection_with_pending_attaches (failed before), a_response_to_an_unparsed_request_repeats_the_lines_that_can_be_read.

--- a/crates/platform/src/callers.rs
+++ b/crates/platform/src/callers.rs
@@ -9,8 +9,7 @@
 use crate::sip;
 use shalespindle_control::interface::{EndReason, NewAttach, PoolId, Report, UeId};
 use shalespindle_signalling::write::{ResponseHead, Writer};
-use shalespindle_signalling::{FrameError, Framer, Message, Method, Start};
-use std::error::Error;
+use shalespindle_signalling::{FrameError, Framer, Message, Method, ParseError, Start};
 
 /// Time between marking a connection for closing and closing it, in which pending input is read, seconds.
 const CLOSE_DELAY: f64 = 0.001;
@@ -23,15 +22,9 @@
         framer.push(bytes);
         loop {
             match framer.next_frame() {
-                Ok(Some(frame)) => match Message::parse(frame) {
-                    Ok(message) => self.message(now, arrived, connection, &message),
-                    Err(error) => return self.unreadable(now, connection, 400, &error),
-                },
+                Ok(Some(frame)) => self.frame(now, arrived, connection, frame),
                 Ok(None) => break,
-                Err(error @ FrameError::ContentLength) => {
-                    return self.unreadable(now, connection, 413, &error)
-                }
-                Err(error @ FrameError::HeadTooLong) => return self.unreadable(now, connection, 400, &error),
+                Err(error) => return self.unreadable(now, connection, &error),
             }
             if !self.clients.all.contains_key(&connection) {
                 return;
@@ -43,9 +36,34 @@
         }
     }
 
-    /// Answers and closes the connection: after an unreadable message, message boundaries are unknown.
-    fn unreadable(&mut self, now: f64, connection: ConnectionId, status: u16, error: &dyn Error) {
+    /// Handles one complete message.
+    fn frame(&mut self, now: f64, arrived: f64, connection: ConnectionId, frame: &[u8]) {
+        if let Some(client) = self.clients.all.get_mut(&connection) {
+            // The message is complete, so no part of one is waiting.
+            client.partial_since = None;
+        }
+        match Message::parse(frame) {
+            Ok(message) => self.message(now, arrived, connection, &message),
+            Err(error) => self.unparsed(now, connection, frame, &error),
+        }
+    }
+
+    /// Answers a message that is complete but cannot be parsed. Where it ends is known, so the connection can
+    /// go on serving others.
+    fn unparsed(&mut self, now: f64, connection: ConnectionId, frame: &[u8], error: &ParseError) {
+        self.counters.unreadable += 1;
+        self.log_debug("message rejected", connection_subject(connection), error.to_string());
+        self.outputs.push_back(Output::Write { connection, bytes: sip::unparsed(400, frame) });
+        self.count_bad_message(now, connection);
+    }
+
+    /// Answers and closes the connection: the end of the message is unknown, so nothing after it can be read.
+    fn unreadable(&mut self, now: f64, connection: ConnectionId, error: &FrameError) {
         self.counters.unreadable += 1;
+        let status = match error {
+            FrameError::ContentLength => 413,
+            FrameError::HeadTooLong => 400,
+        };
         let reason = format!("unreadable message: {error}");
         self.answer_pending_on(now, connection, &reason);
         self.outputs.push_back(Output::Write { connection, bytes: sip::unreadable(status) });
@@ -53,10 +71,6 @@
     }
 
     fn message(&mut self, now: f64, arrived: f64, connection: ConnectionId, message: &Message) {
-        if let Some(client) = self.clients.all.get_mut(&connection) {
-            // The message is complete, so no part of one is waiting.
-            client.partial_since = None;
-        }
         match message.start {
             Start::Request { method: Method::Invite, .. } => self.invite(now, arrived, connection, message),
             Start::Request { method: Method::Ack, .. } => self.ack(now, connection, message),
@@ -83,13 +97,18 @@
         self.outputs.push_back(Output::Write { connection, bytes });
     }
 
-    /// Answers a malformed message, and closes the connection if there were too many of them.
+    /// Answers a malformed message.
     fn bad(&mut self, now: f64, connection: ConnectionId, message: &Message, status: u16) {
         self.counters.bad_form += 1;
         self.respond(connection, status, message);
+        self.count_bad_message(now, connection);
+    }
+
+    /// Closes the connection if there were too many bad messages on it and no attach is pending there.
+    fn count_bad_message(&mut self, now: f64, connection: ConnectionId) {
         let Some(client) = self.clients.all.get_mut(&connection) else { return };
         client.bad_messages += 1;
-        if client.bad_messages >= MAX_BAD_MESSAGES {
+        if client.bad_messages >= MAX_BAD_MESSAGES && client.open.is_empty() {
             self.close_client(now, connection, "too many malformed messages");
         }
     }
--- a/crates/platform/src/sip.rs
+++ b/crates/platform/src/sip.rs
@@ -110,11 +110,16 @@
     writer.finish()
 }
 
-/// An error response to a message whose headers could not be read.
+/// An error response where the message's head is not known.
 pub fn unreadable(status: u16) -> Vec<u8> {
     Writer::response(status, &ResponseHead::empty()).finish()
 }
 
+/// An error response to a whole message that could not be parsed.
+pub fn unparsed(status: u16, frame: &[u8]) -> Vec<u8> {
+    Writer::response(status, &ResponseHead::for_unparsed(frame)).finish()
+}
+
 pub fn bye(id: u64, cause: u16) -> Vec<u8> {
     Writer::request(Method::Bye, "sip:peer@net")
         .with_args("Via", format_args!("SIP/2.0/TCP peer;branch=z9hG4bK{id:016x}"))
--- a/crates/platform/tests/shared_connections.rs
+++ b/crates/platform/tests/shared_connections.rs
@@ -106,6 +106,32 @@
     }
 }
 
+/// Guards against attaches that fail for another message's sake: where a bad message ends is known, so its
+/// connection need not end.
+#[test]
+fn bad_messages_whose_end_is_known_do_not_end_a_connection_with_pending_attaches() {
+    let bad_header = request("OPTIONS", 3).replace("Via:", "no colon\r\nVia:");
+    let bad_version = request("OPTIONS", 3).replace("SIP/2.0\r\n", "SIP/1.0\r\n");
+    let unknown_method = request("INFO", 3);
+    let repeated_id = invite(SENT, 0);
+    for text in [bad_header, bad_version, unknown_method, repeated_id] {
+        let (mut front, links) = TestFront::with_links(1);
+        let (client, other) = (front.client(), front.client());
+        front.bytes(other, invite(SENT, 0).as_bytes());
+        front.bytes(client, invite(2, 0).as_bytes());
+        for _ in 0..10 {
+            front.bytes(client, text.as_bytes());
+            let answers = front.take_answers(client);
+            assert!(matches!(&answers[..], [(status, call)] if status.starts_with('4') && !call.is_empty()));
+        }
+        front.send_line(links[0], &answer(2));
+        assert_eq!(front.take_answers(client), [("200".into(), id(2))], "{text:.60}");
+        // Without a pending attach the connection is of no further use.
+        front.bytes(client, text.as_bytes());
+        assert!(front.closed.contains(&(client, false)), "{text:.60}");
+    }
+}
+
 /// Guards against memory use that grows with free header fields: what is kept of pending set-ups is bounded
 /// as a whole.
 #[test]
--- a/crates/signalling/src/write.rs
+++ b/crates/signalling/src/write.rs
@@ -1,7 +1,8 @@
 //! Writes requests and responses. Values come from parsed messages or from the router itself; line breaks in
 //! them are replaced by spaces, so that a peer cannot inject headers into the router's messages.
 
-use crate::message::{tag, Message, Method};
+use crate::grammar::compact;
+use crate::message::{head_end, tag, Message, Method};
 use std::fmt::Write;
 
 /// The header lines that every response to one request repeats (RFC 3261 section 8.2.6.2): Via, From, To
@@ -10,11 +11,30 @@
 pub struct ResponseHead(Box<str>);
 
 impl ResponseHead {
-    /// No header lines, for a response to a request that could not be parsed.
+    /// No header lines, for a response where the request's head is not known.
     pub fn empty() -> ResponseHead {
         ResponseHead(Box::default())
     }
 
+    /// The header lines for a request that could not be parsed, as far as they can be read: without them its
+    /// sender could not match the response.
+    pub fn for_unparsed(frame: &[u8]) -> ResponseHead {
+        let head = head_end(frame).map_or(frame, |end| &frame[..end]);
+        let lines = head.split(|byte| *byte == b'\n').filter_map(|line| std::str::from_utf8(line).ok());
+        let mut out = Writer::lines();
+        for (name, value) in lines.filter_map(|line| line.split_once(':')) {
+            let matches = |long: &&str| {
+                let is_compact =
+                    compact(long).is_some_and(|short| short.eq_ignore_ascii_case(name.trim_end()));
+                is_compact || long.eq_ignore_ascii_case(name.trim_end())
+            };
+            if let Some(long) = ["Via", "From", "To", "Call-ID", "CSeq"].into_iter().find(matches) {
+                out = out.with(long, value.trim());
+            }
+        }
+        ResponseHead(out.into_lines())
+    }
+
     /// Size of the header lines, bytes.
     pub fn size(&self) -> usize {
         self.0.len()
@@ -147,6 +167,19 @@
 mod tests {
     use super::*;
 
+    #[test]
+    fn a_response_to_an_unparsed_request_repeats_the_lines_that_can_be_read() {
+        let text =
+            b"INVITE sip:a SIP/2.0\r\nv: SIP/2.0/TCP peer\r\nno colon\r\nFrom: \xff\r\nCall-ID : c\r\n\
+            CSeq: 1 INVITE\r\nX-Free: 1\r\n\r\nTo: body";
+        assert!(Message::parse(text).is_err());
+        let bytes = Writer::response(400, &ResponseHead::for_unparsed(text)).finish();
+        let answer = Message::parse(&bytes).unwrap();
+        let names: Vec<&str> = answer.headers.iter().map(|header| header.name).collect();
+        assert_eq!(names, ["Via", "Call-ID", "CSeq", "Content-Length"]);
+        assert_eq!((answer.call_id(), answer.cseq()), (Ok("c"), Ok((1, Method::Invite))));
+    }
+
     #[test]
     fn a_folded_value_cannot_inject_a_header() {
         let text =
