Do not take a continued header line for Content-Length

Cause: the framer's scan skipped white space at the start of a line; the parser does not. Test: a_continued_header_line_is_not_taken_for_content_length, failed before (no message found).

--- a/crates/signalling/src/framer.rs
+++ b/crates/signalling/src/framer.rs
@@ -80,7 +80,8 @@
     for end in memchr::memchr_iter(b'\n', head).chain([head.len()]) {
         let line = &head[from.min(end)..end];
         from = end + 1;
-        if !matches!(line.trim_ascii_start().first(), Some(b'C' | b'c' | b'L' | b'l')) {
+        // A line that begins with white space continues the header before it (section 7.3.1).
+        if !matches!(line.first(), Some(b'C' | b'c' | b'L' | b'l')) {
             continue;
         }
         let Some(colon) = line.iter().position(|&b| b == b':') else { continue };
@@ -127,6 +128,15 @@
         assert_eq!(next_frame(b"BYE sip:a SIP/2.0\r\nl: -1\r\n\r\n"), Err(FrameError::ContentLength));
     }
 
+    /// Guards against the loss of all later messages: a folded header line was taken for Content-Length.
+    #[test]
+    fn a_continued_header_line_is_not_taken_for_content_length() {
+        let message = b"BYE sip:a SIP/2.0\r\nSubject: one\r\n l: 9\r\n\tContent-Length: 8\r\nl: 3\r\n\r\nabc";
+        let mut framer = Framer::default();
+        framer.push(message);
+        assert_eq!(framer.next_frame(), Ok(Some(&message[..])));
+    }
+
     #[test]
     fn a_limit_of_the_whole_message_is_exact_and_bounds_what_is_buffered() {
         let message = b"BYE sip:a SIP/2.0\r\nl: 3\r\n\r\nabc";
