Refuse set-ups and answers that do not fit into a message of 16 KiB

A description of CR LF lines doubles in JSON, one of control characters grows sixfold, so a legal set-up of 8 KiB could become a line of 16 KiB and more; "on what they cannot read they close, whatever else is open on that connection". An answer of 16 KiB and the caller's own Via lines could exceed what a caller reads. Change: such a set-up is refused with 513 and never sent; such an answer fails with 502, and the call is released at its server, not set up again, since it ran. Tests: a_set_up_too_long_for_a_server_is_refused_and_not_sent, an_answer_too_long_for_its_caller_fails_and_is_released; both failed before (sent; 200 of 18 KB).

--- a/crates/platform/src/callers.rs
+++ b/crates/platform/src/callers.rs
@@ -4,6 +4,7 @@
 use crate::causes::{NORMAL_CLEARING, TEMPORARY_FAILURE};
 use crate::client_connection::{Usage, MAX_BAD_MESSAGES};
 use crate::edge::{ConnectionId, Edge, Output, TimerEvent};
+use crate::lines;
 use crate::log::{call_subject, connection_subject, LogLevel};
 use crate::releases::Release;
 use crate::sip;
@@ -147,6 +148,13 @@
             tries: 0,
             current_try: None,
         };
+        let class = &self.procedures[request.procedure].0;
+        if !lines::set_up_fits(class, request.number, request.patience, request.description) {
+            self.counters.no_place += 1;
+            self.log_info("attach refused", call_subject(id), "513: too long for a server");
+            self.clients.used(now, connection, Usage::Requests);
+            return self.respond(connection, 513, message);
+        }
         let is_full = self.calls.pending_count() >= self.max_pending
             || self.calls.stored_bytes() + pending.stored_bytes() > self.max_stored_bytes;
         if is_full || self.refuses_new_calls(now) {
--- a/crates/platform/src/edge.rs
+++ b/crates/platform/src/edge.rs
@@ -70,7 +70,8 @@
     pub bad_form: u64,
     /// Messages whose bytes could not be parsed.
     pub unreadable: u64,
-    /// Set-ups and handovers not accepted because a limit was reached or the front shuts down.
+    /// Set-ups and handovers not accepted because a limit was reached, because they do not fit into a message
+    /// to a server, or because the front shuts down.
     pub no_place: u64,
     /// Setup tries, and below them those that ended without an answer, by reason.
     pub tries: u64,
@@ -523,7 +524,7 @@
     }
 
     /// Ends a setup try on behalf of the front and releases it at the server, so that no call is left there.
-    fn abandon_try(&mut self, now: f64, ue: UeId, ended: EndReason) {
+    pub(crate) fn abandon_try(&mut self, now: f64, ue: UeId, ended: EndReason) {
         let Some((id, _, pending)) = self.calls.pending(ue) else { return };
         let connection = pending.current_try.as_ref().and_then(|t| t.link);
         self.end_try(now, ue, ended, Report::default());
--- a/crates/platform/src/lines.rs
+++ b/crates/platform/src/lines.rs
@@ -200,6 +200,17 @@
     line(&SetUp { kind: "setup", id: &format!("{id:016x}"), fields, sdp: description })
 }
 
+/// Whether a set-up is no longer than a message may be; `left` is the longest time left that is written.
+pub fn set_up_fits(class: &str, number: &str, left: f64, description: &str) -> bool {
+    /// Size of a line without its texts, which is below this, bytes.
+    const MAX_OVERHEAD: usize = 160;
+    /// Size of the longest escape sequence, `\u0000`, bytes.
+    const MAX_ESCAPED: usize = 6;
+    let texts = class.len() + number.len() + description.len();
+    let surely_fits = MAX_OVERHEAD + MAX_ESCAPED * texts <= MAX_MESSAGE_BYTES;
+    surely_fits || set_up(0, class, number, left, description).len() <= MAX_MESSAGE_BYTES
+}
+
 pub fn release(id: u64, cause: u16) -> Vec<u8> {
     line(&PlainLine { kind: "release", id: &format!("{id:016x}"), fields: NoFields {}, cause: Some(cause) })
 }
--- a/crates/platform/src/servers.rs
+++ b/crates/platform/src/servers.rs
@@ -4,6 +4,7 @@
 use crate::causes::{NORMAL_CLEARING, TEMPORARY_FAILURE};
 use crate::edge::{ConnectionId, Edge, Loss, Output, TimerEvent};
 use crate::feed::Event;
+use crate::limits::MAX_MESSAGE_BYTES;
 use crate::lines::{self, Kind, Line};
 use crate::link::{Link, LinkState, Phase, MAX_LINKS};
 use crate::log::call_subject;
@@ -419,9 +420,12 @@
                 return;
             }
         };
-        let Some(setup_try) = self.take_try(now, ue) else { return };
         let Some((_, _, pending)) = self.calls.pending(ue) else { return };
         let bytes = sip::answer(&pending.head, &line.description);
+        if bytes.len() > MAX_MESSAGE_BYTES {
+            return self.answer_too_long(now, ue);
+        }
+        let Some(setup_try) = self.take_try(now, ue) else { return };
         self.counters.stood += 1;
         self.log_debug("call established", call_subject(id), self.server_name(pool).to_string());
         self.control.attach_established(now, ue, pool, now - setup_try.sent_at);
@@ -437,6 +441,14 @@
         self.outputs.push_back(Output::Write { connection: client, bytes });
     }
 
+    /// The answer, with the header lines that its caller wants repeated, is longer than a message may be. The
+    /// call ran, so it is released at its server and not set up again.
+    fn answer_too_long(&mut self, now: f64, ue: UeId) {
+        self.abandon_try(now, ue, EndReason::Released);
+        self.send_final_answer(now, ue, 502, None, "its answer is too long for its caller");
+        self.control.client_left(now, ue);
+    }
+
     fn release_received(
         &mut self,
         now: f64,
--- a/crates/platform/tests/shared_connections.rs
+++ b/crates/platform/tests/shared_connections.rs
@@ -106,6 +106,59 @@
     }
 }
 
+/// Guards against lines over the platform's 16 KiB, on which a server closes its connection with all that is
+/// open on it: a description grows when it is written as JSON.
+#[test]
+fn a_set_up_too_long_for_a_server_is_refused_and_not_sent() {
+    let route = "X-Setup-Ms: 3000\r\nX-Route: dest:0;width:1;via:-1\r\n";
+    let mut longest_sent = 0;
+    for size in [2_000, 2_600, 2_700, 4_000, 4_080, 5_000, 8_000, 16_000] {
+        for text in ["\r\n", "\u{1}", "x"] {
+            let (mut front, links) = TestFront::with_links(1);
+            let client = front.client();
+            front.bytes(client, invite(2, 0).as_bytes());
+            front.take_written(links[0]);
+            front.bytes(client, invite_with(1, route, &text.repeat(size / text.len())).as_bytes());
+            let sent = front.take_written(links[0]);
+            let answer = front.first_answer(client);
+            let was_sent = sent.contains(&id(1));
+            assert!(
+                was_sent && answer.is_empty() || !was_sent && answer == "513",
+                "{size} {text:?}: {answer}"
+            );
+            assert!(sent.lines().all(|line| line.len() < MAX_MESSAGE_BYTES), "{size} {text:?}");
+            assert!(was_sent || text != "x", "{size}: nothing is escaped");
+            longest_sent = longest_sent.max(sent.len());
+            assert!(!front.closed.contains(&(client, false)));
+        }
+    }
+    assert!(longest_sent > 16_000, "{longest_sent}");
+}
+
+/// Guards against answers over the platform's 16 KiB, which a caller cannot read.
+#[test]
+fn an_answer_too_long_for_its_caller_fails_and_is_released() {
+    let (mut front, links) = TestFront::with_links(1);
+    let client = front.client();
+    let via = format!("Via: SIP/2.0/TCP {}\r\n", "x".repeat(9_000));
+    let route = "X-Setup-Ms: 3000\r\nX-Route: dest:0;width:1;via:-1\r\n";
+    front.bytes(client, invite_with(1, &format!("{via}{route}"), "9d41\r\n").as_bytes());
+    front.bytes(client, invite(2, 0).as_bytes());
+    front.take_written(links[0]);
+    for call in [1, 2] {
+        let description = "y".repeat(9_000);
+        front.send_line(
+            links[0],
+            &format!(r#"{{"type":"answer","id":"{}","fields":{{}},"sdp":"{description}"}}"#, id(call)),
+        );
+    }
+    assert_eq!(front.take_answers(client), [("502".into(), id(1)), ("200".into(), id(2))]);
+    let written = front.take_written(links[0]);
+    assert!(written.contains(&release(1, 16, "")) && !written.contains(&id(2)), "{written}");
+    front.advance(5.0);
+    assert!(!front.take_written(links[0]).contains("setup"), "it is not set up again");
+}
+
 /// Guards against attaches that fail for another message's sake: where a bad message ends is known, so its
 /// connection need not end.
 #[test]
--- a/crates/signalling/src/write.rs
+++ b/crates/signalling/src/write.rs
@@ -157,8 +157,10 @@
         487 => "Request Terminated",
         488 => "Not Acceptable Here",
         500 => "Server Internal Error",
+        502 => "Bad Gateway",
         503 => "Service Unavailable",
         504 => "Server Time-out",
+        513 => "Message Too Large",
         _ => "Status",
     }
 }
