Open a new link when one ends on which a server may have released a call

Cause: after a loss, redial() dials only for waiting set-ups, a due probe, or without any link; only check_links dialled by itself. Change: a link lost while calls stand at the server is replaced by one dialled after the loss, also when the peer ended it. A refused dial ends this: there is no process that could repeat anything. The dial of check_links is that one now. Tests: a_release_lost_with_a_link_that_the_front_resets_is_repeated_on_a_new_one and a_link_dialled_before_a_loss_does_not_replace_the_one_lost, both failed before (no dial).

--- a/crates/platform/src/link.rs
+++ b/crates/platform/src/link.rs
@@ -32,6 +32,7 @@
 
 pub struct Link {
     pub pool: PoolId,
+    pub dialled_at: f64,
     pub state: LinkState,
     pub lines: LineFramer,
     /// Attaches whose current setup try is out on the link.
@@ -51,6 +52,7 @@
     pub fn new(now: f64, pool: PoolId) -> Link {
         Link {
             pool,
+            dialled_at: now,
             state: LinkState::Dialled,
             lines: LineFramer::default(),
             open: Vec::new(),
@@ -124,6 +126,9 @@
     pub does_not_announce: bool,
     /// A probe waits for a link.
     pub probe_pending: bool,
+    /// When a link ended on which the server may have sent a release: it repeats it on the next connection that
+    /// opens.
+    pub release_missed_at: Option<f64>,
     /// Releases that wait for a link, as call id and cause.
     pub queued_releases: VecDeque<(u64, u16)>,
     /// Pause before the next dial, seconds; doubles with each failed dial.
@@ -135,6 +140,17 @@
     pub removed_at: f64,
 }
 
+impl Server {
+    /// Whether a link is to be dialled even if no set-up waits for one: there is none, or a release was missed
+    /// that the server repeats on the next one.
+    pub fn lacks_link(&self) -> bool {
+        let has_calls = self.established > 0 || !self.queued_releases.is_empty();
+        let is_wanted = self.phase == Phase::Up || self.phase == Phase::Draining && has_calls;
+        let misses_release = self.release_missed_at.is_some() && self.established > 0;
+        is_wanted && (self.links.is_empty() || misses_release)
+    }
+}
+
 /// Servers by their pool id, and links by connection.
 pub struct Servers {
     pub all: BTreeMap<PoolId, Server>,
@@ -171,6 +187,7 @@
             has_announced_state: false,
             does_not_announce: false,
             probe_pending: false,
+            release_missed_at: None,
             queued_releases: VecDeque::new(),
             pause: 0.0,
             liveness: Liveness::new(RELEASE_LIFETIME, self.probe_method),
--- a/crates/platform/src/servers.rs
+++ b/crates/platform/src/servers.rs
@@ -6,7 +6,7 @@
 use crate::feed::Event;
 use crate::limits::MAX_MESSAGE_BYTES;
 use crate::lines::{self, Kind, Line};
-use crate::link::{Link, LinkState, Phase, MAX_LINKS};
+use crate::link::{Link, LinkState, Phase, Server, MAX_LINKS};
 use crate::log::call_subject;
 use crate::sip;
 use shalespindle_control::interface::{EndReason, PoolEntry, PoolId, Report, UeId};
@@ -134,9 +134,8 @@
     pub(crate) fn removal_expired(&mut self, now: f64, pool: PoolId) {
         // A server that was listed again and removed once more gets its full grace period: the timer of the
         // first removal is ignored.
-        let is_expired = |s: &&crate::link::Server| {
-            s.phase == Phase::Removed && now >= s.removed_at + REMOVAL_GRACE - 1e-6
-        };
+        let is_expired =
+            |s: &&Server| s.phase == Phase::Removed && now >= s.removed_at + REMOVAL_GRACE - 1e-6;
         let Some(server) = self.servers.all.get(&pool).filter(is_expired) else { return };
         for connection in server.links.clone() {
             self.drop_link(now, connection, "its server was removed");
@@ -169,13 +168,9 @@
 
     // ---- links ----
 
-    /// Dials a server that is up or has established calls or queued releases, unless it has a link.
+    /// Dials a server that lacks a link.
     pub(crate) fn ensure_link(&mut self, now: f64, pool: PoolId) {
-        let Some(server) = self.servers.all.get(&pool) else { return };
-        let wanted = server.phase == Phase::Up
-            || server.phase == Phase::Draining
-                && (server.established > 0 || !server.queued_releases.is_empty());
-        if wanted && server.links.is_empty() {
+        if self.servers.all.get(&pool).is_some_and(Server::lacks_link) {
             self.dial(now, pool);
         }
     }
@@ -288,6 +283,8 @@
         server.links.retain(|c| *c != connection);
         let id = server.id.clone();
         let refused = !was_up && loss == Loss::Refused;
+        // Without a process at the address nothing can be repeated; a later link tells what has become of it.
+        server.release_missed_at = (!refused && server.established > 0).then_some(now);
         let dead = refused && server.liveness.connection_refused(now);
         if was_up {
             server.pause = 0.0;
@@ -315,9 +312,10 @@
     fn link_up(&mut self, now: f64, connection: ConnectionId) {
         let Some(link) = self.servers.links.get_mut(&connection) else { return };
         link.state = LinkState::Up;
-        let pool = link.pool;
+        let (pool, dialled_at) = (link.pool, link.dialled_at);
         let Some(server) = self.servers.all.get_mut(&pool) else { return };
         server.pause = 0.0;
+        server.release_missed_at = server.release_missed_at.filter(|missed_at| *missed_at > dialled_at);
         let probe_pending = std::mem::take(&mut server.probe_pending);
         let id = server.id.clone();
         if server.liveness.is_another_process() {
@@ -329,6 +327,7 @@
             self.probe_link(now, connection);
         }
         self.log_info("link up", id, format!("connection {connection}"));
+        self.ensure_link(now, pool);
     }
 
     /// Sends the tries that waited for a link. This happens one poll after the link came up, when all input
--- a/crates/platform/src/silent_servers.rs
+++ b/crates/platform/src/silent_servers.rs
@@ -53,10 +53,7 @@
                     self.probe_link(now, connection)
                 }
                 LivenessStatus::Dead => {
-                    self.drop_link(now, connection, "silent while its server sends on another link");
-                    // Releases that the server could not send on the broken link it sends on the next one
-                    // that is made.
-                    self.dial(now, pool);
+                    self.drop_link(now, connection, "silent while its server sends on another link")
                 }
                 LivenessStatus::ProbeDue | LivenessStatus::Alive => {}
             }
