Keep a connection on which a caller names a held call

Cause: call_handed_over returned for a call that the front holds before it marked the connection as used, so it was closed with 408 after 2.4 s, and the release went elsewhere or nowhere. Change: the connection counts as used; where that of the call's set-up has ended, the call belongs to the new one, which then stays open and gets the release first. Test: a_connection_on_which_a_held_call_is_named_stays_open_for_its_release, failed before (closed).

--- a/crates/platform/src/handover.rs
+++ b/crates/platform/src/handover.rs
@@ -9,7 +9,7 @@
 use crate::client_connection::Usage;
 use crate::edge::{ConnectionId, Edge};
 use crate::log::call_subject;
-use shalespindle_control::interface::PoolId;
+use shalespindle_control::interface::{PoolId, UeId};
 
 /// Time in which a front that is connected to the feed learns of a new server, seconds.
 const FOLLOWED_LIST_TIMEOUT: f64 = 0.5;
@@ -31,7 +31,11 @@
     /// A caller reports a call that is already established, set up by another front or by this one before a
     /// restart.
     pub(crate) fn call_handed_over(&mut self, now: f64, client: ConnectionId, id: u64, server: &str) {
-        if self.calls.by_id(id).is_some() || self.unresolved_handovers.iter().any(|h| h.id == id) {
+        if let Some(ue) = self.calls.by_id(id).map(|call| call.ue) {
+            return self.held_call_named(now, client, ue);
+        }
+        if self.unresolved_handovers.iter().any(|h| h.id == id) {
+            self.clients.used(now, client, Usage::Requests);
             return;
         }
         // Limited like the pending attaches; beyond the limit the call is not recorded and the caller gets no
@@ -63,6 +67,22 @@
         self.send_releases(now);
     }
 
+    /// A caller names a call that this front holds already: if the connection of its set-up has ended, the call
+    /// belongs to this one, on which its release is sent first.
+    fn held_call_named(&mut self, now: f64, client: ConnectionId, ue: UeId) {
+        self.clients.used(now, client, Usage::Requests);
+        let Some(call) = self.calls.by_ue(ue) else { return };
+        let is_established = matches!(call.state, CallState::Established(_));
+        if !is_established || self.clients.all.contains_key(&call.client) {
+            return;
+        }
+        call.client = client;
+        if let Some(client) = self.clients.all.get_mut(&client) {
+            client.established.insert(ue);
+        }
+        self.send_releases(now);
+    }
+
     fn add_established(&mut self, now: f64, client: ConnectionId, id: u64, pool: PoolId) {
         let ue = self.calls.add(
             id,
--- a/crates/platform/tests/shared_connections.rs
+++ b/crates/platform/tests/shared_connections.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use shalespindle_platform::ConnectionId;
+use shalespindle_platform::{ConnectionId, Loss};
 
 /// Time after which the front closes a connection with an incomplete message, with a margin, seconds.
 const PARTIAL_MESSAGE_TIMEOUT: f64 = 2.6;
@@ -224,3 +224,22 @@
     front.send_line(links[0], &release(1, 16, ""));
     assert!(front.take_answers(again).contains(&("BYE".into(), id(1))));
 }
+
+/// Guards against a connection closed under a call that stands: its caller names the call on a new connection,
+/// which counted as unused and was closed before the release.
+#[test]
+fn a_connection_on_which_a_held_call_is_named_stays_open_for_its_release() {
+    let (mut front, links) = TestFront::with_links(1);
+    let first = front.establish_call(links[0], 1);
+    front.lose_connection(first, Loss::Broken);
+    let second = front.client();
+    front.bytes(second, invite_with(1, "X-Setup-Ms: 3000\r\nX-Route: at:s0\r\n", "x").as_bytes());
+    for _ in 0..9 {
+        front.advance(1.0);
+        // The server keeps sending, so its calls stay.
+        front.send_line(links[0], STATE);
+    }
+    assert!(!front.closed.contains(&(second, false)), "longer than an unused or idle connection is kept");
+    front.send_line(links[0], &release(1, 16, ""));
+    assert_eq!(front.take_answers(second), [("BYE".into(), id(1))]);
+}
