--- a/crates/platform/src/sse.rs
+++ b/crates/platform/src/sse.rs
@@ -1,9 +1,11 @@
 //! Server-sent events from an HTTP/1.1 response with a plain or chunked body.
 
-use memchr::memchr;
+use crate::limits::MAX_MESSAGE_BYTES;
+use memchr::{memchr, memchr_iter};
 
-/// Limits in bytes of the response head and of one event; a stream that exceeds them is dropped.
-const MAX_HEAD: usize = 8 * 1024;
+/// Longest response head, bytes; a stream that exceeds it is dropped.
+const MAX_HEAD: usize = MAX_MESSAGE_BYTES;
+/// Longest event, bytes. It may hold the whole list of servers; a stream that exceeds it is dropped.
 const MAX_EVENT: usize = 1 << 20;
 
 /// Why a stream is dropped.
@@ -79,7 +81,9 @@
     }
 
     fn head(&mut self) -> Result<bool, StreamError> {
-        let mut headers = [httparse::EMPTY_HEADER; 32];
+        // The size of the head bounds its lines.
+        let max_lines = memchr_iter(b'\n', &self.raw[..self.raw.len().min(MAX_HEAD)]).count();
+        let mut headers = vec![httparse::EMPTY_HEADER; max_lines];
         let mut response = httparse::Response::new(&mut headers);
         let size = match response.parse(&self.raw) {
             Ok(httparse::Status::Complete(size)) => size,
--- a/crates/platform/src/sse_tests.rs
+++ b/crates/platform/src/sse_tests.rs
@@ -32,12 +32,25 @@
 fn invalid_heads_chunks_and_long_events_are_errors() {
     assert_eq!(read(b"HTTP/1.1 404 No\r\n\r\n", &[9]), Err(StreamError::Head));
     assert_eq!(read(&[b'x'; 9000], &[100]), Err(StreamError::Head));
+    let endless = format!("HTTP/1.1 200 OK\r\nX-Free: {}", "x".repeat(MAX_HEAD));
+    assert_eq!(read(endless.as_bytes(), &[100]), Err(StreamError::Head));
     let bad = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n";
     assert_eq!(read(bad.as_bytes(), &[3]), Err(StreamError::Chunk));
     let long = format!("HTTP/1.1 200 OK\r\n\r\ndata: {}", "x".repeat(MAX_EVENT + 1));
     assert_eq!(read(long.as_bytes(), &[65_536]), Err(StreamError::TooLong));
 }
 
+/// Guards against a feed that is dropped on each connection because of header fields that its page leaves free.
+#[test]
+fn a_head_is_limited_by_its_size_alone() {
+    let fields: String = (0..400).map(|n| format!("X-Free-{n}: {n}\r\n")).collect();
+    let long = format!("X-Long: {}\r\n", "x".repeat(7_000));
+    let stream = format!("HTTP/1.1 200 OK\r\n{fields}{long}\r\ndata: a\n\n");
+    assert!(stream.len() < MAX_HEAD);
+    assert_eq!(read(stream.as_bytes(), &[4096]), Ok(vec!["a".to_string()]));
+    assert_eq!(read(stream.as_bytes(), &[1]), Ok(vec!["a".to_string()]));
+}
+
 proptest! {
     // The same cases in every run.
     #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(1), failure_persistence: None, ..ProptestConfig::default() })]
