--- a/crates/platform/src/feed.rs
+++ b/crates/platform/src/feed.rs
@@ -190,8 +190,11 @@
     }
 
     /// The feed continues at another address, which is dialled at once because the old one sends nothing more;
-    /// returns the connections to close.
+    /// returns the connections to close. Nothing changes if the address is the same.
     pub fn address_changed(&mut self, now: f64, address: SocketAddr) -> Vec<ClosedRequest> {
+        if address == self.address {
+            return Vec::new();
+        }
         self.address = address;
         self.pause = MIN_PAUSE;
         self.dial_at = now;
@@ -230,4 +233,10 @@
         let is_due = self.second.is_none() && now >= self.wake_at();
         is_due.then(|| self.current.as_ref().map(FeedRequest::overdue_reason))
     }
+
+    /// Whether events are received as they are published, as far as the front can tell.
+    pub fn is_followed(&self, now: f64) -> bool {
+        let mut requests = self.current.iter().chain(&self.second);
+        requests.any(|r| r.stage() == Stage::Streaming && now < r.overdue_at())
+    }
 }
--- a/crates/platform/tests/feed.rs
+++ b/crates/platform/tests/feed.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use shalespindle_platform::{ConnectionId, LogRecord, Loss};
+use shalespindle_platform::{read_file, ConnectionId, LogRecord, Loss};
 
 const FEED_PORT: u16 = 4222;
 const RESPONSE_HEAD: &str = "HTTP/1.1 200 OK\r\n\r\n";
@@ -235,3 +235,19 @@
     let waited = world.run(20.0);
     assert!(waited <= 2.7, "{waited}");
 }
+
+/// Guards against a wait that began anew with each new configuration, although the feed had not moved.
+#[test]
+fn a_new_configuration_with_the_same_address_does_not_restart_the_request() {
+    let mut world = World::new(Discovery { responds_after: 1.9, ..PROMPT });
+    world.is_draining = true;
+    let same = file(&[event(1, true, &[member("s0", 0, "up", 0)])], FEED_PORT);
+    let mut waited = 0.0;
+    for _ in 0..4 {
+        waited += world.run(0.9);
+        world.front.edge.reconfigured(world.front.now, read_file(same.as_bytes()).unwrap());
+        world.front.poll();
+    }
+    assert!(waited <= 2.0, "{waited}");
+    assert_eq!(world.requests, 1);
+}
