Wait for a slow discovery before a call handed over counts as ended

Connected is not served: the response may take 2 s, and a call that stands at a new server was released to its caller and cut. Change: 0.5 s run from the response, or from the handover while events are received; without either the call counts as ended after 2.5 s instead of 2.0, the limit of discovery and the list's way. Test: a_call_handed_over_waits_for_the_list_of_a_slow_discovery, failed before (BYE after 0.5 s).

--- a/crates/platform/src/feed_io.rs
+++ b/crates/platform/src/feed_io.rs
@@ -37,6 +37,7 @@
         let input = self.feed.bytes(now, connection, bytes);
         if let Some(seconds) = input.responded_after {
             self.log_info("feed responded", self.feed.address, format!("after {seconds:.3} s"));
+            self.shorten_handover_waits(now);
         }
         for event in input.events {
             self.list_event(now, event);
--- a/crates/platform/src/handover.rs
+++ b/crates/platform/src/handover.rs
@@ -13,9 +13,9 @@
 
 /// Time in which a front that is connected to the feed learns of a new server, seconds.
 const FOLLOWED_LIST_TIMEOUT: f64 = 0.5;
-/// The same for a front that still has to connect to the feed; afterwards the call counts as ended together
-/// with its server. Seconds.
-const UNFOLLOWED_LIST_TIMEOUT: f64 = 2.0;
+/// The same for a front that still waits for the feed, whose response may take 2 s; afterwards the call counts
+/// as ended together with its server. Seconds.
+const UNFOLLOWED_LIST_TIMEOUT: f64 = 2.5;
 
 /// A call whose server is not in the list yet.
 pub struct UnresolvedHandover {
@@ -54,11 +54,7 @@
             Some(pool) => self.add_established(now, client, id, pool),
             None => {
                 let timeout =
-                    if self.feed.connections().any(|connection| self.feed.is_requested_on(connection)) {
-                        FOLLOWED_LIST_TIMEOUT
-                    } else {
-                        UNFOLLOWED_LIST_TIMEOUT
-                    };
+                    if self.feed.is_followed(now) { FOLLOWED_LIST_TIMEOUT } else { UNFOLLOWED_LIST_TIMEOUT };
                 let (server, expires_at) = (server.to_string(), now + timeout);
                 self.unresolved_handovers.push(UnresolvedHandover {
                     id,
@@ -130,6 +126,13 @@
         handed.map(|h| h.released_cause = Some(cause)).is_some()
     }
 
+    /// The feed responds, so new servers are listed soon.
+    pub(crate) fn shorten_handover_waits(&mut self, now: f64) {
+        for handed in &mut self.unresolved_handovers {
+            handed.expires_at = handed.expires_at.min(now + FOLLOWED_LIST_TIMEOUT);
+        }
+    }
+
     /// Ends the calls whose server has not appeared in the list in time.
     pub(crate) fn expire_handovers(&mut self, now: f64) {
         let (expired, remaining): (Vec<_>, Vec<_>) =
--- a/crates/platform/tests/feed.rs
+++ b/crates/platform/tests/feed.rs
@@ -251,3 +251,25 @@
     assert!(waited <= 2.0, "{waited}");
     assert_eq!(world.requests, 1);
 }
+
+/// Guards against a call that was ended although it stands: its server is new, and the list that names it is
+/// still on its way through a slow discovery.
+#[test]
+fn a_call_handed_over_waits_for_the_list_of_a_slow_discovery() {
+    let mut front = TestFront::new(1);
+    let client = front.client();
+    let feed = front.take_feed_dial(FEED_PORT);
+    front.edge.connected(front.now, feed);
+    front.bytes(client, invite_with(1, "X-Setup-Ms: 3000\r\nX-Route: at:s1\r\n", "x").as_bytes());
+    front.advance(2.0);
+    let update = event(2, false, &[member("s1", 1, "up", 0)]);
+    front.bytes(feed, RESPONSE_HEAD.as_bytes());
+    front.advance(0.3);
+    front.bytes(feed, format!("id: 2\ndata: {update}\n\n").as_bytes());
+    front.advance(1.0);
+    assert_eq!((front.take_written(client), front.edge.gauges()[1]), (String::new(), 1));
+    // A server that the list does not name soon after discovery has responded is taken for gone.
+    front.bytes(client, invite_with(2, "X-Setup-Ms: 3000\r\nX-Route: at:s9\r\n", "x").as_bytes());
+    front.advance(0.7);
+    assert_eq!(front.take_answers(client), [("BYE".into(), id(2))]);
+}
