Remember releases read before the handover in proportion to the memory limit

Cause: servers repeat all releases on the first connection of a restarted front, before the callers hand their calls over; EarlyIds held 1,024 of them and discarded the oldest. The handovers of those were taken for calls that stand. A handover beyond most_held was dropped before the store was asked. Change: the store takes 1/64 of the memory limit, at 64 bytes an id (7,812 ids at 32 MB), and is asked first. CANCELs read before their set-ups keep their 1,024. Test: every_call_that_ended_while_its_front_was_down_is_released_at_its_handover; with a store of 1,024 ids it fails.

--- a/crates/platform/src/early.rs
+++ b/crates/platform/src/early.rs
@@ -7,23 +7,29 @@
 
 use std::collections::{HashMap, VecDeque};
 
-/// Limit of the ids remembered; beyond it the oldest is discarded.
-const MAX_IDS: usize = 1024;
+/// Memory that one remembered id takes at most, bytes.
+pub const ID_BYTES: usize = 64;
 
 /// Remembered ids. An id is never reused, so an unclaimed one only has to expire.
-#[derive(Default)]
 pub struct EarlyIds {
+    /// Limit of the ids remembered; beyond it the oldest is discarded.
+    max_ids: usize,
     expires_at: HashMap<u64, f64>,
     /// The same ids in the order of their arrival.
     order: VecDeque<u64>,
 }
 
 impl EarlyIds {
+    /// Remembers at most `max_ids` ids.
+    pub fn new(max_ids: usize) -> EarlyIds {
+        EarlyIds { max_ids, expires_at: HashMap::new(), order: VecDeque::new() }
+    }
+
     /// Remembers an id for `lifetime` seconds.
     pub fn add(&mut self, now: f64, id: u64, lifetime: f64) {
         while let Some(oldest) = self.order.front() {
             let expired = self.expires_at.get(oldest).is_none_or(|expires_at| *expires_at <= now);
-            if !expired && self.order.len() < MAX_IDS {
+            if !expired && self.order.len() < self.max_ids {
                 break;
             }
             self.order.pop_front().map(|oldest| self.expires_at.remove(&oldest));
--- a/crates/platform/src/early_tests.rs
+++ b/crates/platform/src/early_tests.rs
@@ -2,7 +2,8 @@
 
 #[test]
 fn an_id_is_returned_once_before_it_expires_and_memory_is_bounded() {
-    let mut early = EarlyIds::default();
+    const MAX_IDS: usize = 1024;
+    let mut early = EarlyIds::new(MAX_IDS);
     early.add(0.0, 1, 9.0);
     assert!(early.take(8.9, 1) && !early.take(8.9, 1));
     early.add(10.0, 2, 9.0);
--- a/crates/platform/src/edge.rs
+++ b/crates/platform/src/edge.rs
@@ -3,7 +3,7 @@
 
 use crate::calls::{CallState, Calls, Try};
 use crate::client_connection::{ClientConnection, ClientConnections};
-use crate::early::EarlyIds;
+use crate::early::{EarlyIds, ID_BYTES};
 use crate::feed::{Event, Feed};
 use crate::handover::UnresolvedHandover;
 use crate::lines;
@@ -135,6 +135,11 @@
 const SOCKET_SLACK: f64 = 0.05;
 /// Fraction of the memory limit that the set-ups of pending attaches may fill.
 const SET_UP_MEMORY_SHARE: f64 = 0.125;
+/// Fraction of the memory limit for ids of releases read before their calls are handed over. After an outage of
+/// the front these are all calls that ended meanwhile.
+const EARLY_RELEASE_MEMORY_SHARE: f64 = 1.0 / 64.0;
+/// Limit of the CANCELs remembered that were read before their set-ups.
+const MAX_EARLY_CANCELS: usize = 1024;
 
 /// The state of one front.
 pub struct Edge {
@@ -181,21 +186,22 @@
         deployment.release_guard += SOCKET_SLACK;
         let t_timers = deployment.procedures.iter().map(|p| p.t_timer);
         let probe_method = if deployment.may_probe { ProbeMethod::Test } else { ProbeMethod::Dial };
+        let memory_bytes = file.limits.memory_mb * 1e6;
         let procedures = startup.host.procedure_names.into_iter().zip(t_timers).collect();
         let mut edge = Edge {
             control: Control::new(file.seed, deployment, now),
             report_layout: startup.report_layout,
             procedures,
             max_pending: startup.host.max_pending_attaches,
-            max_stored_bytes: (file.limits.memory_mb * 1e6 * SET_UP_MEMORY_SHARE) as usize,
+            max_stored_bytes: (memory_bytes * SET_UP_MEMORY_SHARE) as usize,
             max_sockets: file.limits.sockets,
             dial_timeout: startup.host.connect_timeout,
             clock_epoch: unix - now,
             calls: Calls::default(),
             clients: ClientConnections::default(),
             releases: Releases::default(),
-            early_cancels: EarlyIds::default(),
-            early_releases: EarlyIds::default(),
+            early_cancels: EarlyIds::new(MAX_EARLY_CANCELS),
+            early_releases: EarlyIds::new((memory_bytes * EARLY_RELEASE_MEMORY_SHARE) as usize / ID_BYTES),
             closing: BTreeSet::new(),
             last_client_seen_at: now,
             servers: Servers::new(probe_method),
--- a/crates/platform/src/handover.rs
+++ b/crates/platform/src/handover.rs
@@ -38,6 +38,12 @@
             self.clients.used(now, client, Usage::Requests);
             return;
         }
+        // A server repeats its releases on the first connection from a front, which may precede the handover.
+        if self.early_releases.take(now, id) {
+            self.clients.used(now, client, Usage::Requests);
+            self.log_info("call handed over", call_subject(id), format!("ended before at {server}"));
+            return self.send_release(now, client, id, NORMAL_CLEARING);
+        }
         // Limited like the pending attaches; beyond the limit the call is not recorded and the caller gets no
         // release.
         if self.calls.established_count() + self.unresolved_handovers.len() >= self.max_pending {
@@ -46,10 +52,6 @@
         }
         self.clients.used(now, client, Usage::Requests);
         self.log_info("call handed over", call_subject(id), format!("established at {server}"));
-        // A server repeats its releases on the first connection from a front, which may precede the handover.
-        if self.early_releases.take(now, id) {
-            return self.send_release(now, client, id, NORMAL_CLEARING);
-        }
         match self.servers.named(server) {
             Some(pool) => self.add_established(now, client, id, pool),
             None => {
--- a/crates/platform/tests/releases.rs
+++ b/crates/platform/tests/releases.rs
@@ -183,3 +183,27 @@
     front.send_line(link, &release(1, 16, ""));
     assert_eq!(count_byes(&mut front, client), 1);
 }
+
+/// Guards against review case 1: of the releases that a restarted front reads on its first connection, before
+/// their callers hand the calls over, only the last 1,024 were remembered; the other calls were left standing.
+#[test]
+fn every_call_that_ended_while_its_front_was_down_is_released_at_its_handover() {
+    /// Calls that end in 6.9 s, the longest outage of a front, at 190 calls a second.
+    const CALLS: u64 = 1_311;
+    /// Releases of earlier calls, which the server repeats as well.
+    const EARLIER_RELEASES: u64 = 5_700;
+    let (mut front, links) = TestFront::with_links(1);
+    for call in 1..=EARLIER_RELEASES {
+        front.edge.bytes(front.now, front.now, links[0], format!("{}\n", release(call, 16, "")).as_bytes());
+    }
+    let calls = EARLIER_RELEASES - CALLS + 1..=EARLIER_RELEASES;
+    let client = front.client();
+    for call in calls.clone() {
+        let text = invite_with(call, "X-Setup-Ms: 3000\r\nX-Route: at:s0\r\n", "x");
+        front.edge.bytes(front.now, front.now, client, text.as_bytes());
+    }
+    front.poll();
+    let expected: Vec<(String, String)> = calls.map(|call| ("BYE".into(), id(call))).collect();
+    assert_eq!(front.take_answers(client), expected);
+    assert_eq!(front.edge.gauges()[1], 0, "calls held as established");
+}
