Judge a call's end in the trials at the server whose answer its caller has

The check of dense_trials took the first end of a call's id at any server for the end of the call. Change: CallOver names its server, Answered the server that made the description, and the end that counts is that server's. As strict: each call that stands must be told in time of its end, and of the right one, also where a copy elsewhere ended later. An unsound 200 is reported as before. Test: only_an_end_at_the_server_whose_answer_the_caller_has_must_be_reported, on both sides.

--- a/crates/trials/src/callers.rs
+++ b/crates/trials/src/callers.rs
@@ -3,8 +3,8 @@
 //! restarted.
 
 use crate::front::{Front, Settings};
-use crate::record::{locked, CallId, Event, FrontId, Recorder};
-use crate::server::server_in_description;
+use crate::record::{locked, CallId, Event, FrontId, Recorder, ServerId};
+use crate::server::{server_in_description, server_name};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use shalespindle_signalling::{Framer, Message, Method, Start};
@@ -75,8 +75,8 @@
 /// An established call, as its caller knows it.
 struct EstablishedCall {
     front: FrontId,
-    /// Id of its server; none if the answer named no server.
-    server: Option<String>,
+    /// Its server; none if the answer named no server.
+    server: Option<ServerId>,
 }
 
 /// What a caller does at a scheduled time.
@@ -384,8 +384,8 @@
     fn hand_over(&self) {
         let to_hand_over = std::mem::take(&mut *locked(&self.to_hand_over));
         for (call, established) in to_hand_over {
-            let Some(server) = established.server.clone() else { continue };
-            let message = invite(call, self.settings.deadline, &format!("at:{server}"));
+            let Some(server) = established.server else { continue };
+            let message = invite(call, self.settings.deadline, &format!("at:{}", server_name(server)));
             let written =
                 self.free_connection(established.front).is_some_and(|c| write_message(&c, &message));
             if written {
@@ -453,8 +453,7 @@
             self.recorder.record_at(now, Event::Requested { call, front: connection.front, until });
         }
         let server = server_in_description(call, message.body);
-        let sound = status != 200 || server.is_some();
-        self.recorder.record(Event::Answered { call, status, sound });
+        self.recorder.record(Event::Answered { call, status, server });
         write_message(connection, &request("ACK", call));
         if status == 200 {
             self.served.fetch_add(1, Ordering::Relaxed);
--- a/crates/trials/src/record.rs
+++ b/crates/trials/src/record.rs
@@ -12,8 +12,8 @@
 pub enum Event {
     /// The last byte of a set-up was written to a front; its caller waits for an answer until `until`.
     Requested { call: CallId, front: FrontId, until: f64 },
-    /// A final answer arrived. `sound` is false for a 200 whose description no server made for this call.
-    Answered { call: CallId, status: u16, sound: bool },
+    /// A final answer arrived. `server` made its description for this call; a 200 without one is unsound.
+    Answered { call: CallId, status: u16, server: Option<ServerId> },
     /// The call's connection ended before a final answer.
     ConnectionEnded { call: CallId },
     /// The connection ended just as the set-up was written, with nothing else pending on it: the caller may
@@ -32,8 +32,9 @@
     /// An attempt ended: by the server's message, by the front's release, or with its connection. `unsure`:
     /// the front cannot know whether the attempt is still running.
     AttemptEnded { call: CallId, server: ServerId, unsure: bool },
-    /// An answered call ended at its server. `released`: the server could write the release to a connection.
-    CallOver { call: CallId, released: bool },
+    /// A call ended at a server that had answered it. `released`: the server could write the release to a
+    /// connection.
+    CallOver { call: CallId, server: ServerId, released: bool },
     /// Time by which every front must have received the notice that a server accepts no new set-ups.
     ToldToLeave { server: ServerId },
     /// The process was spawned.
--- a/crates/trials/src/rules.rs
+++ b/crates/trials/src/rules.rs
@@ -79,7 +79,7 @@
     front: Option<FrontId>,
     requested_at: f64,
     until: f64,
-    answered: Option<(f64, u16)>,
+    answered: Option<FinalAnswer>,
     left_at: Option<f64>,
     connection_ended_at: Option<f64>,
     crossed_close: bool,
@@ -87,11 +87,28 @@
     attempt_at: Option<ServerId>,
     next_attempt_at: f64,
     handed_over: Option<(f64, FrontId)>,
-    /// Time of its end, and whether its server could send the release.
-    ended: Option<(f64, bool)>,
+    /// Its ends by server. A server whose answer was lost may hold, and end, a call that stands at another.
+    ends: BTreeMap<ServerId, CallEnd>,
     end_reported_at: Option<f64>,
 }
 
+/// The first final answer of a call.
+#[derive(Clone, Copy)]
+struct FinalAnswer {
+    at: f64,
+    status: u16,
+    /// The server whose description it carries, where the call stands.
+    server: Option<ServerId>,
+}
+
+/// End of a call at one server.
+#[derive(Clone, Copy)]
+struct CallEnd {
+    at: f64,
+    /// The server could send the release.
+    released: bool,
+}
+
 /// State of one front's processes.
 #[derive(Default)]
 struct FrontState {
@@ -150,7 +167,7 @@
                 let state = self.calls.entry(call).or_default();
                 (state.front, state.requested_at, state.until) = (Some(front), at, until);
             }
-            Event::Answered { call, status, sound } => self.observe_answer(at, call, status, sound),
+            Event::Answered { call, status, server } => self.observe_answer(at, call, status, server),
             Event::ConnectionEnded { call } => {
                 self.calls.entry(call).or_default().connection_ended_at.get_or_insert(at);
             }
@@ -173,8 +190,9 @@
                     state.next_attempt_at = at + guard;
                 }
             }
-            Event::CallOver { call, released } => {
-                self.calls.entry(call).or_default().ended.get_or_insert((at, released));
+            Event::CallOver { call, server, released } => {
+                let ends = &mut self.calls.entry(call).or_default().ends;
+                ends.entry(server).or_insert(CallEnd { at, released });
             }
             Event::ToldToLeave { server } => {
                 self.drained.entry(server).or_insert(at);
@@ -198,15 +216,16 @@
         }
     }
 
-    fn observe_answer(&mut self, at: f64, call: CallId, status: u16, sound: bool) {
+    fn observe_answer(&mut self, at: f64, call: CallId, status: u16, server: Option<ServerId>) {
         let state = self.calls.entry(call).or_default();
         let before = state.answered;
-        state.answered.get_or_insert((at, status));
+        state.answered.get_or_insert(FinalAnswer { at, status, server });
         let crossed_cancel = state.left_at.is_some();
-        if let Some((first, _)) = before.filter(|_| !crossed_cancel) {
-            self.report(Rule::SecondAnswer, at, format!("{call:016x} got {status}, answered at {first:.3}"));
+        if let Some(first) = before.filter(|_| !crossed_cancel) {
+            let what = format!("{call:016x} got {status}, answered at {:.3}", first.at);
+            self.report(Rule::SecondAnswer, at, what);
         }
-        if !sound {
+        if status == 200 && server.is_none() {
             self.report(
                 Rule::UnsoundAnswer,
                 at,
@@ -318,7 +337,7 @@
     fn check_lost(&self, call: CallId, state: &CallState) -> Option<Breach> {
         let front = state.front?;
         let due = state.until + self.limits.answer_slack + self.limits.transit_allowance;
-        let in_time = state.answered.is_some_and(|(at, _)| at <= due);
+        let in_time = state.answered.is_some_and(|answer| answer.at <= due);
         let ended = self.end_after(front, state.requested_at).filter(|end| end.at <= due);
         // A connection that ended with SIGKILL was not closed by the front, so it is no crossed close.
         let killed_under_it = ended.is_some_and(|end| {
@@ -336,7 +355,9 @@
             return None;
         }
         let how = match (state.answered, state.connection_ended_at) {
-            (Some((at, status)), _) => format!("answered {status}, {:.3} s too late", at - state.until),
+            (Some(FinalAnswer { at, status, .. }), _) => {
+                format!("answered {status}, {:.3} s too late", at - state.until)
+            }
             (None, Some(at)) => {
                 format!("its connection ended {:.3} s after the request", at - state.requested_at)
             }
@@ -347,8 +368,9 @@
     }
 
     fn check_end_reported(&self, call: CallId, state: &CallState) -> Option<Breach> {
-        let (ended_at, released) = state.ended?;
-        let (served_at, _) = state.answered.filter(|(_, status)| *status == 200)?;
+        let answer = state.answered.filter(|answer| answer.status == 200)?;
+        let served_at = answer.at;
+        let CallEnd { at: ended_at, released } = *state.ends.get(&answer.server?)?;
         let limit = if released { self.limits.end_after_release } else { self.limits.end_after_silence };
         let mut due = ended_at.max(served_at) + limit;
         let mut front = state.front?;
--- a/crates/trials/src/server.rs
+++ b/crates/trials/src/server.rs
@@ -199,7 +199,8 @@
             self.shared.attempt_ended(attempt.call, true);
         }
         for call in std::mem::take(&mut state.established).into_keys() {
-            self.shared.recorder.record(Event::CallOver { call, released: false });
+            let over = Event::CallOver { call, server: self.shared.id, released: false };
+            self.shared.recorder.record(over);
         }
         state.dead = true;
     }
@@ -229,12 +230,11 @@
     format!("77aa{call:016x} {}", server_name(server))
 }
 
-/// Returns the id of the server that made the description for this call; `None` if no server did.
-pub fn server_in_description(call: CallId, description: &[u8]) -> Option<String> {
+/// Returns the server that made the description for this call; `None` if no server did.
+pub fn server_in_description(call: CallId, description: &[u8]) -> Option<ServerId> {
     let text = std::str::from_utf8(description).ok()?;
     let server = text.strip_prefix(&format!("77aa{call:016x} "))?;
-    server.strip_prefix("s-")?.parse::<ServerId>().ok()?;
-    Some(server.to_string())
+    server.strip_prefix("s-")?.parse().ok()
 }
 
 fn release(call: CallId, cause: u16) -> Value {
@@ -460,7 +460,7 @@
             let had_ended = std::mem::replace(&mut established.has_ended, true);
             if !is_serving {
                 if !had_ended {
-                    self.recorder.record(Event::CallOver { call, released: false });
+                    self.recorder.record(Event::CallOver { call, server: self.id, released: false });
                 }
                 continue;
             }
@@ -469,7 +469,7 @@
             let connection = state.connections.get(&own).or_else(|| others.next());
             let released = connection.is_some_and(|c| write_line(&c.stream, &release(call, CAUSE_CLEARED)));
             if !had_ended {
-                self.recorder.record(Event::CallOver { call, released });
+                self.recorder.record(Event::CallOver { call, server: self.id, released });
             }
             state.releases_to_repeat.push((front, call));
             state.established.remove(&call);
--- a/crates/trials/tests/rules.rs
+++ b/crates/trials/tests/rules.rs
@@ -27,8 +27,8 @@
         (1.3, Event::AttemptEnded { call: 1, server: 0, unsure: true }),
         (1.9, Event::SetUp { call: 1, server: 1 }),
         (2.0, Event::AttemptEnded { call: 1, server: 1, unsure: false }),
-        (2.1, Event::Answered { call: 1, status: 200, sound: true }),
-        (5.0, Event::CallOver { call: 1, released: true }),
+        (2.1, Event::Answered { call: 1, status: 200, server: Some(1) }),
+        (5.0, Event::CallOver { call: 1, server: 1, released: true }),
         (5.2, Event::ReleasedToCaller { call: 1 }),
         (6.0, Event::BadClient { was_turned_away: true }),
     ]
@@ -62,7 +62,7 @@
     let without = |unwanted: fn(&Event) -> bool| changed(move |e| Some(e).filter(|e| !unwanted(&e.1)));
     let lost = without(|e| matches!(e, Event::Answered { .. }));
     assert_eq!(lost, [Rule::Lost]);
-    assert_eq!(with(2.5, Event::Answered { call: 1, status: 503, sound: true }), [Rule::SecondAnswer]);
+    assert_eq!(with(2.5, Event::Answered { call: 1, status: 503, server: None }), [Rule::SecondAnswer]);
     assert_eq!(with(1.2, Event::SetUp { call: 1, server: 0 }), [Rule::TwoAttempts]);
     assert_eq!(with(1.2, Event::CallerLeft { call: 1 }), [Rule::SentAfterCallerLeft]);
     assert_eq!(with(1.0, Event::ToldToLeave { server: 1 }), [Rule::SentToDrained]);
@@ -70,7 +70,7 @@
     assert_eq!(with(7.0, Event::BadClient { was_turned_away: false }), [Rule::BadClientServed]);
     assert_eq!(with(7.0, Event::Launched { front: 0 }), [Rule::NotReady]);
     let unsound = changed(|(at, event)| match event {
-        Event::Answered { call, status, .. } => Some((at, Event::Answered { call, status, sound: false })),
+        Event::Answered { call, status, .. } => Some((at, Event::Answered { call, status, server: None })),
         other => Some((at, other)),
     });
     assert_eq!(unsound, [Rule::UnsoundAnswer]);
@@ -85,7 +85,7 @@
 fn the_limit_for_reporting_an_end_depends_on_whether_the_server_sent_a_release() {
     let notified = |after: f64, released: bool| {
         changed(move |(at, event)| match event {
-            Event::CallOver { call, .. } => Some((at, Event::CallOver { call, released })),
+            Event::CallOver { call, server, .. } => Some((at, Event::CallOver { call, server, released })),
             Event::ReleasedToCaller { .. } => Some((5.0 + after, event)),
             other => Some((at, other)),
         })
@@ -96,6 +96,25 @@
     assert_eq!(notified(8.2, false), [Rule::EndNotTold]);
 }
 
+/// Guards against a false EndNotTold (dense trials, seed 4): a server whose answer was lost ended its own copy of a
+/// call that stood at another one.
+#[test]
+fn only_an_end_at_the_server_whose_answer_the_caller_has_must_be_reported() {
+    let end_at = |server, at| (at, Event::CallOver { call: 1, server, released: true });
+    let told_at = |at| (at, Event::ReleasedToCaller { call: 1 });
+    let is_end = |e: &Event| matches!(e, Event::CallOver { .. } | Event::ReleasedToCaller { .. });
+    let with_ends = |ends: &[Entry]| {
+        let mut entries = valid_record();
+        entries.retain(|e| !is_end(&e.1));
+        entries.extend(ends.iter().cloned());
+        rules(&entries)
+    };
+    assert_eq!(with_ends(&[end_at(0, 3.0), end_at(1, 5.0), told_at(5.2)]), []);
+    assert_eq!(with_ends(&[end_at(0, 3.0)]), []);
+    assert_eq!(with_ends(&[end_at(0, 5.1), end_at(1, 3.0), told_at(5.2)]), [Rule::EndNotTold]);
+    assert_eq!(with_ends(&[end_at(0, 3.0), end_at(1, 5.0), told_at(6.3)]), [Rule::EndNotTold]);
+}
+
 #[test]
 fn an_unanswered_request_counts_as_lost_depending_on_how_the_front_ended() {
     let unanswered = |events: &[(f64, Event)]| {
