Send no set-up through an entry whose address a newer server has

Cause: a server died, a new one took its address and drained, and the list named the old one as removed only 6 to 9 s after its death; its entry, held for up, led to the new server's process. Excluded: the feed (connected throughout, event read at once; logs), restarts of the other fronts. Change: a server listed for the first time retires older entries at its address; of two in one event the one that started later is used. The retired entry is told to the module first, so that the new server takes its place and its cold budget. Its calls and links stay. Tests: a_draining_server_gets_no_set_up_through_the_entry_of_the_one_whose_address_it_took, of_two_entries_with_one_address_only_the_one_that_started_later_is_used; both failed before.

--- a/crates/platform/src/link.rs
+++ b/crates/platform/src/link.rs
@@ -198,6 +198,11 @@
         pool
     }
 
+    /// Returns the pool id of the entry added last.
+    pub fn last_pool(&self) -> PoolId {
+        self.last
+    }
+
     pub fn forget(&mut self, pool: PoolId) {
         if let Some(server) = self.all.remove(&pool) {
             self.by_id.remove(&server.id);
--- a/crates/platform/src/servers.rs
+++ b/crates/platform/src/servers.rs
@@ -30,6 +30,7 @@
     pub(crate) fn list_event(&mut self, now: f64, event: Event) {
         let Some(update) = event.members else { return };
         let mut entries = Vec::new();
+        let last_known = self.servers.last_pool();
         if update.complete {
             let named: HashSet<&str> = update.members.iter().map(|m| m.id.as_str()).collect();
             let unlisted = self.servers.all.values().filter(|s| !named.contains(s.id.as_str()));
@@ -72,10 +73,37 @@
             self.log_info("server listed", &member.id, reason);
             self.set_phase(now, pool, phase);
         }
+        let retired = self.retire_predecessors(now, last_known);
+        entries.retain(|entry| retired.iter().all(|gone| gone.id != entry.id));
+        // A predecessor comes first, so that the new server takes its place.
+        let entries = [retired, entries].concat();
         self.control.pools_listed(now, &entries, update.complete);
         self.resolve_handovers(now);
     }
 
+    /// Where a new server is listed at an address, the one that had it has gone, although the list may say so
+    /// only later. Its entry gets no more set-ups, which would reach the new server: that one may be draining.
+    /// `last_known` is the last entry from before this event; of two new ones, that which started earlier has
+    /// gone.
+    fn retire_predecessors(&mut self, now: f64, last_known: PoolId) -> Vec<PoolEntry> {
+        let age = |s: &Server| (s.pool > last_known, s.started_at);
+        let listed: Vec<&Server> = self.servers.all.values().filter(|s| s.phase != Phase::Removed).collect();
+        let new: Vec<&Server> = listed.iter().copied().filter(|s| s.pool > last_known).collect();
+        let has_gone = |old: &&&Server| new.iter().any(|s| s.address == old.address && age(s) > age(old));
+        let retired: Vec<PoolEntry> = listed
+            .iter()
+            .filter(|old| old.phase == Phase::Up)
+            .filter(has_gone)
+            .map(|old| PoolEntry { id: old.pool, number: old.number, started: old.started_at, ready: false })
+            .collect();
+        for entry in &retired {
+            let name = self.server_name(entry.id).to_string();
+            self.log_info("server retired", name, "a new server is listed at its address");
+            self.set_phase(now, entry.id, Phase::Draining);
+        }
+        retired
+    }
+
     fn set_phase(&mut self, now: f64, pool: PoolId, phase: Phase) {
         let Some(server) = self.servers.all.get_mut(&pool) else { return };
         let before = std::mem::replace(&mut server.phase, phase);
--- a/crates/platform/tests/server_list.rs
+++ b/crates/platform/tests/server_list.rs
@@ -116,3 +116,65 @@
         "an old event put a draining server back into service"
     );
 }
+
+/// Guards against set-ups to a server after its drain was told (dense trials, seeds 3012 and 3021): a server had
+/// died, and the list said so later than it named the server that took its address, and drained.
+#[test]
+fn a_draining_server_gets_no_set_up_through_the_entry_of_the_one_whose_address_it_took() {
+    let named = |id: &str, phase: &str, started: u64| member(id, 0, phase, started);
+    let late = 1_700_000_000_000 + 500;
+    // Told to drain at its first mention, or after it was listed as up.
+    for events in
+        [vec![named("t0", "draining", 0)], vec![named("t0", "up", late), named("t0", "draining", 0)]]
+    {
+        let (mut front, links, feed) = with_feed(1);
+        // The successor accepts the connection of the old entry and is taken for its server.
+        front.lose_connection(links[0], Loss::Broken);
+        let link = front.bring_up_link(0);
+        for (n, member) in events.iter().enumerate() {
+            send_feed_event(&mut front, feed, 2 + n as u64, std::slice::from_ref(member));
+        }
+        front.advance(0.25);
+        let client = front.client();
+        front.bytes(client, invite(2, 0).as_bytes());
+        front.advance(1.0);
+        let written: String = front
+            .written
+            .keys()
+            .copied()
+            .collect::<Vec<_>>()
+            .into_iter()
+            .filter(|connection| *connection != client)
+            .map(|connection| front.take_written(connection))
+            .collect();
+        assert!(!written.contains("setup"), "{written}");
+        assert!(!front.closed.contains(&(link, true)), "calls at the address may stand");
+    }
+}
+
+/// The same where a starting front finds both in its first list: the one that started later is there.
+#[test]
+fn of_two_entries_with_one_address_only_the_one_that_started_later_is_used() {
+    for is_first in [true, false] {
+        let mut members = vec![member("s0", 0, "up", 0), member("t0", 0, "up", 1_700_000_000_000 + 500)];
+        if !is_first {
+            members.reverse();
+        }
+        let mut front = TestFront::from(&file(&[event(1, true, &members)], 4222));
+        let feed = front.take_feed_dial(4222);
+        front.edge.connected(front.now, feed);
+        front.bytes(feed, b"HTTP/1.1 200 OK\r\n\r\n");
+        while front.dials.iter().any(|d| d.1 == 6000) {
+            front.bring_up_link(0);
+        }
+        send_feed_event(&mut front, feed, 2, &[member("t0", 0, "draining", 0)]);
+        front.advance(0.25);
+        front.written.clear();
+        let client = front.client();
+        front.bytes(client, invite(2, 0).as_bytes());
+        front.advance(1.0);
+        assert!(front.log.iter().all(|(_, _, bytes)| {
+            !String::from_utf8_lossy(bytes.as_deref().unwrap_or_default()).contains("setup")
+        }));
+    }
+}
