--- a/crates/cli/tests/dense_trials.rs
+++ b/crates/cli/tests/dense_trials.rs
@@ -5,29 +5,15 @@
 use shalespindle_trials::plan::plan;
 use shalespindle_trials::record::Event;
 use shalespindle_trials::rules::{breaches, Breach, RuleLimits};
-use shalespindle_trials::{run, Outcome, Settings};
+use shalespindle_trials::{run, Outcome};
 use std::path::Path;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Mutex;
 
 const CI_SEEDS: &str = "1-6";
 const CI_JOBS: usize = 2;
-
-fn rule_limits(settings: &Settings) -> RuleLimits {
-    RuleLimits {
-        guard: settings.guard,
-        drain_grace: 0.25,
-        answer_slack: 0.5,
-        end_after_release: 1.05,
-        end_after_silence: 8.05,
-        end_after_hand_over: 4.0,
-        accepted_after_signal: 0.7,
-        ready_within: 10.0,
-        abandon_within: 0.1,
-        // Allows for delays, as stand-ins and fronts share the machine's cores with other tests.
-        transit_allowance: 0.15,
-    }
-}
+/// Allows for delays, as stand-ins and fronts share the machine's cores with other tests, seconds.
+const TRANSIT_ALLOWANCE: f64 = 0.15;
 
 fn summary(seed: u64, outcome: &Outcome, found: &[Breach]) -> String {
     let count = |wanted: fn(&Event) -> bool| outcome.entries.iter().filter(|e| wanted(&e.1)).count();
@@ -48,7 +34,7 @@
 fn trial(seed: u64) -> Vec<String> {
     let work_folder = tempfile::tempdir().unwrap();
     let plan = plan(seed);
-    let rule_limits = rule_limits(&plan.settings);
+    let rule_limits = RuleLimits::of_platform(plan.settings.guard, TRANSIT_ALLOWANCE);
     let faults = format!("{:?}", plan.faults);
     let outcome = run(Path::new(env!("CARGO_BIN_EXE_shalespindle")), work_folder.path(), seed, plan).unwrap();
     let found = breaches(&outcome.entries, &rule_limits, outcome.end);
--- a/crates/trials/src/rules.rs
+++ b/crates/trials/src/rules.rs
@@ -29,6 +29,24 @@
     pub transit_allowance: f64,
 }
 
+impl RuleLimits {
+    /// The platform's limits; the guard is a setting of the deployment.
+    pub const fn of_platform(guard: f64, transit_allowance: f64) -> RuleLimits {
+        RuleLimits {
+            guard,
+            drain_grace: 0.25,
+            answer_slack: 0.5,
+            end_after_release: 1.05,
+            end_after_silence: 8.05,
+            end_after_hand_over: 4.0,
+            accepted_after_signal: 0.7,
+            ready_within: 10.0,
+            abandon_within: 0.1,
+            transit_allowance,
+        }
+    }
+}
+
 /// Maximum time between the observed end of a process and the observed ends of its connections, seconds.
 const KILL_DETECTION_DELAY: f64 = 0.05;
 
--- a/crates/trials/tests/rules.rs
+++ b/crates/trials/tests/rules.rs
@@ -3,18 +3,7 @@
 use shalespindle_trials::record::{Entry, Event};
 use shalespindle_trials::rules::{breaches, Rule, RuleLimits};
 
-const LIMITS: RuleLimits = RuleLimits {
-    guard: 0.5,
-    drain_grace: 0.25,
-    answer_slack: 0.5,
-    end_after_release: 1.05,
-    end_after_silence: 8.05,
-    end_after_hand_over: 4.0,
-    accepted_after_signal: 0.7,
-    ready_within: 10.0,
-    abandon_within: 0.1,
-    transit_allowance: 0.1,
-};
+const LIMITS: RuleLimits = RuleLimits::of_platform(0.5, 0.1);
 const END: f64 = 60.0;
 
 /// A valid record: one call from its request to its end, whose caller is notified in time.
