--- a/crates/platform/src/feed_request.rs
+++ b/crates/platform/src/feed_request.rs
@@ -92,8 +92,8 @@
         self.active_at + if self.is_partial() { PARTIAL_EVENT_TIMEOUT } else { self.stage_timeout() }
     }
 
-    /// When the next request has been waiting as long as this one: a request beside it is then given up for a
-    /// new one.
+    /// When this request, made beside an overdue one, is given up for a new one. Unlike [`Self::overdue_at`] this
+    /// leaves time for an event that comes in pieces.
     pub fn expires_at(&self) -> f64 {
         self.active_at + self.stage_timeout()
     }
