Do not hand calls over on the connections of an ended process in the trials

The new process's log has no handover of it: the caller stand-in wrote it on a connection of the killed process, whose end its reader had not seen, and counted it as done. The front never had the call. Change: when a front's process has ended its connections count as closed at once, so the call goes to the new process.

--- a/crates/trials/src/callers.rs
+++ b/crates/trials/src/callers.rs
@@ -494,6 +494,11 @@
     /// Called when the process of a front has ended: its established calls are kept for a hand-over or
     /// dropped.
     pub fn front_ended(&self, front: FrontId) {
+        // The readers of its connections may not have seen the end yet. A call handed over on such a connection
+        // would reach nobody.
+        for connection in locked(&self.connections).iter().filter(|c| c.front == front) {
+            connection.is_open.store(false, Ordering::Release);
+        }
         let interrupted: Vec<(CallId, EstablishedCall)> =
             locked(&self.established).extract_if(|_, established| established.front == front).collect();
         let share = locked(&self.behaviour).hand_over_percent;
