--- a/crates/platform/tests/releases.rs
+++ b/crates/platform/tests/releases.rs
@@ -144,19 +144,24 @@
     assert_eq!(count_byes(&mut front, client), 2);
 }
 
-/// Guards against calls left standing: the front reset a connection on which a server had released a call, and
-/// opened no other one, on which the server would have repeated the release, since one was open already.
-#[test]
-fn a_release_lost_with_a_link_that_the_front_resets_is_repeated_on_a_new_one() {
+/// A front, its link to a server, and the client with a call there; two set-ups at once make it dial a second link.
+fn with_a_call_and_a_second_dial() -> (TestFront, ConnectionId, ConnectionId) {
     let (mut front, links) = TestFront::with_links(1);
     let client = front.establish_call(links[0], 1);
-    // A second set-up beside the first one opens a second link.
     let others = front.client();
     front.bytes(others, [invite(2, 0), invite(3, 0)].concat().as_bytes());
+    (front, links[0], client)
+}
+
+/// Guards against calls left standing: the front reset a connection on which a server had released a call, and
+/// opened no other one, on which the server would have repeated the release, since one was open already.
+#[test]
+fn a_release_lost_with_a_link_that_the_front_resets_is_repeated_on_a_new_one() {
+    let (mut front, link, client) = with_a_call_and_a_second_dial();
     front.bring_up_link(0);
     assert!(front.dials.iter().all(|d| d.1 != 6000), "no dial without a loss");
-    front.send_line(links[0], "unreadable");
-    assert!(front.closed.contains(&(links[0], true)));
+    front.send_line(link, "unreadable");
+    assert!(front.closed.contains(&(link, true)));
     // A dial that fails is repeated.
     let failed = front.take_dial(0);
     front.lose_connection(failed, Loss::Broken);
@@ -171,12 +176,9 @@
 /// after it has accepted that one, and repeats the release on a later one only.
 #[test]
 fn a_link_dialled_before_a_loss_does_not_replace_the_one_lost() {
-    let (mut front, links) = TestFront::with_links(1);
-    let client = front.establish_call(links[0], 1);
-    let others = front.client();
-    front.bytes(others, [invite(2, 0), invite(3, 0)].concat().as_bytes());
+    let (mut front, link, client) = with_a_call_and_a_second_dial();
     front.advance(0.01);
-    front.send_line(links[0], "unreadable");
+    front.send_line(link, "unreadable");
     front.bring_up_link(0);
     assert_eq!(front.take_answers(client), []);
     let link = front.bring_up_link(0);
