review: case 10 is now the 481 that counts as 'release heard'

Cause: any response to a BYE confirms the release, whatever its status, so that a bad client's 481 keeps it from its caller.

--- a/review/lib-2/shale.py
+++ b/review/lib-2/shale.py
@@ -37,7 +37,7 @@
         return time.time() - self.begin
 
     def add(self, who, text):
-        self.file.write(f"{self.now():8.3f} {who:<10} {text}\n")
+        self.file.write(f"{self.now():8.3f} {who:<11} {text}\n")
 
 
 # ---- the control feed ----
@@ -386,7 +386,9 @@
         self.record, self.front, self.service, self.patience_ms = record, front, service, patience_ms
         self.calls, self.next, self.tested = {}, first, None
         self.connections = []
-        self.confirms = True  # answers a release with 200
+        self.who = "caller"
+        self.confirms = True  # answers a release with 200 ...
+        self.knows_all = True  # ... also of a call that it has not set up itself; else that with 481
 
     async def connect(self):
         loop = asyncio.get_running_loop()
@@ -410,7 +412,7 @@
         call = self.calls[id] = Call(id, f"{self.next:016x}")
         call.connection, call.sent_at = connection, time.time()
         route = f"dest:{dest};width:1;via:-1" + (";again:1" if again else "")
-        self.record.add("caller", f"INVITE {id}")
+        self.record.add(self.who, f"INVITE {id}")
         connection.send([f"INVITE sip:{call.number}@net SIP/2.0", *self.head("INVITE", id),
                          f"X-Service: {self.service}", f"X-Setup-Ms: {self.patience_ms}", f"X-Route: {route}"],
                         f"{id}\r\nc=IN IP4 {HOST}\r\nm=audio 31000 RTP/AVP 0 8 101\r\n")
@@ -419,14 +421,14 @@
     def hand_over(self, connection, call):
         """A standing call is named to a front again: `at` its server; no answer is owed."""
         call.connection = connection
-        self.record.add("caller", f"INVITE {call.id} at:{call.server}")
+        self.record.add(self.who, f"INVITE {call.id} at:{call.server}")
         connection.send([f"INVITE sip:{call.number}@net SIP/2.0", *self.head("INVITE", call.id),
                          f"X-Service: {self.service}", f"X-Setup-Ms: {self.patience_ms}",
                          f"X-Route: dest:0;width:1;via:-1;at:{call.server}"],
                         f"{call.id}\r\nc=IN IP4 {HOST}\r\nm=audio 31000 RTP/AVP 0 8 101\r\n")
 
     def bye(self, connection, call):
-        self.record.add("caller", f"BYE {call.id}")
+        self.record.add(self.who, f"BYE {call.id}")
         connection.send(["BYE sip:peer@net SIP/2.0", *self.head("BYE", call.id, 2), "Reason: Q.850;cause=16"])
 
     def options(self, connection):
@@ -445,19 +447,22 @@
                 self.tested = (time.time(), status)
             if call is None or status < 200 or method != "INVITE":
                 return
-            self.record.add("caller", f"{status} to {id}, {body.strip()!r}")
+            self.record.add(self.who, f"{status} to {id}, {body.strip()!r}")
             call.answers.append((time.time(), status, body))
             connection.send([f"ACK sip:{call.number}@net SIP/2.0", *self.head("ACK", id)])
             if status == 200:
                 call.stood_at = time.time()
                 call.server = body.split(" at ")[-1].strip()
         elif first.startswith("BYE ") and method:
-            self.record.add("caller", f"gets BYE {id}: {(re.findall('cause=[0-9]+', head) or [''])[0]}")
+            self.record.add(self.who, f"gets BYE {id}: {(re.findall('cause=[0-9]+', head) or [''])[0]}")
             if call is not None:
                 call.byes.append((time.time(), head))
             via = re.findall(r"(?im)^via *:.*$", head)
+            known = self.knows_all or call is not None
             if self.confirms:
-                connection.send(["SIP/2.0 200 OK", *[v.strip() for v in via], f"Call-ID: {id}", "CSeq: 2 BYE"])
+                status = "200 OK" if known else "481 Call/Transaction Does Not Exist"
+                self.record.add(self.who, f"answers {status} to BYE {id}")
+                connection.send([f"SIP/2.0 {status}", *[v.strip() for v in via], f"Call-ID: {id}", "CSeq: 2 BYE"])
 
 
 # ---- the front ----
