Tests: reserve a front's address on a loopback host of its own

Cause: Fixture::new bound a free port of 127.0.0.1, gave it back and let the router bind it later. In between an outgoing connection of another test could take the port, or a process that was being spawned held a copy of the listener until its exec. Excluded: the front, which binds as it is told.

Change: the address comes from loopback::free_address, a host of its own for each call, found while no process is being spawned. The lock on spawning moves from live.rs to process.rs, so that both kinds of fixture use one; close_without_copies is now without_spawning.

--- a/crates/cli/tests/common/live.rs
+++ b/crates/cli/tests/common/live.rs
@@ -1,6 +1,6 @@
 //! A live front as a child process of a test, with its configuration, callers and signals.
 
-use crate::process::{wait_until, Front, TIMEOUT};
+use crate::process::{spawn, wait_until, without_spawning, Front, TIMEOUT};
 use nix::sys::signal::{kill, Signal};
 use nix::unistd::Pid;
 use serde_json::{json, Value};
@@ -12,7 +12,6 @@
 use std::path::{Path, PathBuf};
 use std::process::{Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU8, Ordering};
-use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 use tempfile::TempDir;
 
@@ -25,7 +24,7 @@
     signal(front, Signal::SIGSTOP);
     let state = PathBuf::from(format!("/proc/{}/stat", front.0.id()));
     wait_until("the process to stop", || std::fs::read_to_string(&state).is_ok_and(|s| s.contains(") T ")));
-    close_without_copies(act);
+    without_spawning(act);
     signal(front, Signal::SIGCONT);
 }
 
@@ -227,27 +226,6 @@
     }
 }
 
-/// Held while a process is started: between fork and exec the child holds a copy of every descriptor of the
-/// test.
-static SPAWNING: Mutex<()> = Mutex::new(());
-
-/// Runs `act`, which closes descriptors, while no concurrent test spawns a process that would hold copies of
-/// them.
-pub fn close_without_copies(act: impl FnOnce()) {
-    let _guard = SPAWNING.lock().unwrap_or_else(PoisonError::into_inner);
-    act();
-}
-
-fn start(command: &mut Command) -> Front {
-    let _guard = SPAWNING.lock().unwrap_or_else(PoisonError::into_inner);
-    let front = Front(command.spawn().unwrap());
-    // The process name changes only after exec has closed the copied descriptors.
-    let name_file = PathBuf::from(format!("/proc/{}/comm", front.0.id()));
-    let is_program = |name: String| ["shalespindle", "sh"].contains(&name.trim());
-    wait_until("the program to start", || std::fs::read_to_string(&name_file).is_ok_and(is_program));
-    front
-}
-
 /// Returns a loopback address that nothing else uses: each call in each test process takes another host of
 /// 127.0.0.0/8. A free port of 127.0.0.1 could be taken by another process before the test uses it.
 pub fn free_address() -> SocketAddr {
@@ -263,7 +241,7 @@
     command.arg("live").env("ROUTER_NAME", "n0").env("ROUTER_LISTEN", listen.to_string());
     let log = std::fs::File::create(config.with_extension("log")).unwrap();
     command.env("ROUTER_CONFIG", config).stdout(Stdio::null()).stderr(log);
-    start(&mut command)
+    spawn(&mut command)
 }
 
 /// Starts a live front that may open only this many descriptors, and states that limit in its configuration.
@@ -274,5 +252,5 @@
     let mut command = Command::new("/bin/sh");
     command.args(["-c", &limited]).env("ROUTER_NAME", "n0").env("ROUTER_LISTEN", listen.to_string());
     command.env("ROUTER_CONFIG", config).stdout(Stdio::null()).stderr(Stdio::null());
-    start(&mut command)
+    spawn(&mut command)
 }
--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -3,16 +3,19 @@
 
 mod process;
 
+use process::without_spawning;
 pub use process::{wait_until, Front, TIMEOUT};
 use shalespindle_settings::parse;
 use shalespindle_signalling::message::{Message, Method};
 use shalespindle_signalling::write::{ResponseHead, Writer};
 use shalespindle_signalling::{Framer, Start};
 use shalespindle_sockets::MonotonicClock;
+use shalespindle_standin::loopback;
 use shalespindle_transport::Service;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::process::Stdio;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::time::Instant;
 
@@ -231,13 +234,7 @@
 
 impl<R: Router> Fixture<R> {
     pub fn new() -> Fixture<R> {
-        let address = loop {
-            let stream = TcpListener::bind("127.0.0.1:0").unwrap();
-            let address = stream.local_addr().unwrap();
-            if UdpSocket::bind(address).is_ok() {
-                break address;
-            }
-        };
+        let address = free_address();
         let mut feed = Feed::start();
         let text = include_str!("../../../../deploy/front.toml")
             .replace("listen = \"127.0.0.1:5060\"", &format!("listen = \"{address}\"\nend_within = \"1s\""))
@@ -260,6 +257,18 @@
     }
 }
 
+/// Returns an address for a router: each call in each test process takes another loopback host, so that neither
+/// another test nor an outgoing connection takes the port before the router binds it.
+fn free_address() -> SocketAddr {
+    static CALLS: AtomicUsize = AtomicUsize::new(0);
+    /// Hosts of one process in the network.
+    const HOSTS: usize = 250;
+    let process = std::process::id() as usize % HOSTS;
+    let call = CALLS.fetch_add(1, Ordering::Relaxed) % HOSTS;
+    // A process that is being spawned holds copies of the sockets until its exec.
+    without_spawning(|| loopback::free_address(loopback::networks(), process * HOSTS + call)).unwrap()
+}
+
 /// A caller over UDP.
 pub struct Caller {
     pub socket: UdpSocket,
--- a/crates/cli/tests/common/process.rs
+++ b/crates/cli/tests/common/process.rs
@@ -3,6 +3,7 @@
 use std::fmt::Debug;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 /// Limit of every wait; longer than anything here takes, so only a failing test reaches it.
@@ -16,10 +17,35 @@
     pub fn run(config: &Path, log: impl Into<Stdio>) -> Front {
         let mut command = Command::new(env!("CARGO_BIN_EXE_shalespindle"));
         command.args(["run", "--config"]).arg(config).stdout(Stdio::null()).stderr(log);
-        Front(command.spawn().unwrap())
+        spawn(&mut command)
     }
 }
 
+/// Held while a process is started: between fork and exec the child holds a copy of every descriptor of the
+/// test.
+static SPAWNING: Mutex<()> = Mutex::new(());
+
+/// Runs `act`, which closes descriptors, while no concurrent test spawns a process that would hold copies of
+/// them.
+pub fn without_spawning<T>(act: impl FnOnce() -> T) -> T {
+    let _guard = SPAWNING.lock().unwrap_or_else(PoisonError::into_inner);
+    act()
+}
+
+/// Starts a front, and waits until it has closed the descriptors copied from the test.
+pub fn spawn(command: &mut Command) -> Front {
+    let _guard = SPAWNING.lock().unwrap_or_else(PoisonError::into_inner);
+    let mut front = Front(command.spawn().unwrap());
+    // The process name changes only after exec has closed the copied descriptors.
+    let name_file = PathBuf::from(format!("/proc/{}/comm", front.0.id()));
+    let is_program = |name: String| ["shalespindle", "sh"].contains(&name.trim());
+    wait_until("the program to start", || {
+        let has_exited = front.0.try_wait().is_ok_and(|status| status.is_some());
+        has_exited || std::fs::read_to_string(&name_file).is_ok_and(is_program)
+    });
+    front
+}
+
 impl Drop for Front {
     fn drop(&mut self) {
         // In some tests the process has already exited.
--- a/crates/cli/tests/races.rs
+++ b/crates/cli/tests/races.rs
@@ -8,12 +8,9 @@
 #[allow(dead_code)]
 mod process;
 
-use live::{
-    close_without_copies, event, free_address, run, run_limited, signal, while_stopped, write_config, Caller,
-    Live,
-};
+use live::{event, free_address, run, run_limited, signal, while_stopped, write_config, Caller, Live};
 use nix::sys::signal::Signal;
-use process::{wait_until, Front, TIMEOUT};
+use process::{wait_until, without_spawning, Front, TIMEOUT};
 use shalespindle_standin::platform::{EventFeed, LineServer, NonReadingServer};
 use std::collections::BTreeMap;
 use std::io::Write;
@@ -227,7 +224,7 @@
         assert!(front.0.try_wait().unwrap().is_none(), "the front exited: {}", log());
         log().contains("address in use, retrying")
     });
-    close_without_copies(|| drop(taken));
+    without_spawning(|| drop(taken));
     Caller::accepted(listen);
 }
 
