Repeat a release as long as it is useful; one client cannot use up what others need

Cause: a release was repeated on eight connections at most. Ten bad clients used these up in 1.6 s, and the release was never due again though it was kept for 8 s. Excluded: the caller's connection and the servers.

Change: no limit on the connections; one repeat each 0.2 s while the release is useful, first on connections that left the fewest releases unconfirmed. The same class on related paths: the store of releases, the early CANCELs and releases, the handovers to unlisted servers, and the connections kept in shutdown can no longer be used up by one connection.

--- a/crates/platform/src/callers.rs
+++ b/crates/platform/src/callers.rs
@@ -209,7 +209,7 @@
         let Some(id) = sip::id(message) else { return self.respond(connection, 481, message) };
         let Some(call) = self.calls.by_id(id) else {
             let max_patience = self.procedures.iter().fold(0.0, |l: f64, p| l.max(p.1));
-            self.early_cancels.add(now, id, max_patience);
+            self.early_cancels.add(now, connection, id, max_patience);
             return self.respond(connection, 481, message);
         };
         let ue = call.ue;
@@ -302,7 +302,7 @@
 
     /// Sends the releases that are not confirmed yet, as far as there are suitable connections.
     pub(crate) fn send_releases(&mut self, now: f64) {
-        for Release { connection, id, cause, is_repeat } in self.releases.take_due(now, &self.clients) {
+        for Release { connection, id, cause, is_repeat } in self.releases.take_due(now, &mut self.clients) {
             self.counters.byes += 1;
             if is_repeat {
                 self.counters.byes_again += 1;
--- a/crates/platform/src/client_connection.rs
+++ b/crates/platform/src/client_connection.rs
@@ -43,6 +43,8 @@
     /// Established calls whose set-up arrived on the connection, where their releases are sent.
     pub established: BTreeSet<UeId>,
     pub bad_messages: u32,
+    /// Releases written to the connection that nobody confirmed in time.
+    pub unconfirmed_releases: u32,
 }
 
 impl ClientConnection {
@@ -57,9 +59,15 @@
             unconfirmed: Vec::new(),
             established: BTreeSet::new(),
             bad_messages: 0,
+            unconfirmed_releases: 0,
         }
     }
 
+    /// Whether releases of calls that did not arrive on the connection may be sent on it.
+    pub fn is_release_target(&self) -> bool {
+        self.usage >= Usage::Requests
+    }
+
     fn is_idle(&self) -> bool {
         self.open.is_empty()
     }
@@ -73,6 +81,8 @@
 #[derive(Default)]
 pub struct ClientConnections {
     pub all: BTreeMap<ConnectionId, ClientConnection>,
+    /// Number of connections so far on which releases of any call may be sent.
+    release_targets_seen: u64,
 }
 
 impl ClientConnections {
@@ -82,11 +92,32 @@
 
     pub fn used(&mut self, now: f64, connection: ConnectionId, usage: Usage) {
         if let Some(client) = self.all.get_mut(&connection) {
+            let was_release_target = client.is_release_target();
             client.usage = client.usage.max(usage);
             client.last_at = now;
+            self.release_targets_seen += u64::from(!was_release_target && client.is_release_target());
         }
     }
 
+    /// Number of connections so far on which releases of any call may be sent; it grows with each new one.
+    pub fn release_targets_seen(&self) -> u64 {
+        self.release_targets_seen
+    }
+
+    /// Connections on which releases of any call may be sent, the most promising first: those with evidence of
+    /// a caller before those with mere requests, then those that left the fewest releases unconfirmed, then the
+    /// latest used.
+    pub fn release_targets(&self) -> Vec<ConnectionId> {
+        let mut targets: Vec<(ConnectionId, &ClientConnection)> =
+            self.all.iter().filter(|c| c.1.is_release_target()).map(|c| (*c.0, c.1)).collect();
+        targets.sort_by(|(_, a), (_, b)| {
+            let by_usage = b.usage.cmp(&a.usage);
+            let by_confirmations = a.unconfirmed_releases.cmp(&b.unconfirmed_releases);
+            by_usage.then(by_confirmations).then(b.last_at.total_cmp(&a.last_at))
+        });
+        targets.into_iter().map(|c| c.0).collect()
+    }
+
     /// The connection to close first if there are too many: the least useful, then the longest idle. After
     /// these come the newest one if its first request may still be on its way, those with established calls,
     /// and those with an unconfirmed answer; a connection with a pending attach only if all have one, and
--- a/crates/platform/src/handover.rs
+++ b/crates/platform/src/handover.rs
@@ -10,6 +10,7 @@
 use crate::edge::{ConnectionId, Edge};
 use crate::log::call_subject;
 use shalespindle_control::interface::{PoolId, UeId};
+use std::collections::BTreeMap;
 
 /// Time in which a front that is connected to the feed learns of a new server, seconds.
 const FOLLOWED_LIST_TIMEOUT: f64 = 0.5;
@@ -17,6 +18,10 @@
 /// as ended together with its server. Seconds.
 const UNFOLLOWED_LIST_TIMEOUT: f64 = 2.5;
 
+/// Each connection may hold this fraction (one sixteenth) of the limit of calls in unresolved handovers, whatever
+/// others hold.
+const GUARANTEED_SHARE_DIVISOR: usize = 16;
+
 /// A call whose server is not in the list yet.
 pub struct UnresolvedHandover {
     id: u64,
@@ -46,9 +51,12 @@
         }
         // Limited like the pending attaches; beyond the limit the call is not recorded and the caller gets no
         // release.
-        if self.calls.established_count() + self.unresolved_handovers.len() >= self.max_pending {
+        let is_full = self.calls.established_count() + self.unresolved_handovers.len() >= self.max_pending;
+        if is_full {
             self.counters.no_place += 1;
-            return;
+            if !self.displace_handover(client) {
+                return;
+            }
         }
         self.clients.used(now, client, Usage::Requests);
         self.log_info("call handed over", call_subject(id), format!("established at {server}"));
@@ -70,6 +78,23 @@
         self.send_releases(now);
     }
 
+    /// Makes room for a handover on connection `client`: discards the newest unresolved one of the connection
+    /// with the most, unless `client` has used up its guaranteed share. So one client that invents handovers
+    /// cannot take the place of all others.
+    fn displace_handover(&mut self, client: ConnectionId) -> bool {
+        let mut counts: BTreeMap<ConnectionId, usize> = BTreeMap::new();
+        for handed in &self.unresolved_handovers {
+            *counts.entry(handed.client).or_default() += 1;
+        }
+        let own_count = counts.get(&client).copied().unwrap_or(0);
+        let Some((largest, count)) = counts.into_iter().max_by_key(|(_, count)| *count) else { return false };
+        if own_count >= self.max_pending.div_ceil(GUARANTEED_SHARE_DIVISOR) || count <= own_count + 1 {
+            return false;
+        }
+        let newest = self.unresolved_handovers.iter().rposition(|h| h.client == largest);
+        newest.map(|position| self.unresolved_handovers.remove(position)).is_some()
+    }
+
     /// A caller names a call that this front holds already: if the connection of its set-up has ended, the call
     /// belongs to this one, on which its release is sent first.
     fn held_call_named(&mut self, now: f64, client: ConnectionId, ue: UeId) {
--- a/crates/platform/src/servers.rs
+++ b/crates/platform/src/servers.rs
@@ -512,7 +512,7 @@
             None => {
                 self.control.pool_reported(now, pool, false, report);
                 if !self.handover_ended(now, id, line.cause) {
-                    self.early_releases.add(now, id, EARLY_RELEASE_LIFETIME);
+                    self.early_releases.add(now, connection, id, EARLY_RELEASE_LIFETIME);
                 }
             }
         }
--- a/crates/platform/src/shutdown.rs
+++ b/crates/platform/src/shutdown.rs
@@ -75,6 +75,11 @@
         {
             // Releases of calls whose own connection has closed need other connections, so the last ones used
             // by callers stay open.
+            // So do those on which an owed release is still to be sent: its caller may have connected last.
+            let is_quiet = self.releases.is_quiet(now);
+            idle.retain(|(connection, client)| {
+                is_quiet || !client.is_release_target() || !self.releases.has_unsent_on(*connection)
+            });
             idle.sort_by(|(_, a), (_, b)| a.usage.cmp(&b.usage).then(a.last_at.total_cmp(&b.last_at)));
             idle.truncate(idle.len().saturating_sub(CONNECTIONS_FOR_RELEASES));
         }
