live_fleet: count a reading of the connection tables only if the links did not change

Beside load the test failed with '1 fronts without the new server'. Traced with a scratch copy that prints the front's log at the failure (1 of 14 runs beside four busy processes): the server reset the front's link under a request, as it is told to, the front had the next link up 0.35 ms later, and the test had read the process's descriptors before and the kernel's table after it. Two readings directly afterwards both found the connection. So the check was at fault: it took no notice of a link replaced during its reading, as it does of a front restarted meanwhile.

Change: a reading counts only if the same process had the same log of its links before and after it; else it is repeated. As strict as before: a front whose links did not change and that has no connection is reported.

--- a/crates/rig/src/live.rs
+++ b/crates/rig/src/live.rs
@@ -445,15 +445,7 @@
         std::thread::sleep(Duration::from_millis(20));
     }
     let linked_after = run.now() - back;
-    // The logged links are compared with the kernel's connection tables. Reading these takes long, so only
-    // fronts are checked that logged the link and served as the same process before and after the reading.
-    let serving_process =
-        |f: &Front| lock(&f.child).as_ref().map(Child::id).filter(|_| f.open.load(Ordering::Acquire));
-    let lacks_connection = |f: &&Front| {
-        let before = serving_process(f).filter(|_| has_logged_link(f));
-        before.is_some() && count_connections(f, new) == 0 && serving_process(f) == before
-    };
-    let unlinked = run.fronts.iter().filter(lacks_connection).count();
+    let unlinked = run.fronts.iter().filter(|front| lacks_connection(front, new)).count();
     drop(idle);
 
     run.sleep_until(at(1.0));
@@ -478,8 +470,31 @@
 
 /// Whether a front has logged since its last start that its link to the new server is up.
 fn has_logged_link(front: &Front) -> bool {
+    logged_links(front).iter().any(|line| line.contains("link up"))
+}
+
+/// What a front's present process has logged of its links to the new server.
+fn logged_links(front: &Front) -> Vec<String> {
     let log = std::fs::read_to_string(front.config.with_extension("log")).unwrap_or_default();
-    log.rsplit("in service").next().is_some_and(|last| last.contains("link up of=\"s-new\""))
+    let last_process = log.rsplit("in service").next().unwrap_or_default();
+    last_process.lines().filter(|line| line.contains("of=\"s-new\"")).map(str::to_string).collect()
+}
+
+/// Whether a front has logged a link to the new server without a connection in the kernel's tables. Reading
+/// these takes long: a link that a server resets meanwhile is replaced within a millisecond, and a front may
+/// be restarted. So a reading counts only if the same process had the same log before and after it.
+fn lacks_connection(front: &Front, new: SocketAddr) -> bool {
+    let serving_process =
+        || lock(&front.child).as_ref().map(Child::id).filter(|_| front.open.load(Ordering::Acquire));
+    loop {
+        let before = (serving_process(), logged_links(front));
+        if before.0.is_none() || !has_logged_link(front) || count_connections(front, new) > 0 {
+            return false;
+        }
+        if before == (serving_process(), logged_links(front)) {
+            return true;
+        }
+    }
 }
 
 /// Number of connections of a front's process to an address, by the kernel's tables.
