Take whoever names a call that has ended for its caller, and write what is owed before a close

Cause: a BYE of a call that the front no longer holds left its connection without use, so that releases were not sent on it and it was closed with 408. Excluded: the detection of the death, and the attempts (none was made).

Change: BYE, ACK, CANCEL and handover of a call whose release is owed show its caller; a BYE there needs no other release. BYE and CANCEL of unknown calls, and handovers that are not recorded, count as requests. A call handed over whose release is owed is released and not held again. Before the front closes a connection it writes the releases not sent there yet.

--- a/crates/platform/src/callers.rs
+++ b/crates/platform/src/callers.rs
@@ -86,7 +86,7 @@
                 if let (Some(id), Ok((_, Method::Bye))) = (sip::id(message), message.cseq()) {
                     if self.releases.confirm(id) {
                         self.counters.byes_heard += 1;
-                        self.clients.used(now, connection, Usage::Caller);
+                        self.caller_shown(now, connection, Usage::Caller);
                     }
                 }
             }
@@ -193,14 +193,25 @@
     }
 
     fn ack(&mut self, now: f64, connection: ConnectionId, message: &Message) {
-        let Some(call) = sip::id(message).and_then(|id| self.calls.by_id(id)) else { return };
+        let Some(id) = sip::id(message) else { return };
+        if self.releases.is_owed(id) {
+            // The confirmation of an answer whose call has ended meanwhile.
+            return self.caller_shown(now, connection, Usage::Caller);
+        }
+        let Some(call) = self.calls.by_id(id) else { return };
         let (ue, client) = (call.ue, call.client);
         if let CallState::Established(established) = &mut call.state {
             established.confirmed = true;
             if let Some(client) = self.clients.all.get_mut(&client) {
                 client.unconfirmed.retain(|u| *u != ue);
             }
-            self.clients.used(now, connection, Usage::Caller);
+            self.caller_shown(now, connection, Usage::Caller);
+        }
+    }
+
+    /// A message shows that a caller uses the connection, on which owed releases can therefore be sent.
+    pub(crate) fn caller_shown(&mut self, now: f64, connection: ConnectionId, usage: Usage) {
+        if self.clients.used(now, connection, usage) {
             self.send_releases(now);
         }
     }
@@ -208,9 +219,7 @@
     fn cancel(&mut self, now: f64, connection: ConnectionId, message: &Message) {
         let Some(id) = sip::id(message) else { return self.respond(connection, 481, message) };
         let Some(call) = self.calls.by_id(id) else {
-            let max_patience = self.procedures.iter().fold(0.0, |l: f64, p| l.max(p.1));
-            self.early_cancels.add(now, connection, id, max_patience);
-            return self.respond(connection, 481, message);
+            return self.cancel_unknown(now, connection, id, message);
         };
         let ue = call.ue;
         match &call.state {
@@ -228,21 +237,36 @@
                 let client = call.client;
                 self.respond(connection, 200, message);
                 self.released_by_caller(now, ue, NORMAL_CLEARING);
+                self.clients.used(now, connection, Usage::Requests);
                 self.send_release(now, client, id, NORMAL_CLEARING);
             }
-            CallState::Established(_) => self.respond(connection, 200, message),
+            CallState::Established(_) => {
+                self.respond(connection, 200, message);
+                self.caller_shown(now, connection, Usage::Requests);
+            }
         }
     }
 
+    /// Handles the CANCEL of a call that is not held: its set-up may still be unread, or the call has ended.
+    fn cancel_unknown(&mut self, now: f64, connection: ConnectionId, id: u64, message: &Message) {
+        self.respond(connection, 481, message);
+        if self.releases.is_owed(id) {
+            return self.caller_shown(now, connection, Usage::Caller);
+        }
+        let max_patience = self.procedures.iter().fold(0.0, |l: f64, p| l.max(p.1));
+        self.early_cancels.add(now, connection, id, max_patience);
+        self.caller_shown(now, connection, Usage::Requests);
+    }
+
     fn bye(&mut self, now: f64, connection: ConnectionId, message: &Message) {
+        let Some(id) = sip::id(message) else { return self.respond(connection, 481, message) };
         let cause = message.q850_cause().unwrap_or(NORMAL_CLEARING);
-        let Some(call) = sip::id(message).and_then(|id| self.calls.by_id(id)) else {
-            let known = sip::id(message).is_some_and(|id| self.handover_released(id, cause));
-            return self.respond(connection, if known { 200 } else { 481 }, message);
+        let Some(call) = self.calls.by_id(id) else {
+            return self.bye_of_ended_call(now, connection, id, cause, message);
         };
         let (ue, established) = (call.ue, matches!(call.state, CallState::Established(_)));
-        self.clients.used(now, connection, if established { Usage::Caller } else { Usage::Requests });
         self.respond(connection, 200, message);
+        self.caller_shown(now, connection, if established { Usage::Caller } else { Usage::Requests });
         if established {
             self.released_by_caller(now, ue, cause);
         } else {
@@ -250,6 +274,23 @@
         }
     }
 
+    /// Handles the release of a call that is not held as established: it may have ended already, and the
+    /// caller may not have been told yet.
+    fn bye_of_ended_call(
+        &mut self,
+        now: f64,
+        connection: ConnectionId,
+        id: u64,
+        cause: u16,
+        message: &Message,
+    ) {
+        // Only its caller knows the id of a call; with its own release it needs no other.
+        let was_owed = self.releases.released_by_caller(id);
+        let is_known = was_owed || self.handover_released(id, cause);
+        self.respond(connection, if is_known { 200 } else { 481 }, message);
+        self.caller_shown(now, connection, if was_owed { Usage::Caller } else { Usage::Requests });
+    }
+
     /// Removes a pending attach whose caller stopped waiting: no answer is owed, and its setup try is
     /// released.
     pub(crate) fn caller_left(&mut self, now: f64, ue: UeId) {
@@ -302,7 +343,12 @@
 
     /// Sends the releases that are not confirmed yet, as far as there are suitable connections.
     pub(crate) fn send_releases(&mut self, now: f64) {
-        for Release { connection, id, cause, is_repeat } in self.releases.take_due(now, &mut self.clients) {
+        let due = self.releases.take_due(now, &mut self.clients);
+        self.write_releases(due);
+    }
+
+    fn write_releases(&mut self, releases: Vec<Release>) {
+        for Release { connection, id, cause, is_repeat } in releases {
             self.counters.byes += 1;
             if is_repeat {
                 self.counters.byes_again += 1;
@@ -324,10 +370,12 @@
     }
 
     /// Closes a client connection on behalf of the front. Its callers have not left, so pending attaches are
-    /// answered first; calls whose answer is unconfirmed stay established, because an orderly close delivers
-    /// what was written before it.
+    /// answered first, and releases are written that their callers may only read here; calls whose answer is
+    /// unconfirmed stay established, because an orderly close delivers what was written before it.
     pub(crate) fn close_client(&mut self, now: f64, connection: ConnectionId, reason: &str) {
         self.answer_pending_on(now, connection, reason);
+        let last_releases = self.releases.take_before_close(now, connection, &self.clients);
+        self.write_releases(last_releases);
         self.log_info("client closed", connection_subject(connection), reason);
         self.outputs.push_back(Output::Close { connection, reset: false });
         if self.clients.all.remove(&connection).is_some() {
--- a/crates/platform/src/client_connection.rs
+++ b/crates/platform/src/client_connection.rs
@@ -90,13 +90,17 @@
         self.all.insert(connection, ClientConnection::new(now));
     }
 
-    pub fn used(&mut self, now: f64, connection: ConnectionId, usage: Usage) {
-        if let Some(client) = self.all.get_mut(&connection) {
-            let was_release_target = client.is_release_target();
-            client.usage = client.usage.max(usage);
-            client.last_at = now;
-            self.release_targets_seen += u64::from(!was_release_target && client.is_release_target());
+    /// Records a message that was received; returns whether it is the most useful one so far.
+    pub fn used(&mut self, now: f64, connection: ConnectionId, usage: Usage) -> bool {
+        let Some(client) = self.all.get_mut(&connection) else { return false };
+        client.last_at = now;
+        if usage <= client.usage {
+            return false;
         }
+        let was_release_target = client.is_release_target();
+        client.usage = usage;
+        self.release_targets_seen += u64::from(!was_release_target && client.is_release_target());
+        true
     }
 
     /// Number of connections so far on which releases of any call may be sent; it grows with each new one.
--- a/crates/platform/src/handover.rs
+++ b/crates/platform/src/handover.rs
@@ -40,8 +40,12 @@
             return self.held_call_named(now, client, ue);
         }
         if self.unresolved_handovers.iter().any(|h| h.id == id) {
-            self.clients.used(now, client, Usage::Requests);
-            return;
+            return self.caller_shown(now, client, Usage::Requests);
+        }
+        if self.releases.is_owed(id) {
+            // The call ended while its caller had no connection.
+            self.releases.caller_moved(now, id, client);
+            return self.caller_shown(now, client, Usage::Caller);
         }
         // A server repeats its releases on the first connection from a front, which may precede the handover.
         if self.early_releases.take(now, id) {
@@ -55,7 +59,7 @@
         if is_full {
             self.counters.no_place += 1;
             if !self.displace_handover(client) {
-                return;
+                return self.caller_shown(now, client, Usage::Requests);
             }
         }
         self.clients.used(now, client, Usage::Requests);
@@ -98,7 +102,7 @@
     /// A caller names a call that this front holds already: if the connection of its set-up has ended, the call
     /// belongs to this one, on which its release is sent first.
     fn held_call_named(&mut self, now: f64, client: ConnectionId, ue: UeId) {
-        self.clients.used(now, client, Usage::Requests);
+        self.caller_shown(now, client, Usage::Requests);
         let Some(call) = self.calls.by_ue(ue) else { return };
         let is_established = matches!(call.state, CallState::Established(_));
         if !is_established || self.clients.all.contains_key(&call.client) {
@@ -108,7 +112,6 @@
         if let Some(client) = self.clients.all.get_mut(&client) {
             client.established.insert(ue);
         }
-        self.send_releases(now);
     }
 
     fn add_established(&mut self, now: f64, client: ConnectionId, id: u64, pool: PoolId) {
--- a/crates/platform/src/releases.rs
+++ b/crates/platform/src/releases.rs
@@ -19,6 +19,8 @@
 /// Limit of the releases remembered; beyond it the oldest of the connection to which the most are owed is
 /// discarded, so that one client cannot displace the releases of others.
 const MAX_RELEASES: usize = 4096;
+/// Limit of the releases written on a connection that the front is about to close.
+const MAX_BEFORE_CLOSE: usize = 64;
 /// Time that a front in shutdown waits for the confirmation of a release, seconds.
 const SHUTDOWN_CONFIRM_TIMEOUT: f64 = 2.0;
 
@@ -100,6 +102,52 @@
         was_sent && self.remove(id).is_some()
     }
 
+    /// Whether the caller of the call is still to be told of its end.
+    pub fn is_owed(&self, id: u64) -> bool {
+        self.owed.contains_key(&id)
+    }
+
+    /// The caller has released the call itself and need not be told any more; true if a release was owed.
+    pub fn released_by_caller(&mut self, id: u64) -> bool {
+        self.remove(id).is_some()
+    }
+
+    /// The caller of a call that has ended names it on another connection, on which the release is sent next.
+    pub fn caller_moved(&mut self, now: f64, id: u64, connection: ConnectionId) {
+        let Some(owed) = self.remove(id) else { return };
+        let (since, tried) = (owed.since, owed.tried);
+        self.add(now, id, owed.cause, connection);
+        if let Some(owed) = self.owed.get_mut(&id) {
+            (owed.since, owed.tried) = (since, tried);
+        }
+    }
+
+    /// Returns the releases to write on a connection before the front closes it, and records that they are
+    /// sent: those of calls whose own connection has ended and that were not sent here yet. The oldest come
+    /// first, up to a limit.
+    pub fn take_before_close(
+        &mut self,
+        now: f64,
+        connection: ConnectionId,
+        clients: &ClientConnections,
+    ) -> Vec<Release> {
+        if !clients.all.get(&connection).is_some_and(|client| client.is_release_target()) {
+            return Vec::new();
+        }
+        let has_no_connection = |o: &PendingRelease| !clients.all.contains_key(&o.own_connection);
+        let unsent = self.owed.iter_mut().filter(|(_, o)| !o.tried.contains(&connection));
+        let mut chosen: Vec<(u64, &mut PendingRelease)> =
+            unsent.filter(|(_, o)| has_no_connection(o)).map(|(id, o)| (*id, o)).collect();
+        chosen.sort_by(|a, b| a.1.since.total_cmp(&b.1.since));
+        let mut out = Vec::new();
+        for (id, owed) in chosen.into_iter().take(MAX_BEFORE_CLOSE) {
+            out.push(Release { connection, id, cause: owed.cause, is_repeat: !owed.tried.is_empty() });
+            owed.tried.push(connection);
+            owed.next_send_at = now + CONFIRM_TIMEOUT;
+        }
+        out
+    }
+
     /// Releases last sent on a lost connection are sent again without waiting for a confirmation.
     pub fn client_connection_lost(&mut self, now: f64, connection: ConnectionId) {
         for owed in self.owed.values_mut().filter(|o| o.tried.last() == Some(&connection)) {
