Tell a server's process from the one that takes its address by the link of each call

Cause: an entry of the list was taken for the process at its address. The new process was heard in the old one's name, which restarted the check for silent servers; the listing of the new server stopped set-ups only. Excluded: the check itself, the feed.

Change: where a new server is listed with its start, calls whose set-up went over a link from before it end at once, later ones and their links pass to the new entry, as does a set-up that is out. A handover that names the old server is released. The steps that tell processes apart are in a module of their own (processes.rs, from servers.rs and silent_servers.rs).

--- a/crates/platform/src/calls.rs
+++ b/crates/platform/src/calls.rs
@@ -37,6 +37,9 @@
     pub pool: PoolId,
     /// The link of its set-up, on which the server sends the release. None for a call that was handed over.
     pub link: Option<ConnectionId>,
+    /// When that link came up; a process that started later cannot have the call. For a call that was handed
+    /// over it is unknown, and counts as long ago.
+    pub link_up_at: f64,
     /// The caller has confirmed the answer with an ACK.
     pub confirmed: bool,
 }
@@ -92,14 +95,30 @@
     }
 
     /// Turns a pending attach into an established call.
-    pub fn establish(&mut self, ue: UeId, pool: PoolId, link: ConnectionId) {
+    pub fn establish(&mut self, ue: UeId, pool: PoolId, link: ConnectionId, link_up_at: f64) {
         let Some(&key) = self.by_ue.get(&ue) else { return };
         if let CallState::Pending(pending) = &self.slab[key].state {
             self.pending_count -= 1;
             self.stored_bytes -= pending.stored_bytes();
         }
         self.slab[key].state =
-            CallState::Established(EstablishedCall { pool, link: Some(link), confirmed: false });
+            CallState::Established(EstablishedCall { pool, link: Some(link), link_up_at, confirmed: false });
+    }
+
+    /// Assigns an established call to another entry of the list.
+    pub fn move_to_pool(&mut self, ue: UeId, to: PoolId) {
+        if let Some(CallState::Established(established)) = self.by_ue(ue).map(|call| &mut call.state) {
+            established.pool = to;
+        }
+    }
+
+    /// Returns the calls established at a pool on links that came up before a time, and the other ones.
+    pub fn established_before(&self, pool: PoolId, time: f64) -> (Vec<UeId>, Vec<UeId>) {
+        let is_before = |ue: &UeId| match &self.slab[self.by_ue[ue]].state {
+            CallState::Established(established) => established.link_up_at < time,
+            CallState::Pending(_) => false,
+        };
+        self.established_at(pool).into_iter().partition(is_before)
     }
 
     pub fn by_id(&mut self, id: u64) -> Option<&mut Call> {
--- a/crates/platform/src/handover.rs
+++ b/crates/platform/src/handover.rs
@@ -115,10 +115,20 @@
     }
 
     fn add_established(&mut self, now: f64, client: ConnectionId, id: u64, pool: PoolId) {
+        if self.servers.all.get(&pool).is_some_and(|s| s.successor.is_some()) {
+            let reason = format!("{} has gone, another server has its address", self.server_name(pool));
+            self.log_info("call ended", call_subject(id), reason);
+            return self.send_release(now, client, id, TEMPORARY_FAILURE);
+        }
         let ue = self.calls.add(
             id,
             client,
-            CallState::Established(EstablishedCall { pool, link: None, confirmed: true }),
+            CallState::Established(EstablishedCall {
+                pool,
+                link: None,
+                link_up_at: f64::NEG_INFINITY,
+                confirmed: true,
+            }),
         );
         if let Some(client) = self.clients.all.get_mut(&client) {
             client.established.insert(ue);
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -18,6 +18,7 @@
 mod lines;
 mod link;
 mod log;
+mod processes;
 mod releases;
 mod servers;
 mod shutdown;
--- a/crates/platform/src/link.rs
+++ b/crates/platform/src/link.rs
@@ -33,6 +33,8 @@
 pub struct Link {
     pub pool: PoolId,
     pub dialled_at: f64,
+    /// When the first line was received.
+    pub up_at: f64,
     pub state: LinkState,
     pub lines: LineFramer,
     /// Attaches whose current setup try is out on the link.
@@ -53,6 +55,7 @@
         Link {
             pool,
             dialled_at: now,
+            up_at: f64::INFINITY,
             state: LinkState::Dialled,
             lines: LineFramer::default(),
             open: Vec::new(),
@@ -138,6 +141,9 @@
     pub established: usize,
     /// When the server was removed from the list.
     pub removed_at: f64,
+    /// The server listed later at the same address: this one has gone, and the remaining links of its entry
+    /// lead to the successor's process.
+    pub successor: Option<PoolId>,
 }
 
 impl Server {
@@ -193,6 +199,7 @@
             liveness: Liveness::new(RELEASE_LIFETIME, self.probe_method),
             established: 0,
             removed_at: 0.0,
+            successor: None,
         };
         self.all.insert(pool, server);
         pool
--- a/crates/platform/src/servers.rs
+++ b/crates/platform/src/servers.rs
@@ -1,7 +1,7 @@
 //! The signalling servers' side of a front: the list of servers, the links, and the lines received on them.
 
 use crate::calls::CallState;
-use crate::causes::{NORMAL_CLEARING, TEMPORARY_FAILURE};
+use crate::causes::NORMAL_CLEARING;
 use crate::edge::{ConnectionId, Edge, Loss, Output, TimerEvent};
 use crate::feed::Event;
 use crate::limits::MAX_MESSAGE_BYTES;
@@ -49,16 +49,7 @@
             let started = if unix > 0.0 { (unix - self.clock_epoch).max(0.0) } else { 0.0 };
             let pool = match (self.servers.named(&member.id), member.host_port) {
                 (Some(pool), address) => {
-                    let server = self.servers.all.get_mut(&pool);
-                    let restarted = server.is_some_and(|s| {
-                        let restarted = started > s.started_at || address.is_some_and(|a| a != s.address);
-                        s.started_at = s.started_at.max(started);
-                        s.address = address.unwrap_or(s.address);
-                        restarted
-                    });
-                    if restarted {
-                        self.server_restarted(now, pool);
-                    }
+                    self.server_listed_again(now, pool, address, started);
                     pool
                 }
                 (None, Some(address)) if phase != Phase::Removed => {
@@ -81,33 +72,11 @@
         self.resolve_handovers(now);
     }
 
-    /// Where a new server is listed at an address, the one that had it has gone, although the list may say so
-    /// only later. Its entry gets no more set-ups, which would reach the new server: that one may be draining.
-    /// `last_known` is the last entry from before this event; of two new ones, that which started earlier has
-    /// gone.
-    fn retire_predecessors(&mut self, now: f64, last_known: PoolId) -> Vec<PoolEntry> {
-        let age = |s: &Server| (s.pool > last_known, s.started_at);
-        let listed: Vec<&Server> = self.servers.all.values().filter(|s| s.phase != Phase::Removed).collect();
-        let new: Vec<&Server> = listed.iter().copied().filter(|s| s.pool > last_known).collect();
-        let has_gone = |old: &&&Server| new.iter().any(|s| s.address == old.address && age(s) > age(old));
-        let retired: Vec<PoolEntry> = listed
-            .iter()
-            .filter(|old| old.phase == Phase::Up)
-            .filter(has_gone)
-            .map(|old| PoolEntry { id: old.pool, number: old.number, started: old.started_at, ready: false })
-            .collect();
-        for entry in &retired {
-            let name = self.server_name(entry.id).to_string();
-            self.log_info("server retired", name, "a new server is listed at its address");
-            self.set_phase(now, entry.id, Phase::Draining);
-        }
-        retired
-    }
-
-    fn set_phase(&mut self, now: f64, pool: PoolId, phase: Phase) {
+    pub(crate) fn set_phase(&mut self, now: f64, pool: PoolId, phase: Phase) {
         let Some(server) = self.servers.all.get_mut(&pool) else { return };
         let before = std::mem::replace(&mut server.phase, phase);
         if phase == Phase::Up {
+            server.successor = None;
             return self.ensure_link(now, pool);
         }
         // Platform rule 3: set-ups that wait for a link must not be sent to a server that is out of service.
@@ -127,7 +96,7 @@
 
     /// Drops links of a removed server that have not come up: the process that now accepts connections at
     /// that address may be a new server, listed under another name.
-    fn drop_unfinished_links(&mut self, now: f64, pool: PoolId) {
+    pub(crate) fn drop_unfinished_links(&mut self, now: f64, pool: PoolId) {
         let links = self.servers.all.get(&pool).map(|s| s.links.clone()).unwrap_or_default();
         for connection in links {
             if self.servers.links.get(&connection).is_none_or(|l| l.state == LinkState::Up) {
@@ -149,15 +118,6 @@
         one == other || address(one).is_some() && address(one) == address(other)
     }
 
-    /// Another process now runs under the same name; calls and links of the previous one are ended.
-    fn server_restarted(&mut self, now: f64, pool: PoolId) {
-        let Some(server) = self.servers.all.get(&pool) else { return };
-        for connection in server.links.clone() {
-            self.drop_link(now, connection, "its server was restarted");
-        }
-        self.process_ended(now, pool, "its server was restarted");
-    }
-
     /// Removes a server, and ends its calls, once the grace period after its removal has passed.
     pub(crate) fn removal_expired(&mut self, now: f64, pool: PoolId) {
         // A server that was listed again and removed once more gets its full grace period: the timer of the
@@ -172,22 +132,6 @@
         self.servers.forget(pool);
     }
 
-    /// Ends all calls established at a server.
-    pub(crate) fn end_calls_at(&mut self, now: f64, pool: PoolId, reason: &'static str) {
-        for ue in self.calls.established_at(pool) {
-            self.control.try_ended(now, ue, pool, EndReason::Cut, true, Report::default());
-            self.end_established_call(now, ue, pool, TEMPORARY_FAILURE, reason);
-        }
-    }
-
-    /// The process at a server has ended: its calls are ended, and releases queued for it are discarded.
-    pub(crate) fn process_ended(&mut self, now: f64, pool: PoolId, reason: &'static str) {
-        self.end_calls_at(now, pool, reason);
-        if let Some(server) = self.servers.all.get_mut(&pool) {
-            server.queued_releases.clear();
-        }
-    }
-
     pub(crate) fn call_left_server(&mut self, pool: PoolId) {
         if let Some(server) = self.servers.all.get_mut(&pool) {
             server.established = server.established.saturating_sub(1);
@@ -312,7 +256,9 @@
         let id = server.id.clone();
         let refused = !was_up && loss == Loss::Refused;
         // Without a process at the address nothing can be repeated; a later link tells what has become of it.
-        server.release_missed_at = (!refused && server.established > 0).then_some(now);
+        let may_miss_release = |s: &Server| (!refused && s.established > 0).then_some(now);
+        server.release_missed_at = may_miss_release(server);
+        let successor = server.successor;
         let dead = refused && server.liveness.connection_refused(now);
         if was_up {
             server.pause = 0.0;
@@ -326,6 +272,10 @@
             self.end_try(now, ue, EndReason::Unreached, Report::default());
         }
         self.log_info("link down", id, format!("connection {connection}: {:?}, {loss:?}", link.state));
+        if let Some(successor) = successor.and_then(|s| self.servers.all.get_mut(&s)) {
+            // The link led to the successor's process.
+            successor.release_missed_at = may_miss_release(successor);
+        }
         if dead {
             self.process_ended(now, pool, "its server refuses connections");
         }
@@ -340,6 +290,7 @@
     fn link_up(&mut self, now: f64, connection: ConnectionId) {
         let Some(link) = self.servers.links.get_mut(&connection) else { return };
         link.state = LinkState::Up;
+        link.up_at = now;
         let (pool, dialled_at) = (link.pool, link.dialled_at);
         let Some(server) = self.servers.all.get_mut(&pool) else { return };
         server.pause = 0.0;
@@ -453,10 +404,12 @@
             return self.answer_too_long(now, ue);
         }
         let Some(setup_try) = self.take_try(now, ue) else { return };
+        let pool = self.entry_of_process(pool);
         self.counters.stood += 1;
         self.log_debug("call established", call_subject(id), self.server_name(pool).to_string());
-        self.control.attach_established(now, ue, pool, now - setup_try.sent_at);
-        self.calls.establish(ue, pool, connection);
+        self.control.attach_established(now, ue, setup_try.pool, now - setup_try.sent_at);
+        let link_up_at = self.servers.links.get(&connection).map_or(now, |l| l.up_at);
+        self.calls.establish(ue, pool, connection, link_up_at);
         if let Some(server) = self.servers.all.get_mut(&pool) {
             server.established += 1;
         }
--- a/crates/platform/src/silent_servers.rs
+++ b/crates/platform/src/silent_servers.rs
@@ -94,19 +94,6 @@
         }
     }
 
-    /// A link came up to another process at the same address: the calls of the previous process are ended,
-    /// and links to it are dropped.
-    pub(crate) fn process_replaced(&mut self, now: f64, pool: PoolId, newest: ConnectionId) {
-        let older = self.servers.all.get(&pool).map(|s| s.links.clone()).unwrap_or_default();
-        for connection in older.into_iter().filter(|c| *c != newest) {
-            let is_up = self.servers.links.get(&connection).is_some_and(|l| l.state == LinkState::Up);
-            if is_up {
-                self.drop_link(now, connection, "another process has its address");
-            }
-        }
-        self.process_ended(now, pool, "another process has its server's address");
-    }
-
     /// Called when a link of a server with established calls is lost. If the process has ended, its other
     /// links may give no sign of it, so each is probed; without a process the probe is refused.
     pub(crate) fn probe_other_links(&mut self, now: f64, pool: PoolId) {
