Bound the memory that incomplete messages and unread answers take in sum

Cause: each connection may buffer 16 KiB, and nothing bounded the sum; a buffer kept the size of its longest message.

Change: a sixteenth of the memory limit for incomplete messages, beyond which the least useful connection whose message has waited longest gets 503 and is closed; buffers are freed once handled. The same share for bytes that peers do not read.

--- a/crates/platform-service/src/owner.rs
+++ b/crates/platform-service/src/owner.rs
@@ -221,10 +221,26 @@
             // The connection's reader reports the loss.
             Err(_) => return,
         }
+        let is_queued = !peer.waiting.is_empty();
         if peer.waiting.len() > MAX_BACKLOG {
             // Bounds the memory used by a peer that sends requests and never reads.
             self.abort(connection);
         }
+        if is_queued {
+            self.limit_queued_bytes();
+        }
+    }
+
+    /// Bounds the memory used by all peers that do not read: those with the most bytes queued are reset.
+    fn limit_queued_bytes(&mut self) {
+        let mut queued: usize = self.peers.values().map(|p| p.waiting.len()).sum();
+        while queued > self.edge.max_queued_bytes() {
+            let largest = self.peers.iter().max_by_key(|(_, peer)| peer.waiting.len());
+            let Some((connection, size)) = largest.map(|(c, peer)| (*c, peer.waiting.len())) else { return };
+            info!(target: "shalespindle::platform", connection, "reset to free the memory of queued writes");
+            queued -= size;
+            self.abort(connection);
+        }
     }
 
     /// Writes queued bytes.
@@ -242,6 +258,7 @@
                 Ok(size) => {
                     peer.waiting.drain(..size);
                     if peer.waiting.is_empty() {
+                        peer.waiting = Vec::new();
                         self.edge.set_blocked(*connection, false);
                     }
                 }
--- a/crates/platform/src/callers.rs
+++ b/crates/platform/src/callers.rs
@@ -10,16 +10,14 @@
 use crate::sip;
 use shalespindle_control::interface::{EndReason, NewAttach, PoolId, Report, UeId};
 use shalespindle_signalling::write::{ResponseHead, Writer};
-use shalespindle_signalling::{FrameError, Framer, Message, Method, ParseError, Start};
+use shalespindle_signalling::{FrameError, Message, Method, ParseError, Start};
 
 /// Time between marking a connection for closing and closing it, in which pending input is read, seconds.
 const CLOSE_DELAY: f64 = 0.001;
 
 impl Edge {
     pub(crate) fn client_bytes(&mut self, now: f64, arrived: f64, connection: ConnectionId, bytes: &[u8]) {
-        let Some(client) = self.clients.all.get_mut(&connection) else { return };
-        let empty = Framer::with_max_message(0);
-        let mut framer = std::mem::replace(&mut client.framer, empty);
+        let Some(mut framer) = self.clients.take_framer(connection) else { return };
         framer.push(bytes);
         loop {
             match framer.next_frame() {
@@ -31,9 +29,17 @@
                 return;
             }
         }
-        if let Some(client) = self.clients.all.get_mut(&connection) {
-            client.partial_since = (framer.buffered() > 0).then(|| client.partial_since.unwrap_or(now));
-            client.framer = framer;
+        self.clients.put_framer(now, connection, framer);
+        self.limit_partial_messages(now);
+    }
+
+    /// Closes connections while incomplete messages take too much memory.
+    fn limit_partial_messages(&mut self, now: f64) {
+        while self.clients.partial_bytes() > self.max_partial_bytes {
+            let Some(candidate) = self.clients.partial_eviction_candidate() else { return };
+            self.counters.clients_evicted += 1;
+            self.outputs.push_back(Output::Write { connection: candidate, bytes: sip::unreadable(503) });
+            self.close_client(now, candidate, "closed to free the memory of an incomplete message");
         }
     }
 
@@ -378,7 +384,7 @@
         self.write_releases(last_releases);
         self.log_info("client closed", connection_subject(connection), reason);
         self.outputs.push_back(Output::Close { connection, reset: false });
-        if self.clients.all.remove(&connection).is_some() {
+        if self.clients.remove(connection).is_some() {
             self.resend_releases_of(now, connection);
         }
     }
@@ -393,7 +399,7 @@
 
     /// The peer ended a client connection, or it broke.
     pub(crate) fn client_connection_lost(&mut self, now: f64, connection: ConnectionId) {
-        let Some(client) = self.clients.all.remove(&connection) else { return };
+        let Some(client) = self.clients.remove(connection) else { return };
         for ue in client.open {
             self.caller_left(now, ue);
         }
--- a/crates/platform/src/client_connection.rs
+++ b/crates/platform/src/client_connection.rs
@@ -83,6 +83,8 @@
     pub all: BTreeMap<ConnectionId, ClientConnection>,
     /// Number of connections so far on which releases of any call may be sent.
     release_targets_seen: u64,
+    /// Memory allocated for incomplete messages on all connections, bytes.
+    partial_bytes: usize,
 }
 
 impl ClientConnections {
@@ -90,6 +92,45 @@
         self.all.insert(connection, ClientConnection::new(now));
     }
 
+    /// Removes a connection that has ended.
+    pub fn remove(&mut self, connection: ConnectionId) -> Option<ClientConnection> {
+        let removed = self.all.remove(&connection)?;
+        self.partial_bytes -= removed.framer.allocated();
+        Some(removed)
+    }
+
+    /// Takes the framer of a connection, to be put back with [`ClientConnections::put_framer`].
+    pub fn take_framer(&mut self, connection: ConnectionId) -> Option<Framer> {
+        let client = self.all.get_mut(&connection)?;
+        self.partial_bytes -= client.framer.allocated();
+        Some(std::mem::replace(&mut client.framer, Framer::with_max_message(0)))
+    }
+
+    /// Puts the framer back after all complete messages were taken from it.
+    pub fn put_framer(&mut self, now: f64, connection: ConnectionId, mut framer: Framer) {
+        let Some(client) = self.all.get_mut(&connection) else { return };
+        client.partial_since = (framer.buffered() > 0).then(|| client.partial_since.unwrap_or(now));
+        framer.release_memory();
+        self.partial_bytes += framer.allocated();
+        client.framer = framer;
+    }
+
+    /// Memory allocated for incomplete messages, bytes.
+    pub fn partial_bytes(&self) -> usize {
+        self.partial_bytes
+    }
+
+    /// The connection to close if incomplete messages take too much memory: the least useful one without a call
+    /// whose message has been incomplete for longest.
+    pub fn partial_eviction_candidate(&self) -> Option<ConnectionId> {
+        let rank = |c: &ClientConnection| (!c.carries_no_call(), c.usage);
+        let partial = self.all.iter().filter_map(|(id, c)| Some((*id, c, c.partial_since?)));
+        let candidate = partial.min_by(|(_, a, a_since), (_, b, b_since)| {
+            rank(a).cmp(&rank(b)).then(a_since.total_cmp(b_since))
+        });
+        candidate.map(|(id, _, _)| id)
+    }
+
     /// Records a message that was received; returns whether it is the most useful one so far.
     pub fn used(&mut self, now: f64, connection: ConnectionId, usage: Usage) -> bool {
         let Some(client) = self.all.get_mut(&connection) else { return false };
--- a/crates/platform/src/edge.rs
+++ b/crates/platform/src/edge.rs
@@ -135,6 +135,11 @@
 const SOCKET_SLACK: f64 = 0.05;
 /// Fraction of the memory limit that the set-ups of pending attaches may fill.
 const SET_UP_MEMORY_SHARE: f64 = 0.125;
+/// Fraction of the memory limit for messages of which a part is still to come. As many clients as there are
+/// descriptors may have one of the longest messages unfinished.
+const PARTIAL_MEMORY_SHARE: f64 = 1.0 / 16.0;
+/// Fraction of the memory limit for bytes queued for peers that do not read.
+const QUEUE_MEMORY_SHARE: f64 = 1.0 / 16.0;
 /// Fraction of the memory limit for ids of releases read before their calls are handed over. After an outage of
 /// the front these are all calls that ended meanwhile.
 const EARLY_RELEASE_MEMORY_SHARE: f64 = 1.0 / 64.0;
@@ -149,6 +154,10 @@
     pub(crate) procedures: Vec<(String, f64)>,
     pub(crate) max_pending: usize,
     pub(crate) max_stored_bytes: usize,
+    /// Limit of the memory for incomplete messages of clients, bytes.
+    pub(crate) max_partial_bytes: usize,
+    /// Limit of the bytes queued for all peers that do not read.
+    max_queued_bytes: usize,
     pub(crate) max_sockets: usize,
     pub(crate) dial_timeout: f64,
     /// Unix time at which the host's clock is zero, seconds.
@@ -194,6 +203,8 @@
             procedures,
             max_pending: startup.host.max_pending_attaches,
             max_stored_bytes: (memory_bytes * SET_UP_MEMORY_SHARE) as usize,
+            max_partial_bytes: (memory_bytes * PARTIAL_MEMORY_SHARE) as usize,
+            max_queued_bytes: (memory_bytes * QUEUE_MEMORY_SHARE) as usize,
             max_sockets: file.limits.sockets,
             dial_timeout: startup.host.connect_timeout,
             clock_epoch: unix - now,
@@ -295,6 +306,11 @@
         self.outputs.pop_front()
     }
 
+    /// Limit of the bytes that the host queues for all peers that do not read.
+    pub fn max_queued_bytes(&self) -> usize {
+        self.max_queued_bytes
+    }
+
     pub fn counters(&self) -> Counters {
         self.counters
     }
--- a/crates/signalling/src/framer.rs
+++ b/crates/signalling/src/framer.rs
@@ -48,6 +48,23 @@
         self.bytes.len() - self.start
     }
 
+    /// Memory that is allocated for the buffer, bytes.
+    pub fn allocated(&self) -> usize {
+        self.bytes.capacity()
+    }
+
+    /// Frees the memory of messages that have been returned. Called once all complete messages are taken, so that
+    /// a connection holds no more than twice the part of a message that waits for the rest.
+    pub fn release_memory(&mut self) {
+        self.bytes.drain(..self.start);
+        self.start = 0;
+        if self.bytes.is_empty() {
+            self.bytes = Vec::new();
+        } else if self.bytes.capacity() > 2 * self.bytes.len() {
+            self.bytes.shrink_to_fit();
+        }
+    }
+
     /// Takes the next complete message, if there is one. Line breaks before it (keep-alives) are skipped.
     pub fn next_frame(&mut self) -> Result<Option<&[u8]>, FrameError> {
         while self.bytes[self.start..].starts_with(b"\r\n") {
