Take input from all connections in turn beside a client at full speed

Cause: the scheduler looks at its sockets only when no coroutine can run, and such a client keeps its reader and the owner runnable. Excluded: the mailbox alone, the processing, the servers.

Change: the owner pauses for 1 ms where the sockets were not looked at for 5 ms; a connection has one read in the mailbox; the intake ends when nothing that may change a decision is unread; the last sixteenth of the places is kept for connections with few pending attaches.

Open: a share of the servers for each client.

--- a/crates/platform-service/src/lib.rs
+++ b/crates/platform-service/src/lib.rs
@@ -5,5 +5,6 @@
 mod readers;
 mod service;
 mod slots;
+mod turns;
 
 pub use service::{use_single_worker, Service};
--- a/crates/platform-service/src/owner.rs
+++ b/crates/platform-service/src/owner.rs
@@ -2,6 +2,7 @@
 
 use crate::readers;
 use crate::slots::ConnectionSlots;
+use crate::turns::Turn;
 use shalespindle_platform::{
     ConnectionId, Edge, LogLevel, LogRecord, Loss, Output, StartFile, UNCOUNTED_CONNECTIONS,
 };
@@ -12,8 +13,11 @@
 
 /// Limit of the time spent on receiving events before the `Edge` is polled, seconds.
 const MAX_INTAKE: f64 = 0.02;
-/// Pause in which the scheduler checks its sockets if one of them has unread input.
+/// Pause in which the scheduler checks its sockets and timers. It does so only when no coroutine can run.
 const SOCKET_CHECK: Duration = Duration::from_millis(1);
+/// Longest time without such a check, seconds. A peer that sends at full speed keeps its reader and the owner
+/// runnable, and without a pause no input of another one would be noticed until it ends.
+const MAX_UNCHECKED: f64 = 0.005;
 /// Limit of the bytes queued for a peer that does not read.
 const MAX_BACKLOG: usize = 256 * 1024;
 /// Pause before queued bytes are written again, seconds.
@@ -29,7 +33,7 @@
 pub(crate) enum OwnerEvent {
     Accepted { connection: ConnectionId, writer: WriteHalf },
     Connected { connection: ConnectionId, writer: WriteHalf },
-    Bytes { arrived: f64, connection: ConnectionId, bytes: Vec<u8> },
+    Bytes { arrived: f64, connection: ConnectionId, bytes: Vec<u8>, turn: Turn },
     Lost { connection: ConnectionId, loss: Loss },
     Reload(Box<StartFile>),
     End,
@@ -58,6 +62,8 @@
     peers: BTreeMap<ConnectionId, Peer>,
     dialled: BTreeSet<ConnectionId>,
     slots: ConnectionSlots,
+    /// When the scheduler last checked its sockets for certain.
+    sockets_checked_at: f64,
     counters_logged_at: f64,
     /// The longest delay of the owner since the last log event with the counters, seconds.
     max_lateness: f64,
@@ -80,6 +86,7 @@
             peers,
             dialled,
             slots,
+            sockets_checked_at: 0.0,
             counters_logged_at: 0.0,
             max_lateness: 0.0,
         }
@@ -91,7 +98,7 @@
             let blocked = self.peers.values().any(|p| !p.waiting.is_empty());
             let again = if blocked { self.clock.now() + WRITE_RETRY } else { f64::INFINITY };
             let due = self.edge.wake_at().min(again);
-            let next = self.receiver.recv_timeout(self.clock.duration_until(due));
+            let next = self.wait_for_event(due);
             if self.clock.just_resumed() {
                 // After a stall all input that arrived meanwhile is read before anything is decided: callers
                 // may have left, and servers may have gone out of service (platform rule 3).
@@ -110,6 +117,7 @@
             }
             self.execute_outputs();
             self.log_counters(now);
+            self.check_sockets_if_due();
             // Answers queued for a slow reader must be written before the end.
             let blocked = self.peers.values().any(|p| !p.waiting.is_empty());
             if self.edge.is_done(now) && (!blocked || self.edge.is_overdue(now)) {
@@ -118,32 +126,65 @@
         }
     }
 
+    /// Waits for the next event until a time on the clock.
+    fn wait_for_event(&mut self, due: f64) -> Option<OwnerEvent> {
+        let begin = self.clock.now();
+        let next = self.receiver.recv_timeout(self.clock.duration_until(due));
+        let now = self.clock.now();
+        if now - begin >= SOCKET_CHECK.as_secs_f64() {
+            // No coroutine could run for a while.
+            self.sockets_checked_at = now;
+        }
+        next
+    }
+
+    /// Pauses if the scheduler has not checked its sockets for long.
+    fn check_sockets_if_due(&mut self) {
+        if self.clock.now() - self.sockets_checked_at >= MAX_UNCHECKED {
+            self.check_sockets();
+        }
+    }
+
+    fn check_sockets(&mut self) {
+        may::coroutine::sleep(SOCKET_CHECK);
+        self.sockets_checked_at = self.clock.now();
+    }
+
     /// Handles all events that have arrived. A caller's close or CANCEL and a server's removal must be known
     /// before the next poll, so events in the mailbox, with a reader that waits for space in it, and unread
-    /// in a socket are all included.
+    /// in a socket are all included; of other connections, what a read or two bring.
     fn receive_events(&mut self, first: Option<OwnerEvent>) {
         let until = self.clock.now() + MAX_INTAKE;
-        let mut next = first;
+        if let Some(event) = first {
+            self.handle_event(event);
+        }
         loop {
-            while let Some(event) = next {
-                self.handle_event(event);
-                next = if self.clock.now() < until { self.receiver.try_recv() } else { None };
-            }
+            self.empty_mailbox(until);
             // Lets readers that were woken or wait for mailbox space run first, on the same worker.
             may::coroutine::yield_now();
-            if self.clock.now() >= until {
+            self.check_sockets_if_due();
+            let was_empty = !self.empty_mailbox(until);
+            if self.clock.now() >= until || !self.has_unread_input() {
                 return;
             }
-            next = self.receiver.try_recv();
-            if next.is_none() {
-                if !self.has_unread_input() {
-                    return;
-                }
-                may::coroutine::sleep(SOCKET_CHECK);
+            if was_empty {
+                self.check_sockets();
             }
         }
     }
 
+    /// Handles the events in the mailbox; returns whether there were any. Readers do not run meanwhile, so there
+    /// is one read of each connection at most.
+    fn empty_mailbox(&mut self, until: f64) -> bool {
+        let mut had_events = false;
+        while self.clock.now() < until {
+            let Some(event) = self.receiver.try_recv() else { break };
+            self.handle_event(event);
+            had_events = true;
+        }
+        had_events
+    }
+
     fn has_unread_input(&self) -> bool {
         let unread = |connection| self.peers.get(connection).is_some_and(|p| p.writer.has_unread());
         self.edge.connections_to_read_first(self.clock.now()).iter().any(unread)
@@ -162,11 +203,12 @@
                     self.edge.connected(now, connection);
                 }
             }
-            OwnerEvent::Bytes { arrived, connection, bytes } => {
+            OwnerEvent::Bytes { arrived, connection, bytes, turn } => {
                 if self.peers.contains_key(&connection) {
                     self.max_lateness = self.max_lateness.max(now - arrived);
                     self.edge.bytes(now, arrived, connection, &bytes);
                 }
+                drop(turn);
             }
             OwnerEvent::Lost { connection, loss } => {
                 let known = self.peers.remove(&connection).is_some() | self.dialled.remove(&connection);
--- a/crates/platform-service/src/readers.rs
+++ b/crates/platform-service/src/readers.rs
@@ -2,6 +2,7 @@
 
 use crate::owner::OwnerEvent;
 use crate::slots::ConnectionSlots;
+use crate::turns::Turns;
 use may::net::{TcpListener, TcpStream};
 use shalespindle_platform::{ConnectionId, Loss};
 use shalespindle_sockets::{read_all, split, start, Handle, Mailbox, MonotonicClock, SMALL_STACK};
@@ -61,8 +62,14 @@
     mailbox: &Mailbox<OwnerEvent>,
     clock: &MonotonicClock,
 ) {
+    let turns = Turns::new();
     read_all(reader, READ_SIZE, |bytes| {
-        mailbox.send(OwnerEvent::Bytes { arrived: clock.earliest_arrival(), connection, bytes }).is_ok()
+        let (arrived, turn) = (clock.earliest_arrival(), turns.begin());
+        let is_sent = mailbox.send(OwnerEvent::Bytes { arrived, connection, bytes, turn }).is_ok();
+        if is_sent {
+            turns.wait_until_handled();
+        }
+        is_sent
     });
 }
 
--- a/crates/platform/src/callers.rs
+++ b/crates/platform/src/callers.rs
@@ -12,6 +12,9 @@
 use shalespindle_signalling::write::{ResponseHead, Writer};
 use shalespindle_signalling::{FrameError, Message, Method, ParseError, Start};
 
+/// This fraction (one sixteenth) of the places for pending attaches is kept for connections that hold no more than
+/// as many.
+const RESERVED_SHARE_DIVISOR: usize = 16;
 /// Time between marking a connection for closing and closing it, in which pending input is read, seconds.
 const CLOSE_DELAY: f64 = 0.001;
 
@@ -161,8 +164,7 @@
             self.clients.used(now, connection, Usage::Requests);
             return self.respond(connection, 513, message);
         }
-        let is_full = self.calls.pending_count() >= self.max_pending
-            || self.calls.stored_bytes() + pending.stored_bytes() > self.max_stored_bytes;
+        let is_full = self.has_no_place_for(connection, &pending);
         if is_full || self.refuses_new_calls(now) {
             self.counters.no_place += 1;
             let reason = if is_full { "503: limit reached" } else { "503: shutting down" };
@@ -173,6 +175,16 @@
         self.add_attach(now, connection, id, pending, request.first_choice);
     }
 
+    /// Whether the pending attaches have reached their limit in number or memory. The last places are kept for
+    /// connections with few pending attaches, so that one client cannot take them all.
+    fn has_no_place_for(&self, connection: ConnectionId, pending: &PendingCall) -> bool {
+        let own_count = self.clients.all.get(&connection).map_or(0, |c| c.open.len());
+        let reserved = self.max_pending / RESERVED_SHARE_DIVISOR;
+        let max_pending = if own_count > reserved { self.max_pending - reserved } else { self.max_pending };
+        self.calls.pending_count() >= max_pending
+            || self.calls.stored_bytes() + pending.stored_bytes() > self.max_stored_bytes
+    }
+
     /// Records a new attach and passes it to `Control`.
     fn add_attach(
         &mut self,
--- a/crates/platform/tests/callers.rs
+++ b/crates/platform/tests/callers.rs
@@ -326,3 +326,18 @@
     assert!(written.contains(r#""release","id":"0000000000000001","fields":{},"cause":16"#), "{written}");
     assert_eq!(front.edge.gauges()[0], 0, "pending at the end");
 }
+
+/// Guards against one client whose set-ups take all places, so that those of others are refused unseen.
+#[test]
+fn the_last_places_for_set_ups_are_kept_for_connections_with_few() {
+    /// `most_held` in the settings of these tests.
+    const PLACES: u64 = 50;
+    let mut front = TestFront::new(1);
+    let (bad, caller) = (front.client(), front.client());
+    // No server has a link, so that all of them wait.
+    let set_ups: String = (0..2 * PLACES).map(|call| invite(1_000 + call, 0)).collect();
+    front.edge.bytes(front.now, front.now, bad, set_ups.as_bytes());
+    front.edge.bytes(front.now, front.now, caller, invite(1, 0).as_bytes());
+    assert_eq!(front.edge.gauges()[0] as u64, PLACES - PLACES / 16 + 1);
+    assert!(front.take_written(caller).is_empty());
+}
