Do not send on set-ups of a client that closed its connection behind them

Cause: the front reads for 20 ms before it decides, and sent on what it had read, although the close was behind the rest, or not received for want of buffer. Excluded: the reset, the order of reading.

Change: a client whose close was received counts as gone at once for its set-ups, while its releases still count; attaches wait up to 0.1 s for unread input on their connection. Control is told of attaches at the poll.

--- a/crates/cli/tests/races.rs
+++ b/crates/cli/tests/races.rs
@@ -228,6 +228,34 @@
     Caller::accepted(listen);
 }
 
+/// Guards against set-ups of a client that has gone: it closed its connection behind more input than the front reads
+/// before it decides, and those that had been read were sent on.
+#[test]
+fn set_ups_before_a_close_that_is_read_later_are_not_sent_on() {
+    /// More than a front reads in 20 ms, and less than the socket buffers hold.
+    const SET_UPS: usize = 8_000;
+    let live = Live::start(1);
+    let mut client = Caller::accepted(live.listen);
+    let mut other = Caller::accepted(live.listen);
+    let set_ups: String = (0..SET_UPS)
+        .map(|n| {
+            format!(
+                "INVITE sip:{n:x}@net SIP/2.0\r\nCall-ID: {:016x}\r\nCSeq: 1 INVITE\r\nX-Service: voice\r\n\
+                 X-Setup-Ms: 9000\r\nX-Route: dest:0;width:1;via:-1\r\nContent-Length: 1\r\n\r\nx",
+                1_000 + n
+            )
+        })
+        .collect();
+    socket2::SockRef::from(&client.stream).set_send_buffer_size(2 * set_ups.len()).unwrap();
+    live.while_stopped(|| {
+        client.stream.write_all(set_ups.as_bytes()).unwrap();
+        client.stream.shutdown(Shutdown::Both).unwrap();
+    });
+    other.send("INVITE", CALLS[0], "9d41\r\n");
+    let set_up = live.servers[0].expect("setup", TIMEOUT).unwrap();
+    assert_eq!(set_up.id(), CALLS[0], "a set-up of the client that has gone was sent on");
+}
+
 /// The call is established at a server that only the feed lists, and the feed is down when the call is handed
 /// over.
 #[test]
--- a/crates/platform-service/src/owner.rs
+++ b/crates/platform-service/src/owner.rs
@@ -164,8 +164,11 @@
             may::coroutine::yield_now();
             self.check_sockets_if_due();
             let was_empty = !self.empty_mailbox(until);
-            if self.clock.now() >= until || !self.has_unread_input() {
-                return;
+            if !self.has_unread_input() {
+                return self.edge.set_unread_clients(BTreeSet::new());
+            }
+            if self.clock.now() >= until {
+                return self.report_unread_clients();
             }
             if was_empty {
                 self.check_sockets();
@@ -173,6 +176,22 @@
         }
     }
 
+    /// Reports clients that have sent more than could be read in time, and which of them have closed their
+    /// connection behind it.
+    fn report_unread_clients(&mut self) {
+        let now = self.clock.now();
+        let mut unread = BTreeSet::new();
+        for connection in self.edge.connections_to_read_first(now) {
+            let Some(peer) = self.peers.get(&connection) else { continue };
+            if peer.writer.has_peer_closed() {
+                self.edge.client_has_closed(now, connection);
+            } else if peer.writer.has_unread() {
+                unread.insert(connection);
+            }
+        }
+        self.edge.set_unread_clients(unread);
+    }
+
     /// Handles the events in the mailbox; returns whether there were any. Readers do not run meanwhile, so there
     /// is one read of each connection at most.
     fn empty_mailbox(&mut self, until: f64) -> bool {
--- a/crates/platform/src/callers.rs
+++ b/crates/platform/src/callers.rs
@@ -11,13 +11,23 @@
 use shalespindle_control::interface::{EndReason, NewAttach, PoolId, Report, UeId};
 use shalespindle_signalling::write::{ResponseHead, Writer};
 use shalespindle_signalling::{FrameError, Message, Method, ParseError, Start};
+use std::collections::BTreeSet;
 
+/// Longest time for which an attach waits for the input behind it on its connection to be read, seconds.
+const MAX_UNREAD_DELAY: f64 = 0.1;
 /// This fraction (one sixteenth) of the places for pending attaches is kept for connections that hold no more than
 /// as many.
 const RESERVED_SHARE_DIVISOR: usize = 16;
 /// Time between marking a connection for closing and closing it, in which pending input is read, seconds.
 const CLOSE_DELAY: f64 = 0.001;
 
+/// An attach that `Control` does not know yet.
+pub(crate) struct UndecidedAttach {
+    new: NewAttach,
+    connection: ConnectionId,
+    read_at: f64,
+}
+
 impl Edge {
     pub(crate) fn client_bytes(&mut self, now: f64, arrived: f64, connection: ConnectionId, bytes: &[u8]) {
         let Some(mut framer) = self.clients.take_framer(connection) else { return };
@@ -129,6 +139,11 @@
         if let Some(server) = route.at {
             return self.call_handed_over(now, connection, id, server);
         }
+        if self.clients.all.get(&connection).is_some_and(|c| c.has_closed) {
+            // Nobody waits for an answer.
+            self.counters.left += 1;
+            return;
+        }
         if let Some(call) = self.calls.by_id(id) {
             let (ue, same_connection, is_pending) =
                 (call.ue, call.client == connection, matches!(call.state, CallState::Pending(_)));
@@ -206,10 +221,28 @@
         // A number that no pool has, where the caller names no first choice.
         let first_choice = first_choice.unwrap_or(u16::MAX);
         let new = NewAttach { ue, procedure, first_choice, called_number, gives_up_at };
-        self.control.attach_arrived(now, new);
+        self.undecided.push(UndecidedAttach { new, connection, read_at: now });
         self.send_releases(now);
     }
 
+    /// Passes new attaches to `Control`, but for a while not those of connections with unread input, which may
+    /// end in a close.
+    pub(crate) fn pass_new_attaches(&mut self, now: f64) {
+        for undecided in std::mem::take(&mut self.undecided) {
+            let is_behind = self.unread_clients.contains(&undecided.connection);
+            if is_behind && now - undecided.read_at < MAX_UNREAD_DELAY {
+                self.undecided.push(undecided);
+            } else if self.calls.pending(undecided.new.ue).is_some() {
+                self.control.attach_arrived(now, undecided.new);
+            }
+        }
+    }
+
+    /// Names the client connections with input that was not read in time before the next poll.
+    pub fn set_unread_clients(&mut self, unread: BTreeSet<ConnectionId>) {
+        self.unread_clients = unread;
+    }
+
     fn ack(&mut self, now: f64, connection: ConnectionId, message: &Message) {
         let Some(id) = sip::id(message) else { return };
         if self.releases.is_owed(id) {
@@ -409,6 +442,16 @@
         }
     }
 
+    /// The peer has closed a client connection on which there is more to read than can be read before the next
+    /// decision. Its callers have left: set-ups on it are not sent on, while releases that it sent still count.
+    pub fn client_has_closed(&mut self, now: f64, connection: ConnectionId) {
+        let Some(client) = self.clients.all.get_mut(&connection) else { return };
+        client.has_closed = true;
+        for ue in client.open.clone() {
+            self.caller_left(now, ue);
+        }
+    }
+
     /// The peer ended a client connection, or it broke.
     pub(crate) fn client_connection_lost(&mut self, now: f64, connection: ConnectionId) {
         let Some(client) = self.clients.remove(connection) else { return };
--- a/crates/platform/src/client_connection.rs
+++ b/crates/platform/src/client_connection.rs
@@ -43,6 +43,8 @@
     /// Established calls whose set-up arrived on the connection, where their releases are sent.
     pub established: BTreeSet<UeId>,
     pub bad_messages: u32,
+    /// The peer has closed the connection; what it sent before is still being read.
+    pub has_closed: bool,
     /// Releases written to the connection that nobody confirmed in time.
     pub unconfirmed_releases: u32,
 }
@@ -59,6 +61,7 @@
             unconfirmed: Vec::new(),
             established: BTreeSet::new(),
             bad_messages: 0,
+            has_closed: false,
             unconfirmed_releases: 0,
         }
     }
--- a/crates/platform/src/edge.rs
+++ b/crates/platform/src/edge.rs
@@ -1,6 +1,7 @@
 //! One front. The methods called by the host update the state; [`Edge::poll`] handles expired timers and
 //! executes the decisions of `Control`; [`Edge::next_output`] returns what the host has to do.
 
+use crate::callers::UndecidedAttach;
 use crate::calls::{CallState, Calls, Try};
 use crate::client_connection::{ClientConnection, ClientConnections};
 use crate::early::{EarlyIds, ID_BYTES};
@@ -182,6 +183,10 @@
     pub(crate) shutdown_since: Option<f64>,
     /// Servers with a link that has just come up; tries that wait for one are sent on the next poll.
     pub(crate) newly_linked: Vec<PoolId>,
+    /// New attaches in the order of their arrival.
+    pub(crate) undecided: Vec<UndecidedAttach>,
+    /// Client connections with input that was not read in time.
+    pub(crate) unread_clients: BTreeSet<ConnectionId>,
     last_connection_id: ConnectionId,
     last_probe_id: u64,
 }
@@ -223,6 +228,8 @@
             unresolved_handovers: Vec::new(),
             shutdown_since: None,
             newly_linked: Vec::new(),
+            undecided: Vec::new(),
+            unread_clients: BTreeSet::new(),
             last_connection_id: 1,
             last_probe_id: file.seed,
         };
@@ -361,6 +368,7 @@
             self.handle_timer(now, due);
         }
         self.poll_feed(now);
+        self.pass_new_attaches(now);
         while let Some(decision) = self.control.next_decision(now) {
             self.execute(now, decision);
         }
--- a/crates/platform/tests/callers.rs
+++ b/crates/platform/tests/callers.rs
@@ -341,3 +341,29 @@
     assert_eq!(front.edge.gauges()[0] as u64, PLACES - PLACES / 16 + 1);
     assert!(front.take_written(caller).is_empty());
 }
+
+/// Guards against set-ups of a client that has gone: its close was behind more input than the host reads before the
+/// next decision, or was not received yet.
+#[test]
+fn set_ups_wait_for_the_input_behind_them_for_a_limited_time() {
+    let (mut front, links) = TestFront::with_links(1);
+    let client = front.client();
+    front.edge.set_unread_clients([client].into());
+    front.bytes(client, invite(1, 0).as_bytes());
+    assert!(!front.take_written(links[0]).contains("setup"));
+    front.advance(0.2);
+    assert!(front.take_written(links[0]).contains(&id(1)), "its client only sends much");
+}
+
+/// What such a client sent before its close still counts, but for set-ups.
+#[test]
+fn of_a_client_that_has_closed_releases_are_read_and_set_ups_are_not_sent_on() {
+    let (mut front, links) = TestFront::with_links(1);
+    let client = front.establish_call(links[0], 1);
+    front.take_written(links[0]);
+    front.edge.bytes(front.now, front.now, client, invite(2, 0).as_bytes());
+    front.edge.client_has_closed(front.now, client);
+    front.bytes(client, [invite(3, 0), request("BYE", 1)].concat().as_bytes());
+    let written = front.take_written(links[0]);
+    assert!(!written.contains("setup") && written.contains(&release(1, 16, "")), "{written}");
+}
--- a/crates/sockets/src/split.rs
+++ b/crates/sockets/src/split.rs
@@ -90,6 +90,17 @@
         unread.unwrap_or(false)
     }
 
+    /// Whether the peer has closed the connection or reset it, even if bytes that it sent before are still unread.
+    pub fn has_peer_closed(&self) -> bool {
+        let has_closed = self.0.with(|stream| {
+            // A reset is reported whatever is asked for.
+            let closed = PollFlags::from_bits_retain(nix::libc::POLLRDHUP);
+            let mut fds = [PollFd::new(stream.as_fd(), closed)];
+            poll(&mut fds, PollTimeout::ZERO).is_ok_and(|ready| ready > 0)
+        });
+        has_closed.unwrap_or(false)
+    }
+
     /// Ends the connection; the read half gets the end of the stream. With `reset`, unsent bytes are
     /// discarded.
     pub fn close(self, reset: bool) {
