Do not set a call up again whose id was sent to a server before

Cause: an id was known only while its attach or call was held. Excluded: the release of the first try, which was written.

Change: ids of set-ups sent to a server are remembered for 30 s in 1/64 of the memory limit; a set-up with such an id gets 482. The store of early ids, which holds them, is called by what it does now (expiring_ids.rs).

The test failed on the code before.

--- a/crates/platform/src/callers.rs
+++ b/crates/platform/src/callers.rs
@@ -154,6 +154,12 @@
             }
             return self.bad(now, connection, message, 482);
         }
+        if self.sent_ids.contains(now, id) {
+            // The call has run, or its end is uncertain: set up again, it might run twice.
+            self.log_info("attach refused", call_subject(id), "482: it was sent to a server before");
+            self.clients.used(now, connection, Usage::Requests);
+            return self.respond(connection, 482, message);
+        }
         if self.early_cancels.take(now, id) {
             self.counters.left += 1;
             self.clients.used(now, connection, Usage::Requests);
--- a/crates/platform/src/edge.rs
+++ b/crates/platform/src/edge.rs
@@ -4,7 +4,7 @@
 use crate::callers::UndecidedAttach;
 use crate::calls::{CallState, Calls, Try};
 use crate::client_connection::{ClientConnection, ClientConnections};
-use crate::early::{EarlyIds, ID_BYTES};
+use crate::expiring_ids::{ExpiringIds, ID_BYTES};
 use crate::feed::{Event, Feed};
 use crate::handover::UnresolvedHandover;
 use crate::lines;
@@ -144,6 +144,10 @@
 /// Fraction of the memory limit for ids of releases read before their calls are handed over. After an outage of
 /// the front these are all calls that ended meanwhile.
 const EARLY_RELEASE_MEMORY_SHARE: f64 = 1.0 / 64.0;
+/// Fraction of the memory limit for ids of calls that were sent to a server.
+const SENT_ID_MEMORY_SHARE: f64 = 1.0 / 64.0;
+/// Time for which such an id is remembered, seconds.
+const SENT_ID_LIFETIME: f64 = 30.0;
 /// Limit of the CANCELs remembered that were read before their set-ups.
 const MAX_EARLY_CANCELS: usize = 1024;
 
@@ -166,9 +170,11 @@
     pub(crate) calls: Calls,
     pub(crate) clients: ClientConnections,
     pub(crate) releases: Releases,
-    pub(crate) early_cancels: EarlyIds,
+    pub(crate) early_cancels: ExpiringIds,
     /// Calls released by a server before this front knew them; their callers may hand them over later.
-    pub(crate) early_releases: EarlyIds,
+    pub(crate) early_releases: ExpiringIds,
+    /// Calls whose set-up was sent to a server; it may have run there, whatever became of it.
+    pub(crate) sent_ids: ExpiringIds,
     /// Client connections to close once everything that has arrived on them is read.
     pub(crate) closing: BTreeSet<ConnectionId>,
     /// When at least one client connection was last open.
@@ -216,8 +222,9 @@
             calls: Calls::default(),
             clients: ClientConnections::default(),
             releases: Releases::default(),
-            early_cancels: EarlyIds::new(MAX_EARLY_CANCELS),
-            early_releases: EarlyIds::new((memory_bytes * EARLY_RELEASE_MEMORY_SHARE) as usize / ID_BYTES),
+            early_cancels: ExpiringIds::new(MAX_EARLY_CANCELS),
+            early_releases: ExpiringIds::new((memory_bytes * EARLY_RELEASE_MEMORY_SHARE) as usize / ID_BYTES),
+            sent_ids: ExpiringIds::new((memory_bytes * SENT_ID_MEMORY_SHARE) as usize / ID_BYTES),
             closing: BTreeSet::new(),
             last_client_seen_at: now,
             servers: Servers::new(probe_method),
@@ -460,8 +467,9 @@
 
     /// Writes a setup try to a link. The caller has checked that the server still accepts set-ups.
     pub(crate) fn write_set_up(&mut self, now: f64, ue: UeId, connection: ConnectionId) {
-        let Some((id, _, pending)) = self.calls.pending(ue) else { return };
+        let Some((id, client, pending)) = self.calls.pending(ue) else { return };
         let Some(setup_try) = pending.current_try.as_mut() else { return };
+        self.sent_ids.add(now, client, id, SENT_ID_LIFETIME);
         setup_try.link = Some(connection);
         let (number, pool) = (pending.tries, setup_try.pool);
         let class = &self.procedures[pending.procedure].0;
--- a/crates/platform/src/early_tests.rs
+++ b/crates/platform/src/expiring_ids_tests.rs
@@ -6,7 +6,7 @@
 #[test]
 fn an_id_is_returned_once_before_it_expires_and_memory_is_bounded() {
     const MAX_IDS: usize = 1024;
-    let mut early = EarlyIds::new(MAX_IDS);
+    let mut early = ExpiringIds::new(MAX_IDS);
     early.add(0.0, SOURCE, 1, 9.0);
     assert!(early.take(8.9, 1) && !early.take(8.9, 1));
     early.add(10.0, SOURCE, 2, 9.0);
@@ -26,7 +26,7 @@
 /// Guards against one peer that displaces the ids of others by sending many.
 #[test]
 fn beyond_the_limit_ids_of_the_connection_with_the_most_are_discarded() {
-    let mut early = EarlyIds::new(100);
+    let mut early = ExpiringIds::new(100);
     early.add(0.0, SOURCE, 1, 9.0);
     for id in 1_000..2_000 {
         early.add(0.0, SOURCE + 2, id, 9.0);
--- a/crates/platform/tests/callers.rs
+++ b/crates/platform/tests/callers.rs
@@ -367,3 +367,37 @@
     let written = front.take_written(links[0]);
     assert!(!written.contains("setup") && written.contains(&release(1, 16, "")), "{written}");
 }
+
+/// Guards against an id that runs twice, within the guard of its first try: its client left while the set-up was at a
+/// server, or after the answer, and came again with the same id.
+#[test]
+fn a_call_that_was_sent_to_a_server_is_not_set_up_again_after_its_client_has_left() {
+    for is_answered in [false, true] {
+        let (mut front, links) = TestFront::with_links(1);
+        let client = front.client();
+        front.bytes(client, invite(1, 0).as_bytes());
+        assert!(front.take_written(links[0]).contains("setup"));
+        if is_answered {
+            front.send_line(links[0], &answer(1));
+        }
+        front.lose_connection(client, Loss::Broken);
+        let next = front.client();
+        front.bytes(next, invite(1, 0).as_bytes());
+        front.advance(2.0);
+        assert!(!front.take_written(links[0]).contains("setup"), "answered: {is_answered}");
+        assert!(front.take_answers(next).contains(&("482".into(), id(1))), "answered: {is_answered}");
+    }
+}
+
+/// An attach that was refused before any server had it may come again under its id.
+#[test]
+fn a_call_that_was_not_sent_to_a_server_is_set_up_when_it_comes_again() {
+    let mut front = TestFront::new(1);
+    let client = front.client();
+    front.bytes(client, invite(1, 0).as_bytes());
+    front.lose_connection(client, Loss::Broken);
+    let link = front.bring_up_link(0);
+    let next = front.client();
+    front.bytes(next, invite(1, 0).as_bytes());
+    assert!(front.take_written(link).contains("setup"));
+}
