Keep the calls of a restarted server's new process when the list tells of its start

Cause: a newer start of an entry ended all its calls and links, whichever process had them.

Change: calls and links that came up since the start, by the list and 50 ms of tolerance, belong to the new process and stay.

--- a/crates/platform/src/link.rs
+++ b/crates/platform/src/link.rs
@@ -67,6 +67,15 @@
         }
     }
 
+    /// Earliest time at which a process may have accepted the connection, by what the front knows.
+    pub fn process_known_since(&self) -> f64 {
+        if self.state == LinkState::Up {
+            self.up_at
+        } else {
+            self.dialled_at
+        }
+    }
+
     /// Records that a request was sent which expects a response.
     pub fn request_sent(&mut self, now: f64) {
         self.awaiting_since.get_or_insert(now);
--- a/crates/platform/src/processes.rs
+++ b/crates/platform/src/processes.rs
@@ -6,7 +6,7 @@
 use crate::edge::{ConnectionId, Edge};
 use crate::link::{LinkState, Phase, Server, MAX_LINKS};
 use crate::servers::MAX_QUEUED_RELEASES;
-use shalespindle_control::interface::{EndReason, PoolEntry, PoolId, Report};
+use shalespindle_control::interface::{EndReason, PoolEntry, PoolId, Report, UeId};
 use std::net::SocketAddr;
 
 /// A process may accept a connection this much before its start as the list gives it, in whole milliseconds and by
@@ -28,17 +28,30 @@
         server.started_at = server.started_at.max(started_at);
         server.address = address.unwrap_or(server.address);
         if has_restarted {
-            self.server_restarted(now, pool);
+            self.server_restarted(now, pool, has_moved);
         }
     }
 
-    /// Another process now runs under the same name; calls and links of the previous one are ended.
-    fn server_restarted(&mut self, now: f64, pool: PoolId) {
+    /// Another process runs under the same name since its start, or at another address: calls and links of the
+    /// previous one are ended. Those over a link that came up since the start belong to the new process.
+    fn server_restarted(&mut self, now: f64, pool: PoolId, has_moved: bool) {
         let Some(server) = self.servers.all.get(&pool) else { return };
-        for connection in server.links.clone() {
+        let first_link_at =
+            if has_moved { f64::INFINITY } else { server.started_at.min(now) - START_TOLERANCE };
+        let is_of_previous = |c: &&ConnectionId| {
+            self.servers.links.get(c).is_some_and(|l| l.process_known_since() < first_link_at)
+        };
+        let links: Vec<ConnectionId> = server.links.iter().filter(is_of_previous).copied().collect();
+        let is_linked_to_new = links.len() < server.links.len();
+        for connection in links {
             self.drop_link(now, connection, "its server was restarted");
         }
-        self.process_ended(now, pool, "its server was restarted");
+        if !is_linked_to_new {
+            return self.process_ended(now, pool, "its server was restarted");
+        }
+        for ue in self.calls.established_before(pool, first_link_at).0 {
+            self.end_cut_call(now, ue, pool, "its server was restarted");
+        }
     }
 
     /// Where a new server is listed at an address, the one that had it has gone, although the list may say so
@@ -90,8 +103,7 @@
             server.successor = Some(new);
         }
         for ue in of_old {
-            self.control.try_ended(now, ue, old, EndReason::Cut, true, Report::default());
-            self.end_established_call(now, ue, old, TEMPORARY_FAILURE, "another server has its address");
+            self.end_cut_call(now, ue, old, "another server has its address");
         }
         for ue in of_new {
             self.calls.move_to_pool(ue, new);
@@ -166,11 +178,15 @@
     /// Ends all calls established at a server.
     pub(crate) fn end_calls_at(&mut self, now: f64, pool: PoolId, reason: &'static str) {
         for ue in self.calls.established_at(pool) {
-            self.control.try_ended(now, ue, pool, EndReason::Cut, true, Report::default());
-            self.end_established_call(now, ue, pool, TEMPORARY_FAILURE, reason);
+            self.end_cut_call(now, ue, pool, reason);
         }
     }
 
+    fn end_cut_call(&mut self, now: f64, ue: UeId, pool: PoolId, reason: &'static str) {
+        self.control.try_ended(now, ue, pool, EndReason::Cut, true, Report::default());
+        self.end_established_call(now, ue, pool, TEMPORARY_FAILURE, reason);
+    }
+
     /// The process at a server has ended: its calls are ended, and releases queued for it are discarded.
     pub(crate) fn process_ended(&mut self, now: f64, pool: PoolId, reason: &'static str) {
         self.end_calls_at(now, pool, reason);
--- a/crates/platform/tests/replaced_servers.rs
+++ b/crates/platform/tests/replaced_servers.rs
@@ -124,3 +124,16 @@
     replaced.front.bytes(client, text.as_bytes());
     assert!(replaced.front.take_answers(client).contains(&("BYE".into(), id(HANDED_OVER))));
 }
+
+/// Guards against review case 8: a server returned cold under its own id, and the list's word of its start ended the
+/// calls that it had taken since.
+#[test]
+fn calls_set_up_since_a_restart_outlive_the_lists_word_of_it() {
+    let mut replaced = Replaced::new();
+    replaced.list(2, &[member("s0", 0, "up", STARTED_MS)]);
+    replaced.front.advance(0.1);
+    assert_eq!(replaced.confirm_releases(), [id(OLD_CALL)]);
+    assert!(!replaced.front.closed.contains(&(replaced.link, true)), "the link leads to the new process");
+    replaced.front.send_line(replaced.link, &release(NEW_CALL, 16, ""));
+    assert_eq!(replaced.confirm_releases(), [id(NEW_CALL)]);
+}
