Take only a 2xx for the confirmation of a release, but on the call's own connection

Cause: any response whose CSeq names BYE confirmed the release and made its connection count as a caller's.

Change: a 2xx confirms; another response does so only on the connection of the call's set-up, elsewhere the release goes to another connection at once.

--- a/crates/platform/src/callers.rs
+++ b/crates/platform/src/callers.rs
@@ -101,17 +101,27 @@
                 self.respond(connection, 200, message);
             }
             Start::Request { .. } => self.bad(now, connection, message, 405),
-            Start::Response { .. } => {
+            Start::Response { status, .. } => {
                 if let (Some(id), Ok((_, Method::Bye))) = (sip::id(message), message.cseq()) {
-                    if self.releases.confirm(id) {
-                        self.counters.byes_heard += 1;
-                        self.caller_shown(now, connection, Usage::Caller);
-                    }
+                    self.release_answered(now, connection, id, status);
                 }
             }
         }
     }
 
+    /// Handles the response to a release. A client that is not the caller's may have got it, and rejects it.
+    fn release_answered(&mut self, now: f64, connection: ConnectionId, id: u64, status: u16) {
+        let is_heard = (200..300).contains(&status) || self.releases.is_own_connection(id, connection);
+        if !is_heard {
+            self.releases.rejected_on(now, id, connection);
+            return self.send_releases(now);
+        }
+        if self.releases.confirm(id) {
+            self.counters.byes_heard += 1;
+            self.caller_shown(now, connection, Usage::Caller);
+        }
+    }
+
     fn respond(&mut self, connection: ConnectionId, status: u16, message: &Message) {
         let bytes = Writer::response(status, &ResponseHead::for_request(message, "")).finish();
         self.outputs.push_back(Output::Write { connection, bytes });
--- a/crates/platform/src/releases.rs
+++ b/crates/platform/src/releases.rs
@@ -102,6 +102,18 @@
         was_sent && self.remove(id).is_some()
     }
 
+    /// Whether the set-up of the call arrived on the connection, so that its caller is at the other end.
+    pub fn is_own_connection(&self, id: u64, connection: ConnectionId) -> bool {
+        self.owed.get(&id).is_some_and(|o| o.own_connection == connection)
+    }
+
+    /// The client of a connection does not know the call: the release is sent on another one at once.
+    pub fn rejected_on(&mut self, now: f64, id: u64, connection: ConnectionId) {
+        if let Some(owed) = self.owed.get_mut(&id).filter(|o| o.tried.last() == Some(&connection)) {
+            owed.next_send_at = now;
+        }
+    }
+
     /// Whether the caller of the call is still to be told of its end.
     pub fn is_owed(&self, id: u64) -> bool {
         self.owed.contains_key(&id)
--- a/crates/platform/tests/releases.rs
+++ b/crates/platform/tests/releases.rs
@@ -128,6 +128,31 @@
     assert!(front.now - over_at < RELEASE_LIFETIME);
 }
 
+/// Guards against review case 9: a bad client's 481 to a release that it got by chance counted as its confirmation.
+#[test]
+fn a_client_that_rejects_a_release_does_not_confirm_it() {
+    let (mut front, links) = TestFront::with_links(1);
+    let own = front.establish_call(links[0], 1);
+    let bad = [100, 101].map(|call| {
+        front.advance(0.01);
+        bad_client(&mut front, links[0], call)
+    });
+    front.lose_connection(own, Loss::Broken);
+    front.send_line(links[0], &release(1, 16, ""));
+    assert_eq!(count_byes(&mut front, bad[1]), 1, "the connection used last comes first");
+    let rejection =
+        format!("SIP/2.0 481 Unknown\r\nCall-ID: {}\r\nCSeq: 2 BYE\r\nContent-Length: 0\r\n\r\n", id(1));
+    front.bytes(bad[1], rejection.as_bytes());
+    assert_eq!(count_byes(&mut front, bad[0]), 1, "sent on another connection at once");
+    front.bytes(bad[0], rejection.as_bytes());
+    front.advance(3.0);
+    let next = front.client();
+    front.bytes(next, invite(2, 0).as_bytes());
+    front.advance(0.2);
+    assert_eq!(count_byes(&mut front, next), 1);
+    assert_eq!(front.edge.counters().byes_heard, 0);
+}
+
 /// Guards against the same for the limit of releases remembered: one client that hands over calls that never
 /// stood, each of which ends, discarded the releases owed to others.
 #[test]
