--- a/crates/platform/src/edge.rs
+++ b/crates/platform/src/edge.rs
@@ -7,6 +7,10 @@
 use crate::expiring_ids::{ExpiringIds, ID_BYTES};
 use crate::feed::{Event, Feed};
 use crate::handover::UnresolvedHandover;
+use crate::limits::{
+    EARLY_RELEASE_MEMORY_SHARE, PARTIAL_MEMORY_SHARE, QUEUE_MEMORY_SHARE, SENT_ID_MEMORY_SHARE,
+    SET_UP_MEMORY_SHARE,
+};
 use crate::lines;
 use crate::link::{LinkState, Phase, Servers};
 use crate::log::{call_subject, LogRecord};
@@ -134,19 +138,7 @@
 /// On sockets the platform allows this much beyond its time limits, seconds; the release guard is extended by
 /// the same time.
 const SOCKET_SLACK: f64 = 0.05;
-/// Fraction of the memory limit that the set-ups of pending attaches may fill.
-const SET_UP_MEMORY_SHARE: f64 = 0.125;
-/// Fraction of the memory limit for messages of which a part is still to come. As many clients as there are
-/// descriptors may have one of the longest messages unfinished.
-const PARTIAL_MEMORY_SHARE: f64 = 1.0 / 16.0;
-/// Fraction of the memory limit for bytes queued for peers that do not read.
-const QUEUE_MEMORY_SHARE: f64 = 1.0 / 16.0;
-/// Fraction of the memory limit for ids of releases read before their calls are handed over. After an outage of
-/// the front these are all calls that ended meanwhile.
-const EARLY_RELEASE_MEMORY_SHARE: f64 = 1.0 / 64.0;
-/// Fraction of the memory limit for ids of calls that were sent to a server.
-const SENT_ID_MEMORY_SHARE: f64 = 1.0 / 64.0;
-/// Time for which such an id is remembered, seconds.
+/// Time for which the id of a call that was sent to a server is remembered, seconds.
 const SENT_ID_LIFETIME: f64 = 30.0;
 /// Limit of the CANCELs remembered that were read before their set-ups.
 const MAX_EARLY_CANCELS: usize = 1024;
